--- /dev/null
+++ b/daemons/attempt.cpp
@@ -0,0 +1,80 @@
+// Problem: a request must reach only the process that the table speaks of, not one that has replaced it unseen and is cold.
+// Approach: each new connection first asks the process for its boot id; later requests on that connection need not ask again.
+// Asking before every request doubles the round trips, and never asking floods a restarted upstream until a probe sees it.
+
+#include "daemons/attempt.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+std::string bootIdOf(const HttpReply &reply)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(reply.m_body, error);
+    const json::value *boot = error || !value.is_object() ? nullptr : value.as_object().if_contains("boot_id");
+    return boot != nullptr && boot->is_string() ? json::value_to<std::string>(*boot) : std::string();
+}
+}
+
+awaitable<Result<HttpConnectionPtr>> connectUpstream(GatewayContext &context, const Upstream &upstream, bool fresh, std::int64_t timeoutMs)
+{
+    if (!fresh) {
+        HttpConnectionPtr idle = context.m_connections.take(co_await asio::this_coro::executor, upstream.m_address, upstream.m_bootId);
+        if (idle != nullptr) {
+            co_return std::move(idle);
+        }
+    }
+    Result<HttpConnectionPtr> made = co_await httpConnect(upstream.m_address, timeoutMs);
+    if (failed(made)) {
+        co_return errorOf(made);
+    }
+    HttpRequest status;
+    status.m_target = "/control/status";
+    const Result<HttpReply> reply = co_await httpExchange(*valueOf(made), status, timeoutMs);
+    if (failed(reply)) {
+        co_return Error{ErrorCode::ConnectFailed, "no status: " + describe(errorOf(reply))};
+    }
+    valueOf(made)->m_bootId = bootIdOf(valueOf(reply));
+    if (valueOf(made)->m_bootId != upstream.m_bootId) {
+        co_return Error{ErrorCode::ConnectFailed, "another process answers at " + upstream.m_address};
+    }
+    co_return std::move(valueOf(made));
+}
+
+void takeEngineNews(GatewayContext &context, const Upstream &upstream, const std::string &running, bool cold, bool leaving)
+{
+    int count = 0;
+    const std::from_chars_result parsed = std::from_chars(running.data(), running.data() + running.size(), count);
+    if (parsed.ec == std::errc() && !running.empty()) {
+        context.m_dispatcher->reportLoad(upstream.m_id, count);
+    }
+    if (cold && upstream.m_phase == GroupPhase::Warm) {
+        reportUpstream(context, upstream, ReportKind::Cold);
+    }
+    if (leaving) {
+        reportUpstream(context, upstream, ReportKind::Leaving);
+    }
+}
+
+AttemptEnd attemptEndOf(const Error &error)
+{
+    switch (error.m_code) {
+    case ErrorCode::ConnectionLost:
+        return AttemptEnd::UpstreamLost;
+    case ErrorCode::UpstreamRefused:
+        return AttemptEnd::Refused;
+    case ErrorCode::ConnectFailed:
+    case ErrorCode::Timeout:
+        return AttemptEnd::Unreachable;
+    default:
+        return AttemptEnd::Neutral;
+    }
+}
+}
--- /dev/null
+++ b/daemons/dispatcher.cpp
@@ -0,0 +1,216 @@
+// Problem: the scheduler is one state machine, and requests live on several threads.
+// Approach: a lock around each event, held for microseconds and never across a wait; answers are posted to the thread of the request.
+// A scheduler a thread would split limits, cold grants and fair shares between threads.
+
+#include "daemons/dispatcher.h"
+
+#include <boost/json.hpp>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+/** Past its deadline a request gets its refusal from the scheduler's tick; this bounds the wait if it does not. */
+constexpr std::int64_t RefusalSlackMs = 1'000;
+}
+
+Result<std::unique_ptr<Dispatcher>> Dispatcher::create(const SchedulerSettings &settings)
+{
+    Result<std::unique_ptr<Scheduler>> scheduler = Scheduler::create(settings);
+    if (failed(scheduler)) {
+        return errorOf(scheduler);
+    }
+    return std::unique_ptr<Dispatcher>(new Dispatcher(std::move(valueOf(scheduler))));
+}
+
+Dispatcher::Dispatcher(std::unique_ptr<Scheduler> scheduler)
+    : m_scheduler(std::move(scheduler))
+{
+}
+
+void Dispatcher::carryOut(const Actions &actions)
+{
+    for (const Action &action : actions) {
+        const auto it = m_waiters.find(action.m_requestId);
+        if (it != m_waiters.end()) {
+            it->second->set(action);
+            m_waiters.erase(it);
+        }
+    }
+}
+
+void Dispatcher::cutStale(std::int64_t nowMs)
+{
+    for (const std::pair<const std::uint64_t, Watched> &entry : m_watched) {
+        if (!m_scheduler->inForce(entry.second.m_upstream, entry.second.m_generation, nowMs)) {
+            asio::post(entry.second.m_executor, entry.second.m_cut);
+        }
+    }
+}
+
+awaitable<Action> Dispatcher::submit(WorkRequest request)
+{
+    const std::shared_ptr<OneShot<Action>> waiter = std::make_shared<OneShot<Action>>(co_await asio::this_coro::executor);
+    const std::int64_t nowMs = steadyMs();
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_waiters[request.m_id] = waiter;
+        Actions actions;
+        if (request.m_attempt == 0) {
+            m_scheduler->arrive(request, nowMs, actions);
+        } else {
+            m_scheduler->retry(request, nowMs, actions);
+        }
+        carryOut(actions);
+    }
+    const std::optional<Action> action = co_await waiter->wait(std::max<std::int64_t>(0, request.m_deadlineMs - nowMs) + RefusalSlackMs);
+    if (action) {
+        co_return *action;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_waiters.erase(request.m_id);
+    m_scheduler->cancelWaiting(request.m_id);
+    Actions actions;
+    m_scheduler->finish(request.m_id, AttemptEnd::Neutral, steadyMs(), actions);
+    carryOut(actions);
+    Action refused;
+    refused.m_kind = ActionKind::Refuse;
+    refused.m_requestId = request.m_id;
+    refused.m_error = ErrorCode::DeadlineUnreachable;
+    refused.m_retryAfterMs = RefusalSlackMs;
+    co_return refused;
+}
+
+void Dispatcher::finish(std::uint64_t requestId, AttemptEnd end)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::int64_t nowMs = steadyMs();
+    Actions actions;
+    m_scheduler->finish(requestId, end, nowMs, actions);
+    carryOut(actions);
+    if (end == AttemptEnd::UpstreamLost || end == AttemptEnd::Unreachable) {
+        cutStale(nowMs);
+    }
+}
+
+void Dispatcher::watchAttempt(std::uint64_t requestId, const Upstream &upstream, const asio::any_io_executor &executor, std::function<void()> cut)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_watched[requestId] = Watched{upstream.m_id, upstream.m_generation, executor, std::move(cut)};
+}
+
+void Dispatcher::unwatchAttempt(std::uint64_t requestId)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_watched.erase(requestId);
+}
+
+bool Dispatcher::mayDispatch(const Upstream &upstream)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_scheduler->mayDispatch(upstream.m_id, upstream.m_generation, steadyMs());
+}
+
+void Dispatcher::setTable(std::shared_ptr<const RouteTable> table)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::int64_t nowMs = steadyMs();
+    Actions actions;
+    m_scheduler->setTable(std::move(table), nowMs, actions);
+    carryOut(actions);
+    cutStale(nowMs);
+}
+
+void Dispatcher::report(const UpstreamReport &report)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::int64_t nowMs = steadyMs();
+    Actions actions;
+    m_scheduler->report(report, nowMs, actions);
+    carryOut(actions);
+    if (report.m_kind == ReportKind::Doubt) {
+        cutStale(nowMs);
+    }
+}
+
+void Dispatcher::reportLoad(const std::string &upstream, int running)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_scheduler->reportLoad(upstream, running, steadyMs());
+}
+
+void Dispatcher::setAccepting(bool accepting, ErrorCode error)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_scheduler->setAccepting(accepting, error);
+}
+
+void Dispatcher::setGateways(int gateways)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_scheduler->setGateways(gateways);
+}
+
+void Dispatcher::mergeStrike(const StrikeRecord &record)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_scheduler->strikes().merge(record);
+}
+
+std::vector<StrikeRecord> Dispatcher::strikes()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_scheduler->strikes().records(steadyMs());
+}
+
+std::vector<UpstreamReport> Dispatcher::setApart()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_scheduler->setApart();
+}
+
+void Dispatcher::tick()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Actions actions;
+    m_scheduler->tick(steadyMs(), actions);
+    carryOut(actions);
+}
+
+SchedulerCounters Dispatcher::counters()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_scheduler->counters();
+}
+
+std::string Dispatcher::dump()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const SchedulerCounters &counters = m_scheduler->counters();
+    json::array upstreams;
+    for (const UpstreamState &state : m_scheduler->upstreams()) {
+        upstreams.push_back(json::object{{"id", state.m_info->m_id},
+                                         {"availability_zone", state.m_info->m_availabilityZone},
+                                         {"generation", state.m_info->m_generation},
+                                         {"phase", enumName(GroupPhaseNames, state.m_info->m_phase)},
+                                         {"cold_holder", state.m_info->m_coldHolder},
+                                         {"in_table", state.m_present},
+                                         {"takes_work", state.m_availableAt >= 0},
+                                         {"running", state.m_running},
+                                         {"others_running", state.m_othersRunning},
+                                         {"turned_cold", state.m_turnedCold},
+                                         {"leaving", state.m_leaving}});
+    }
+    json::object object;
+    object["waiting"] = m_scheduler->waiting();
+    object["dispatched"] = counters.m_dispatched;
+    object["refused"] = counters.m_refused;
+    object["queued"] = counters.m_queued;
+    object["retried"] = counters.m_retried;
+    object["retries_denied"] = counters.m_retriesDenied;
+    object["upstreams"] = std::move(upstreams);
+    return json::serialize(object);
+}
+}
--- /dev/null
+++ b/daemons/domainkeeper.cpp
@@ -0,0 +1,279 @@
+// Problem: exactly one controller may form groups and give orders in a fabric domain, although controllers pause, race and die.
+// Approach: a lease in the store names the holder, the record's compare-and-swap decides every change, and orders go out only while the
+// lease certainly holds, with the record's fencing number and after orders of the holder before have died.
+// A lease alone fails when its holder wakes from a pause and goes on where it stopped.
+
+#include "daemons/domainkeeper.h"
+
+#include "kernel/routetable.h"
+#include "net/logging.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+constexpr std::int64_t PreferredTryMs = 200;
+constexpr std::int64_t OtherTryMs = 1'500;
+/** The preferred controller must have been there this long before the domain is handed over. */
+constexpr std::int64_t HandOverAfterMs = 3'000;
+constexpr std::int64_t OrderTimeoutMs = 500;
+
+std::string claimKey(const std::string &domain)
+{
+    return "knapweedslip/claims/" + domain;
+}
+
+std::string orderBody(const Order &order)
+{
+    json::array peers;
+    for (const std::string &address : order.m_peerAddresses) {
+        peers.push_back(json::string(address));
+    }
+    json::object object;
+    object["kind"] = enumName(OrderKindNames, order.m_kind);
+    object["boot_id"] = order.m_bootId;
+    object["fence"] = order.m_fence;
+    object["group"] = order.m_group;
+    object["generation"] = order.m_generation;
+    object["rank"] = order.m_rank;
+    object["loaded"] = order.m_loaded;
+    object["peers"] = std::move(peers);
+    return json::serialize(object);
+}
+}
+
+DomainKeeper::DomainKeeper(Node &node, Prober &prober, const ControllerSettings &settings, const PlacementRule &rule, std::string domain, std::string service)
+    : m_node(node)
+    , m_prober(prober)
+    , m_settings(settings)
+    , m_rule(rule)
+    , m_domain(std::move(domain))
+    , m_service(std::move(service))
+{
+    m_times.m_ttlMs = settings.m_claimTtlMs;
+    m_times.m_marginMs = settings.m_claimTtlMs / 3;
+    m_times.m_orderLifeMs = settings.m_orderLifeMs;
+}
+
+bool DomainKeeper::held() const
+{
+    return m_claim.m_held;
+}
+
+const DomainRecord &DomainKeeper::record() const
+{
+    return m_record;
+}
+
+const std::string &DomainKeeper::domain() const
+{
+    return m_domain;
+}
+
+std::vector<std::string> DomainKeeper::gateways() const
+{
+    return livingMembers(m_node.membership(), Role::Gateway, steadyMs());
+}
+
+awaitable<bool> DomainKeeper::readRecord()
+{
+    const Result<StoreValue> value = co_await storeRead(m_node.store(), DomainKeyPrefix + m_domain);
+    if (failed(value)) {
+        co_return false;
+    }
+    m_recordIndex = valueOf(value).m_modifyIndex;
+    if (!valueOf(value).m_found) {
+        m_record = DomainRecord{};
+        m_record.m_domain = m_domain;
+        co_return true;
+    }
+    Result<DomainRecord> record = decodeDomainRecord(valueOf(value).m_value);
+    if (failed(record)) {
+        logEvent(LogEvent::PlanUnreadable, {{"domain", m_domain}, {"error", describe(errorOf(record))}});
+        co_return false;
+    }
+    m_record = std::move(valueOf(record));
+    co_return true;
+}
+
+awaitable<bool> DomainKeeper::writeRecord(DomainRecord next)
+{
+    const Result<CasOutcome> written = co_await storeWrite(m_node.store(), DomainKeyPrefix + m_domain, encodeDomainRecord(next), m_recordIndex);
+    const bool clean = !failed(written) && valueOf(written) == CasOutcome::Written;
+    // Whatever happened, the store's word counts, not the memory of what was sent.
+    const bool read = co_await readRecord();
+    co_return clean && read;
+}
+
+awaitable<void> DomainKeeper::tryClaim(const KeeperRound &input, const ControllerSession &session)
+{
+    const std::int64_t nowMs = steadyMs();
+    if (!session.m_alive || nowMs < m_nextTryMs || m_node.stopping()) {
+        co_return;
+    }
+    m_nextTryMs = nowMs + (input.m_preferred ? PreferredTryMs : OtherTryMs);
+    const Result<bool> acquired = co_await storeAcquire(m_node.store(), claimKey(m_domain), m_node.settings().m_name, session.m_id);
+    if (failed(acquired) || !co_await readRecord() || !valueOf(acquired)) {
+        co_return;
+    }
+    DomainRecord next = m_record;
+    next.m_holder = m_node.settings().m_name;
+    next.m_availabilityZone = input.m_availabilityZone;
+    ++next.m_fence;
+    const std::uint64_t fence = next.m_fence;
+    if (!co_await writeRecord(std::move(next)) || m_record.m_fence != fence || m_record.m_holder != m_node.settings().m_name) {
+        co_return;
+    }
+    m_claim.m_held = true;
+    m_claim.m_fence = fence;
+    m_claim.m_acquiredAtMs = steadyMs();
+    m_claim.m_renewedAtMs = session.m_renewedAtMs;
+    m_otherPreferredSinceMs = -1;
+    logEvent(LogEvent::DomainClaimed, {{"domain", m_domain}, {"fence", std::to_string(fence)}});
+}
+
+awaitable<void> DomainKeeper::round(KeeperRound input, ControllerSession session)
+{
+    if (!m_claim.m_held) {
+        co_await tryClaim(input, session);
+        // The last known holder goes on probing while the store is down, so that gateways still hear of losses.
+        if (!m_claim.m_held && m_record.m_holder != m_node.settings().m_name) {
+            m_prober.setTargets(m_domain, {});
+            co_return;
+        }
+    }
+    m_claim.m_renewedAtMs = session.m_renewedAtMs;
+    if (m_claim.m_held && (!session.m_alive || !claimValid(m_claim, m_times, steadyMs()))) {
+        logEvent(LogEvent::DomainLost, {{"domain", m_domain}});
+        m_claim.m_held = false;
+    }
+    m_prober.setTargets(m_domain, input.m_listed);
+    tellGateways(m_prober.states(m_domain));
+    if (!m_claim.m_held || !m_prober.complete(m_domain)) {
+        co_return;
+    }
+    if (input.m_preferred) {
+        m_otherPreferredSinceMs = -1;
+    } else if (m_otherPreferredSinceMs < 0) {
+        m_otherPreferredSinceMs = steadyMs();
+    } else if (steadyMs() - m_otherPreferredSinceMs > HandOverAfterMs) {
+        co_await release(session);
+        co_return;
+    }
+    co_await decide(input);
+}
+
+awaitable<void> DomainKeeper::decide(const KeeperRound &input)
+{
+    PlacementInput placement;
+    placement.m_record = m_record;
+    placement.m_vms = m_prober.states(m_domain);
+    placement.m_plan = input.m_plan.get();
+    placement.m_wanted = input.m_wanted;
+    placement.m_gateways = gateways();
+    placement.m_maxLoads = m_settings.m_maxLoads;
+    const ServicePlan *service = m_service.empty() ? nullptr : findService(*input.m_plan, m_service);
+    if (!m_service.empty() && service == nullptr) {
+        co_return;
+    }
+    PlacementResult result = service != nullptr ? placeService(*service, placement) : placeDomain(m_rule, placement);
+    if (result.m_changed) {
+        if (!claimValid(m_claim, m_times, steadyMs())) {
+            co_return;
+        }
+        const std::size_t groups = result.m_record.m_groups.size();
+        if (co_await writeRecord(std::move(result.m_record))) {
+            logEvent(LogEvent::GroupChanged, {{"domain", m_domain}, {"groups", std::to_string(groups)}, {"index", std::to_string(m_recordIndex)}});
+        }
+        if (m_record.m_fence != m_claim.m_fence) {
+            logEvent(LogEvent::DomainLost, {{"domain", m_domain}});
+            m_claim.m_held = false;
+        }
+        co_return;
+    }
+    for (Order &order : result.m_orders) {
+        if (mayOrder(m_claim, m_times, steadyMs()) && m_ordering.insert(order.m_vm).second) {
+            asio::co_spawn(m_node.context(), giveOrder(std::move(order)), asio::detached);
+        }
+    }
+}
+
+awaitable<void> DomainKeeper::giveOrder(Order order)
+{
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = "/control/order";
+    request.m_body = orderBody(order);
+    // A fresh connection, closed with its timeout: an order cannot arrive later than this.
+    const std::int64_t timeoutMs = std::min(OrderTimeoutMs, std::max<std::int64_t>(1, m_times.m_orderLifeMs / 2));
+    Result<HttpConnectionPtr> connection = co_await httpConnect(order.m_address, timeoutMs);
+    Result<HttpReply> reply = failed(connection) ? Result<HttpReply>(errorOf(connection)) : Result<HttpReply>(HttpReply{});
+    if (!failed(connection) && mayOrder(m_claim, m_times, steadyMs())) {
+        reply = co_await httpExchange(*valueOf(connection), request, timeoutMs);
+    }
+    constexpr unsigned Ok = 200;
+    const bool taken = !failed(reply) && valueOf(reply).m_status == Ok;
+    logEvent(taken ? LogEvent::OrderGiven : LogEvent::OrderFailed,
+             {{"vm", order.m_vm},
+              {"kind", std::string(enumName(OrderKindNames, order.m_kind))},
+              {"group", order.m_group},
+              {"generation", std::to_string(order.m_generation)},
+              {"fence", std::to_string(order.m_fence)}});
+    m_ordering.erase(order.m_vm);
+}
+
+void DomainKeeper::tellGateways(const std::vector<VmState> &vms)
+{
+    for (const GroupRecord &group : m_record.m_groups) {
+        bool lost = false;
+        bool cold = false;
+        bool leaving = false;
+        for (const MemberRecord &member : group.m_members) {
+            const auto vm = std::find_if(vms.begin(), vms.end(), [&](const VmState &state) {
+                return state.m_vm == member.m_vm;
+            });
+            lost = lost || vm == vms.end() || !vm->m_alive || vm->m_bootId != member.m_bootId;
+            cold = cold || (vm != vms.end() && vm->m_cold);
+            leaving = leaving || (vm != vms.end() && vm->m_leaving);
+        }
+        const bool serves = group.m_phase == GroupPhase::Cold || group.m_phase == GroupPhase::Warm;
+        ReportKind kind = ReportKind::Recovered;
+        if (lost) {
+            kind = ReportKind::Doubt;
+        } else if (cold && group.m_phase == GroupPhase::Warm) {
+            kind = ReportKind::Cold;
+        } else if (leaving) {
+            kind = ReportKind::Leaving;
+        }
+        const auto told = m_told.find(group.m_id);
+        const bool news = told == m_told.end() ? kind != ReportKind::Recovered : told->second != kind;
+        // Doubt lapses at the gateways, so it is repeated while it lasts.
+        const bool repeat = kind == ReportKind::Doubt;
+        if (serves && m_prober.complete(m_domain) && (news || repeat)) {
+            m_node.report(UpstreamReport{group.m_id, group.m_generation, kind});
+        }
+        m_told[group.m_id] = kind;
+    }
+}
+
+awaitable<void> DomainKeeper::release(ControllerSession session)
+{
+    if (!m_claim.m_held) {
+        co_return;
+    }
+    m_claim.m_held = false;
+    while (!m_ordering.empty()) {
+        co_await sleepFor(1);
+    }
+    m_nextTryMs = steadyMs() + OtherTryMs;
+    m_otherPreferredSinceMs = -1;
+    co_await storeRelease(m_node.store(), claimKey(m_domain), session.m_id);
+    logEvent(LogEvent::DomainReleased, {{"domain", m_domain}});
+}
+}
--- /dev/null
+++ b/daemons/intentledger.cpp
@@ -0,0 +1,166 @@
+// Problem: claims must reach the store before requests go out, with few writes, and through lost answers and outages.
+// Approach: one writer a shard takes everything that waits, reads, applies and writes by compare-and-swap, and starts over after a
+// conflict or an unclear write. A claim nobody waits for any more is released, so that it cannot block its key.
+// Dropping a claim after an unclear write leaves a key that looks as if its request ran.
+
+#include "daemons/intentledger.h"
+
+#include "net/logging.h"
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr std::int64_t RetryPauseMs = 50;
+constexpr std::int64_t ForeverMs = 365LL * 24 * 60 * 60 * 1'000;
+constexpr int MaxTriesPerRound = 8;
+constexpr std::size_t MaxPending = 50'000;
+}
+
+IntentLedger::IntentLedger(Node &node, std::string owner)
+    : m_node(node)
+    , m_owner(std::move(owner))
+{
+}
+
+const std::string &IntentLedger::owner() const
+{
+    return m_owner;
+}
+
+std::size_t IntentLedger::pending() const
+{
+    return m_pendingCount;
+}
+
+std::uint64_t IntentLedger::writes() const
+{
+    return m_writes;
+}
+
+std::uint64_t IntentLedger::operations() const
+{
+    return m_operations;
+}
+
+awaitable<Result<IntentResult>> IntentLedger::apply(IntentOp op, std::int64_t timeoutMs)
+{
+    if (m_pendingCount > MaxPending) {
+        co_return Error{ErrorCode::StoreUnavailable, "too many claims wait for the store"};
+    }
+    const std::shared_ptr<OneShot<IntentResult>> waiter = std::make_shared<OneShot<IntentResult>>(co_await asio::this_coro::executor);
+    const std::int64_t giveUpMs = steadyMs() + timeoutMs;
+    op.m_owner = m_owner;
+    asio::post(m_node.context(), [this, pending = Pending{std::move(op), waiter, giveUpMs}]() {
+        enqueue(pending);
+    });
+    // The writer answers or gives up at giveUpMs; the claim is decided by the writer alone.
+    const std::optional<IntentResult> result = co_await waiter->wait(ForeverMs);
+    if (!result || result->m_outcome == IntentOutcome::GaveUp) {
+        co_return Error{ErrorCode::StoreUnavailable, "the claim could not be recorded"};
+    }
+    co_return *result;
+}
+
+void IntentLedger::applyLater(IntentOp op)
+{
+    op.m_owner = m_owner;
+    asio::post(m_node.context(), [this, pending = Pending{std::move(op), nullptr, steadyMs() + ForeverMs}]() {
+        enqueue(pending);
+    });
+}
+
+void IntentLedger::enqueue(Pending pending)
+{
+    const std::size_t shard = intentShardOf(pending.m_op.m_key);
+    m_pending[shard].push_back(std::move(pending));
+    ++m_pendingCount;
+    ++m_operations;
+    if (!m_busy[shard]) {
+        m_busy[shard] = true;
+        asio::co_spawn(m_node.context(), runShard(shard), asio::detached);
+    }
+}
+
+std::vector<IntentOp> IntentLedger::opsOf(const Batch &batch)
+{
+    std::vector<IntentOp> ops;
+    for (const Pending &pending : batch) {
+        ops.push_back(pending.m_op);
+    }
+    return ops;
+}
+
+void IntentLedger::withdraw(Batch &batch, std::int64_t nowMs)
+{
+    IntentResult gaveUp;
+    gaveUp.m_outcome = IntentOutcome::GaveUp;
+    for (Pending &pending : batch) {
+        if (pending.m_waiter == nullptr || nowMs < pending.m_giveUpMs) {
+            continue;
+        }
+        pending.m_waiter->set(gaveUp);
+        pending.m_waiter.reset();
+        if (pending.m_op.m_kind == IntentOpKind::Begin) {
+            pending.m_op.m_kind = IntentOpKind::Release;
+        }
+    }
+}
+
+awaitable<void> IntentLedger::runShard(std::size_t shard)
+{
+    Batch batch;
+    while (true) {
+        batch.insert(batch.end(), m_pending[shard].begin(), m_pending[shard].end());
+        m_pending[shard].clear();
+        withdraw(batch, steadyMs());
+        if (batch.empty()) {
+            break;
+        }
+        const std::size_t taken = batch.size();
+        if (co_await commit(shard, batch)) {
+            m_pendingCount -= taken;
+            batch.clear();
+        } else {
+            co_await sleepFor(RetryPauseMs);
+        }
+    }
+    m_busy[shard] = false;
+}
+
+awaitable<bool> IntentLedger::commit(std::size_t shard, Batch &batch)
+{
+    const std::string key = intentShardKey(shard);
+    for (int tries = 0; tries < MaxTriesPerRound; ++tries) {
+        const Result<StoreValue> held = co_await storeRead(m_node.store(), key);
+        if (failed(held)) {
+            co_return false;
+        }
+        wire::IntentShardT current;
+        if (!decodeIntentShard(valueOf(held).m_value, current)) {
+            logEvent(LogEvent::PlanUnreadable, {{"key", key}});
+            co_return false;
+        }
+        withdraw(batch, steadyMs());
+        IntentBatch next = applyIntents(current, opsOf(batch), static_cast<std::uint64_t>(unixSeconds()));
+        if (next.m_changed) {
+            ++m_writes;
+            const Result<CasOutcome> written = co_await storeWrite(m_node.store(), key, encodeIntentShard(next.m_next), valueOf(held).m_modifyIndex);
+            if (failed(written)) {
+                logEvent(LogEvent::IntentUnclear, {{"key", key}, {"error", describe(errorOf(written))}});
+                co_return false;
+            }
+            if (valueOf(written) == CasOutcome::Conflict) {
+                continue;
+            }
+        }
+        for (std::size_t i = 0; i < batch.size(); ++i) {
+            if (batch[i].m_waiter != nullptr) {
+                batch[i].m_waiter->set(next.m_results[i]);
+            }
+        }
+        co_return true;
+    }
+    co_return false;
+}
+}
--- /dev/null
+++ b/daemons/modelrelay.cpp
@@ -0,0 +1,365 @@
+// Problem: an answer must arrive whole though upstreams are cut, lost or leave while they give it.
+// Approach: the relay keeps what the caller has been given (StreamJoin); after a failed attempt another upstream continues from that
+// token; an answer that cannot be continued ends in an explicit error event, never in a polite end.
+// Starting over repeats tokens; closing the stream makes a cut answer look whole.
+
+#include "daemons/modelrelay.h"
+
+#include "daemons/attempt.h"
+#include "kernel/hashing.h"
+#include "kernel/streamjoin.h"
+#include "net/logging.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+constexpr std::int64_t ConnectTimeoutMs = 1'000;
+constexpr std::int64_t DefaultRetryAfterMs = 1'000;
+
+struct Relay {
+    GatewayContext &m_context;
+    HttpExchange &m_exchange;
+    CompletionCall m_call;
+    StreamJoin m_join;
+    std::string m_text;
+    std::int64_t m_startedMs = 0;
+    bool m_headerSent = false;
+    bool m_callerGone = false;
+};
+
+struct AttemptResult {
+    AttemptEnd m_end = AttemptEnd::Neutral;
+    bool m_complete = false;
+    Error m_error;
+};
+
+AttemptResult failedAttempt(const Error &error)
+{
+    return AttemptResult{attemptEndOf(error), false, error};
+}
+
+struct ParsedEvent {
+    TokenEvent m_event;
+    std::string m_text;
+};
+
+Result<ParsedEvent> parseEvent(const std::string &data)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(data, error);
+    const json::object *object = error ? nullptr : value.if_object();
+    const json::value *id = object == nullptr ? nullptr : object->if_contains("id");
+    const json::value *generation = object == nullptr ? nullptr : object->if_contains("generation");
+    const json::value *offset = object == nullptr ? nullptr : object->if_contains("offset");
+    if (id == nullptr || generation == nullptr || offset == nullptr || !id->is_string() || !generation->is_number() || !offset->is_number()) {
+        return Error{ErrorCode::ProtocolViolation, "token event cannot be read"};
+    }
+    ParsedEvent parsed;
+    parsed.m_event.m_requestId = std::string(id->as_string());
+    boost::system::error_code numberError;
+    parsed.m_event.m_generation = generation->to_number<std::uint64_t>(numberError);
+    parsed.m_event.m_offset = offset->to_number<std::uint64_t>(numberError);
+    const json::value *last = object->if_contains("last");
+    parsed.m_event.m_last = last != nullptr && last->is_bool() && last->as_bool();
+    const json::value *text = object->if_contains("text");
+    if (text != nullptr && text->is_string()) {
+        parsed.m_text = std::string(text->as_string());
+    }
+    return parsed;
+}
+
+std::string chunkFor(const Relay &relay, const std::string &text, bool last)
+{
+    json::object choice;
+    choice["index"] = 0;
+    if (relay.m_call.m_chat) {
+        choice["delta"] = last ? json::object() : json::object{{"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    choice["finish_reason"] = last ? json::value("stop") : json::value(nullptr);
+    json::object object;
+    object["id"] = relay.m_join.m_requestId;
+    object["object"] = relay.m_call.m_chat ? "chat.completion.chunk" : "text_completion";
+    object["model"] = relay.m_call.m_model;
+    object["choices"] = json::array{std::move(choice)};
+    return "data: " + json::serialize(object) + "\n\n";
+}
+
+HttpReply wholeReply(const Relay &relay)
+{
+    json::object choice;
+    choice["index"] = 0;
+    if (relay.m_call.m_chat) {
+        choice["message"] = json::object{{"role", "assistant"}, {"content", relay.m_text}};
+    } else {
+        choice["text"] = relay.m_text;
+    }
+    choice["finish_reason"] = "stop";
+    json::object object;
+    object["id"] = relay.m_join.m_requestId;
+    object["object"] = relay.m_call.m_chat ? "chat.completion" : "text_completion";
+    object["model"] = relay.m_call.m_model;
+    object["choices"] = json::array{std::move(choice)};
+    object["usage"] = json::object{{"completion_tokens", relay.m_join.m_nextOffset}};
+    return jsonReply(200, json::serialize(object));
+}
+
+/** Gives text that was judged to the caller. */
+awaitable<void> giveToCaller(Relay &relay, std::string chunk)
+{
+    if (!relay.m_call.m_stream || chunk.empty()) {
+        co_return;
+    }
+    if (!relay.m_headerSent) {
+        relay.m_headerSent = true;
+        HeaderFields headers;
+        headers.emplace_back("Content-Type", "text/event-stream");
+        headers.emplace_back("X-Request-Id", relay.m_join.m_requestId);
+        const Result<Done> begun = co_await relay.m_exchange.beginStream(200, headers);
+        relay.m_callerGone = relay.m_callerGone || failed(begun);
+    }
+    const Result<Done> written = co_await relay.m_exchange.writeChunk(chunk);
+    relay.m_callerGone = relay.m_callerGone || failed(written);
+}
+
+/** Judges the events of one piece; fills @p chunk with what goes to the caller. */
+Result<Done> takeEvents(Relay &relay, const std::vector<std::string> &events, std::string &chunk)
+{
+    for (const std::string &data : events) {
+        Result<ParsedEvent> parsed = parseEvent(data);
+        if (failed(parsed)) {
+            return errorOf(parsed);
+        }
+        const JoinVerdict verdict = joinEvent(relay.m_join, valueOf(parsed).m_event);
+        switch (verdict) {
+        case JoinVerdict::Pass:
+            if (relay.m_join.m_nextOffset == 1) {
+                relay.m_context.m_metrics.m_firstToken.add(static_cast<double>(steadyMs() - relay.m_startedMs));
+            }
+            ++relay.m_context.m_metrics.m_tokens;
+            if (relay.m_call.m_stream) {
+                chunk += chunkFor(relay, valueOf(parsed).m_text, false);
+            } else {
+                relay.m_text += valueOf(parsed).m_text;
+            }
+            break;
+        case JoinVerdict::Duplicate:
+            break;
+        case JoinVerdict::Complete:
+            return Done{};
+        case JoinVerdict::Gap:
+            return Error{ErrorCode::ProtocolViolation, "tokens are missing"};
+        case JoinVerdict::Foreign:
+            return Error{ErrorCode::ProtocolViolation, "an answer to another request"};
+        }
+    }
+    return Done{};
+}
+
+awaitable<AttemptResult> readAnswer(Relay &relay, HttpStream &stream)
+{
+    EventSplitter splitter;
+    while (!relay.m_join.m_complete) {
+        const std::int64_t leftMs = relay.m_call.m_deadlineMs - steadyMs();
+        if (leftMs <= 0) {
+            co_return AttemptResult{AttemptEnd::Neutral, false, Error{ErrorCode::Timeout, "the deadline has passed"}};
+        }
+        const Result<std::string> piece = co_await stream.read(std::min(leftMs, relay.m_context.m_settings.m_upstreamSilenceMs));
+        if (failed(piece)) {
+            co_return failedAttempt(errorOf(piece));
+        }
+        if (valueOf(piece).empty()) {
+            co_return AttemptResult{AttemptEnd::Neutral, false, Error{ErrorCode::StreamBroken, "the answer ended without its end marker"}};
+        }
+        std::string chunk;
+        const Result<Done> taken = takeEvents(relay, splitter.feed(valueOf(piece)), chunk);
+        co_await giveToCaller(relay, std::move(chunk));
+        if (relay.m_callerGone) {
+            co_return AttemptResult{AttemptEnd::Neutral, false, Error{ErrorCode::ConnectionLost, "the caller has gone"}};
+        }
+        if (failed(taken)) {
+            co_return failedAttempt(errorOf(taken));
+        }
+    }
+    co_return AttemptResult{AttemptEnd::Finished, true, {}};
+}
+
+HttpRequest engineRequest(const Relay &relay, const Upstream &upstream)
+{
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = "/v1/completions";
+    request.m_headers.emplace_back("Content-Type", "application/json");
+    request.m_headers.emplace_back("X-Request-Id", relay.m_join.m_requestId);
+    request.m_headers.emplace_back("X-Group-Generation", std::to_string(upstream.m_generation));
+    request.m_headers.emplace_back("X-Resume-Offset", std::to_string(relay.m_join.m_nextOffset));
+    request.m_body = relay.m_call.m_engineBody;
+    return request;
+}
+
+awaitable<AttemptResult> tryConnection(Relay &relay, const Upstream &upstream, HttpConnection &connection, bool &reusable)
+{
+    HttpStream stream(connection);
+    const std::int64_t leftMs = std::max<std::int64_t>(1, relay.m_call.m_deadlineMs - steadyMs());
+    const std::int64_t timeoutMs = std::min(leftMs, relay.m_context.m_settings.m_upstreamSilenceMs);
+    const Result<Done> opened = co_await stream.open(engineRequest(relay, upstream), timeoutMs);
+    if (failed(opened)) {
+        co_return failedAttempt(errorOf(opened));
+    }
+    takeEngineNews(relay.m_context, upstream, stream.header("X-Engine-Running"), stream.header("X-Engine-Cold") == "1", stream.header("X-Engine-Leaving") == "1");
+    constexpr unsigned Ok = 200;
+    if (stream.status() != Ok) {
+        const std::string reason = stream.header("X-Not-Run");
+        co_return AttemptResult{AttemptEnd::Refused, false, Error{ErrorCode::UpstreamRefused, reason.empty() ? std::to_string(stream.status()) : reason}};
+    }
+    relay.m_join.m_generation = upstream.m_generation;
+    AttemptResult result = co_await readAnswer(relay, stream);
+    if (result.m_complete && !stream.finished()) {
+        // The end of the chunked body may come in a piece of its own.
+        const Result<std::string> rest = co_await stream.read(ConnectTimeoutMs);
+        reusable = !failed(rest) && valueOf(rest).empty();
+    } else {
+        reusable = result.m_complete;
+    }
+    co_return result;
+}
+
+awaitable<AttemptResult> runAttempt(Relay &relay, std::shared_ptr<const Upstream> upstream, std::uint64_t attemptId)
+{
+    Result<HttpConnectionPtr> made = co_await connectUpstream(relay.m_context, *upstream, false, ConnectTimeoutMs);
+    if (failed(made)) {
+        co_return failedAttempt(errorOf(made));
+    }
+    HttpConnectionPtr connection = std::move(valueOf(made));
+    if (!relay.m_context.m_dispatcher->mayDispatch(*upstream)) {
+        relay.m_context.m_connections.give(std::move(connection));
+        co_return AttemptResult{AttemptEnd::Neutral, false, Error{ErrorCode::NoUpstream, "left service"}};
+    }
+    const bool reused = connection->m_reused;
+    const std::shared_ptr<bool> cut = std::make_shared<bool>(false);
+    HttpConnection *raw = connection.get();
+    const std::shared_ptr<bool> running = std::make_shared<bool>(true);
+    relay.m_context.m_dispatcher->watchAttempt(attemptId, *upstream, co_await asio::this_coro::executor, [raw, cut, running]() {
+        if (*running) {
+            *cut = true;
+            raw->m_stream.cancel();
+        }
+    });
+    bool reusable = false;
+    const std::uint64_t before = relay.m_join.m_nextOffset;
+    AttemptResult result = co_await tryConnection(relay, *upstream, *connection, reusable);
+    *running = false;
+    relay.m_context.m_dispatcher->unwatchAttempt(attemptId);
+    if (reusable) {
+        relay.m_context.m_connections.give(std::move(connection));
+    }
+    const bool idleClosed = reused && result.m_end == AttemptEnd::UpstreamLost && relay.m_join.m_nextOffset == before;
+    if (!result.m_complete && (*cut || idleClosed)) {
+        // Cut by news of the upstream, or the idle connection was closed before it took the request: no sign against this request.
+        result.m_end = *cut ? AttemptEnd::Neutral : AttemptEnd::Unreachable;
+    }
+    co_return result;
+}
+
+WorkRequest workRequest(const Relay &relay)
+{
+    WorkRequest work;
+    work.m_id = relay.m_context.m_nextRequest++;
+    work.m_workspace = relay.m_call.m_workspace;
+    work.m_pool = relay.m_call.m_model;
+    work.m_deadlineMs = relay.m_call.m_deadlineMs;
+    work.m_fingerprint = hash64(relay.m_call.m_engineBody, hash64(relay.m_call.m_workspace + "/" + relay.m_call.m_model));
+    work.m_query.m_workspace = work.m_workspace;
+    work.m_query.m_prefixes = prefixHashes(relay.m_call.m_model, relay.m_call.m_prompt);
+    return work;
+}
+
+/** The answer to a caller whose request is given up, at once. */
+awaitable<void> giveUp(Relay &relay, Error error, std::int64_t retryAfterMs)
+{
+    logEvent(relay.m_headerSent ? LogEvent::StreamBroken : LogEvent::RequestRefused,
+             {{"request", relay.m_join.m_requestId}, {"workspace", relay.m_call.m_workspace}, {"error", describe(error)}});
+    if (!relay.m_headerSent) {
+        co_await relay.m_exchange.respond(problemReply(error, retryAfterMs));
+        co_return;
+    }
+    ++relay.m_context.m_metrics.m_broken;
+    const HttpReply problem = problemReply(error, retryAfterMs);
+    const Result<Done> written = co_await relay.m_exchange.writeChunk("event: error\ndata: {\"error\":" + problem.m_body + "}\n\n");
+    if (!failed(written)) {
+        co_await relay.m_exchange.endStream();
+    }
+}
+
+awaitable<void> finishAnswer(Relay &relay)
+{
+    ++relay.m_context.m_metrics.m_answered;
+    relay.m_context.m_metrics.m_requests.add(static_cast<double>(steadyMs() - relay.m_startedMs));
+    if (!relay.m_call.m_stream) {
+        co_await relay.m_exchange.respond(wholeReply(relay));
+        co_return;
+    }
+    co_await giveToCaller(relay, chunkFor(relay, {}, true) + "data: [DONE]\n\n");
+    if (!relay.m_callerGone) {
+        co_await relay.m_exchange.endStream();
+    }
+}
+
+void noteFailure(Relay &relay, const Upstream &upstream, const AttemptResult &result)
+{
+    logEvent(LogEvent::AttemptFailed, {{"request", relay.m_join.m_requestId}, {"upstream", upstream.m_id}, {"error", describe(result.m_error)}});
+    if (result.m_end == AttemptEnd::UpstreamLost) {
+        spreadStrikes(relay.m_context);
+    }
+    if (result.m_end == AttemptEnd::UpstreamLost || result.m_end == AttemptEnd::Unreachable) {
+        reportUpstream(relay.m_context, upstream, ReportKind::Doubt);
+    }
+}
+}
+
+awaitable<void> relayCompletion(GatewayContext &context, HttpExchange &exchange, CompletionCall call)
+{
+    Relay relay{context, exchange, std::move(call), {}, {}, steadyMs(), false, false};
+    relay.m_join.m_requestId = context.m_settings.m_common.m_name + "-" + toHex(randomId());
+    WorkRequest work = workRequest(relay);
+    while (true) {
+        const Action action = co_await context.m_dispatcher->submit(work);
+        if (action.m_kind == ActionKind::Refuse) {
+            const std::int64_t retryAfterMs = std::max(DefaultRetryAfterMs, action.m_retryAfterMs);
+            const std::string detail = relay.m_headerSent ? "the answer could not be continued" : "";
+            co_await giveUp(relay, Error{action.m_error, detail}, retryAfterMs);
+            co_return;
+        }
+        const AttemptResult result = co_await runAttempt(relay, action.m_upstream, work.m_id);
+        context.m_dispatcher->finish(work.m_id, result.m_end);
+        if (result.m_complete) {
+            co_await finishAnswer(relay);
+            co_return;
+        }
+        if (relay.m_callerGone) {
+            co_return;
+        }
+        noteFailure(relay, *action.m_upstream, result);
+        if (steadyMs() >= relay.m_call.m_deadlineMs) {
+            co_await giveUp(relay, Error{ErrorCode::Timeout, "the deadline has passed"}, DefaultRetryAfterMs);
+            co_return;
+        }
+        work.m_id = context.m_nextRequest++;
+        ++work.m_attempt;
+        work.m_resumed = relay.m_join.m_nextOffset > 0;
+        work.m_query.m_excluded.push_back(action.m_upstream->m_id);
+        if (work.m_resumed) {
+            ++context.m_metrics.m_resumed;
+            logEvent(LogEvent::StreamResumed, {{"request", relay.m_join.m_requestId}, {"offset", std::to_string(relay.m_join.m_nextOffset)}});
+        }
+    }
+}
+}
--- /dev/null
+++ b/daemons/planeditor.cpp
@@ -0,0 +1,175 @@
+// Problem: operators race, and the answer to a write may be lost after it took effect.
+// Approach: each change carries an identity of its own. After an unclear write the plan is read until the identity is found (it took
+// effect) or the index has moved without it (it did not, and never will). A stale base is a conflict with the revision in force.
+// Writing again blindly may undo another operator's change; reporting an error may deny one that is in force.
+
+#include "daemons/planeditor.h"
+
+#include "net/logging.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr int MaxTries = 16;
+constexpr std::int64_t ReadBackMs = 10'000;
+constexpr std::int64_t ReadBackPauseMs = 100;
+
+struct StoredPlan {
+    std::uint64_t m_modifyIndex = 0;
+    std::vector<PlanDocument> m_history;
+};
+
+awaitable<Result<StoredPlan>> readStored(Node &node)
+{
+    const Result<StoreValue> value = co_await storeRead(node.store(), PlanKey);
+    if (failed(value)) {
+        co_return errorOf(value);
+    }
+    StoredPlan stored;
+    stored.m_modifyIndex = valueOf(value).m_modifyIndex;
+    if (valueOf(value).m_found) {
+        Result<std::vector<PlanDocument>> history = decodePlanHistory(valueOf(value).m_value);
+        if (failed(history)) {
+            co_return errorOf(history);
+        }
+        stored.m_history = std::move(valueOf(history));
+    }
+    co_return stored;
+}
+
+ChangeRefusal refusal(const Error &error)
+{
+    return ChangeRefusal{error, {}, 0, {}};
+}
+
+std::variant<PlanDocument, ChangeRefusal> nextDocument(const StoredPlan &stored, const ChangeOrder &order)
+{
+    const PlanDocument current = stored.m_history.empty() ? PlanDocument{} : stored.m_history.front();
+    if (order.m_baseRevision && *order.m_baseRevision != current.m_revision) {
+        const std::string detail = "revision " + std::to_string(current.m_revision) + " by " + current.m_author + " (" + current.m_reason + ") is in force";
+        return ChangeRefusal{Error{ErrorCode::Conflict, detail}, {}, current.m_revision, current.m_author};
+    }
+    std::variant<std::string, Findings> sheet = order.m_edit(current.m_sheet);
+    if (const Findings *findings = std::get_if<Findings>(&sheet)) {
+        return ChangeRefusal{Error{ErrorCode::InvalidPlan, describe(*findings)}, *findings, current.m_revision, {}};
+    }
+    const std::variant<Plan, Findings> plan = parsePlan(std::get<std::string>(sheet), "plan");
+    if (const Findings *findings = std::get_if<Findings>(&plan)) {
+        return ChangeRefusal{Error{ErrorCode::InvalidPlan, describe(*findings)}, *findings, current.m_revision, {}};
+    }
+    PlanDocument next;
+    next.m_revision = current.m_revision + 1;
+    next.m_writeId = toHex(randomId()) + toHex(randomId());
+    next.m_author = order.m_author;
+    next.m_reason = order.m_reason;
+    next.m_unixSeconds = unixSeconds();
+    next.m_sheet = std::move(std::get<std::string>(sheet));
+    return next;
+}
+
+enum class ReadBack {
+    TookEffect,
+    DidNot,
+    Unknown,
+};
+
+/** Finds out what an unclear write came to. */
+awaitable<ReadBack> readBack(Node &node, std::string writeId, std::uint64_t baseIndex, std::string value)
+{
+    const std::int64_t limitMs = steadyMs() + ReadBackMs;
+    while (steadyMs() < limitMs) {
+        const Result<StoredPlan> stored = co_await readStored(node);
+        if (!failed(stored)) {
+            const std::vector<PlanDocument> &history = valueOf(stored).m_history;
+            const bool found = std::any_of(history.begin(), history.end(), [&](const PlanDocument &document) {
+                return document.m_writeId == writeId;
+            });
+            if (found) {
+                co_return ReadBack::TookEffect;
+            }
+            if (valueOf(stored).m_modifyIndex != baseIndex) {
+                co_return ReadBack::DidNot;
+            }
+            // The same write again on the same base: at most one of the two can take effect.
+            const Result<CasOutcome> again = co_await storeWrite(node.store(), PlanKey, value, baseIndex);
+            if (!failed(again) && valueOf(again) == CasOutcome::Written) {
+                co_return ReadBack::TookEffect;
+            }
+        }
+        co_await sleepFor(ReadBackPauseMs);
+    }
+    co_return ReadBack::Unknown;
+}
+
+/** The index of a view that holds the change, after telling the own node. */
+awaitable<std::uint64_t> publish(Node &node)
+{
+    const Result<DocumentDelta> delta = co_await storeWatch(node.store(), "knapweedslip/config/", 0, 0);
+    if (!failed(delta)) {
+        node.takeDelta(valueOf(delta));
+    }
+    co_return node.view().m_index;
+}
+
+std::string encodeNext(const StoredPlan &stored, const PlanDocument &next, int keptPlans)
+{
+    std::vector<PlanDocument> history{next};
+    history.insert(history.end(), stored.m_history.begin(), stored.m_history.end());
+    history.resize(std::min(history.size(), static_cast<std::size_t>(keptPlans) + 1));
+    return encodePlanHistory(history);
+}
+}
+
+awaitable<Result<std::vector<PlanDocument>>> readPlanHistory(Node &node)
+{
+    Result<StoredPlan> stored = co_await readStored(node);
+    if (failed(stored)) {
+        co_return errorOf(stored);
+    }
+    co_return std::move(valueOf(stored).m_history);
+}
+
+awaitable<std::variant<ChangeResult, ChangeRefusal>> changePlan(Node &node, ChangeOrder order, int keptPlans)
+{
+    for (int tries = 0; tries < MaxTries; ++tries) {
+        const Result<StoredPlan> stored = co_await readStored(node);
+        if (failed(stored)) {
+            co_return refusal(errorOf(stored));
+        }
+        const std::variant<PlanDocument, ChangeRefusal> next = nextDocument(valueOf(stored), order);
+        if (const ChangeRefusal *refused = std::get_if<ChangeRefusal>(&next)) {
+            co_return *refused;
+        }
+        const PlanDocument &document = std::get<PlanDocument>(next);
+        if (order.m_dryRun) {
+            co_return ChangeResult{document, 0};
+        }
+        if (!hasQuorum(node.reach())) {
+            co_return refusal(Error{ErrorCode::NoQuorum, "nothing was changed"});
+        }
+        const std::string value = encodeNext(valueOf(stored), document, keptPlans);
+        const Result<CasOutcome> written = co_await storeWrite(node.store(), PlanKey, value, valueOf(stored).m_modifyIndex);
+        if (failed(written) && errorOf(written).m_code == ErrorCode::ConnectFailed) {
+            co_return refusal(Error{ErrorCode::StoreUnavailable, "nothing was changed"});
+        }
+        bool accepted = !failed(written) && valueOf(written) == CasOutcome::Written;
+        if (failed(written)) {
+            const ReadBack outcome = co_await readBack(node, document.m_writeId, valueOf(stored).m_modifyIndex, value);
+            if (outcome == ReadBack::Unknown) {
+                co_return refusal(Error{ErrorCode::StoreUnclear, "write id " + document.m_writeId + ": look at the history before trying again"});
+            }
+            accepted = outcome == ReadBack::TookEffect;
+        }
+        if (accepted) {
+            logEvent(LogEvent::PlanAccepted, {{"revision", std::to_string(document.m_revision)}, {"author", document.m_author}, {"reason", document.m_reason}});
+            const std::uint64_t index = co_await publish(node);
+            co_return ChangeResult{document, index};
+        }
+        // Somebody else wrote first. With a base revision the next round reports the conflict; without one the edit is done again.
+    }
+    co_return refusal(Error{ErrorCode::Conflict, "too many changes at once"});
+}
+}
--- /dev/null
+++ b/daemons/prober.cpp
@@ -0,0 +1,173 @@
+// Problem: the platform's list lags, and only the VMs themselves know whether they live, are cold or are leaving.
+// Approach: the holder of a domain probes its VMs, so each VM is probed by one controller; a refused connection counts as dead at once, a
+// silent one after several failures.
+// Probing from every gateway costs gateways x VMs.
+
+#include "daemons/prober.h"
+
+#include <boost/json.hpp>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+std::string textOf(const json::object &object, const char *key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? json::value_to<std::string>(*value) : std::string();
+}
+
+bool flagOf(const json::object &object, const char *key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_bool() && value->as_bool();
+}
+
+std::int64_t numberOf(const json::object &object, const char *key)
+{
+    const json::value *value = object.if_contains(key);
+    boost::system::error_code error;
+    return value != nullptr && value->is_number() ? value->to_number<std::int64_t>(error) : 0;
+}
+}
+
+Prober::Prober(Node &node, const ControllerSettings &settings)
+    : m_node(node)
+    , m_settings(settings)
+{
+    asio::co_spawn(node.context(), loop(), asio::detached);
+}
+
+void Prober::setTargets(const std::string &domain, const std::vector<VmState> &vms)
+{
+    if (vms.empty()) {
+        m_domains.erase(domain);
+        return;
+    }
+    Targets &targets = m_domains[domain];
+    Targets kept;
+    for (const VmState &vm : vms) {
+        const auto held = targets.find(vm.m_vm);
+        Target &target = kept[vm.m_vm];
+        if (held != targets.end() && held->second.m_state.m_address == vm.m_address) {
+            target = held->second;
+        }
+        target.m_state.m_vm = vm.m_vm;
+        target.m_state.m_address = vm.m_address;
+        target.m_state.m_availabilityZone = vm.m_availabilityZone;
+        target.m_state.m_domain = domain;
+        target.m_listedLeaving = vm.m_leaving;
+    }
+    targets = std::move(kept);
+}
+
+std::vector<VmState> Prober::states(const std::string &domain) const
+{
+    std::vector<VmState> states;
+    const auto targets = m_domains.find(domain);
+    if (targets == m_domains.end()) {
+        return states;
+    }
+    const std::int64_t nowMs = steadyMs();
+    for (const std::pair<const std::string, Target> &entry : targets->second) {
+        VmState state = entry.second.m_state;
+        state.m_leaving = state.m_leaving || entry.second.m_listedLeaving;
+        state.m_idleMs = entry.second.m_idleSinceMs < 0 ? 0 : nowMs - entry.second.m_idleSinceMs;
+        states.push_back(std::move(state));
+    }
+    return states;
+}
+
+bool Prober::complete(const std::string &domain) const
+{
+    const auto targets = m_domains.find(domain);
+    if (targets == m_domains.end()) {
+        return false;
+    }
+    for (const std::pair<const std::string, Target> &entry : targets->second) {
+        if (!entry.second.m_asked) {
+            return false;
+        }
+    }
+    return true;
+}
+
+awaitable<void> Prober::loop()
+{
+    while (true) {
+        for (std::pair<const std::string, Targets> &domain : m_domains) {
+            for (std::pair<const std::string, Target> &entry : domain.second) {
+                if (!entry.second.m_busy) {
+                    entry.second.m_busy = true;
+                    asio::co_spawn(m_node.context(), probe(domain.first, entry.first), asio::detached);
+                }
+            }
+        }
+        co_await sleepFor(m_settings.m_probeIntervalMs);
+    }
+}
+
+void Prober::takeFailure(Target &target, bool refused) const
+{
+    ++target.m_failures;
+    if (refused || target.m_failures >= m_settings.m_probeFailures) {
+        target.m_state.m_alive = false;
+        target.m_asked = true;
+        target.m_idleSinceMs = -1;
+    }
+}
+
+void Prober::takeStatus(Target &target, const std::string &body)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    if (error || !value.is_object()) {
+        return;
+    }
+    const json::object &object = value.as_object();
+    VmState &state = target.m_state;
+    state.m_alive = true;
+    state.m_bootId = textOf(object, "boot_id");
+    state.m_group = textOf(object, "group");
+    state.m_generation = static_cast<std::uint64_t>(numberOf(object, "generation"));
+    state.m_loaded = textOf(object, "loaded");
+    state.m_loading = flagOf(object, "loading");
+    state.m_cold = flagOf(object, "cold");
+    state.m_leaving = flagOf(object, "leaving");
+    const bool idle = numberOf(object, "running") == 0;
+    if (!idle) {
+        target.m_idleSinceMs = -1;
+    } else if (target.m_idleSinceMs < 0) {
+        target.m_idleSinceMs = steadyMs();
+    }
+    target.m_failures = 0;
+    target.m_asked = true;
+}
+
+awaitable<void> Prober::probe(std::string domain, std::string vm)
+{
+    std::string address;
+    const auto before = m_domains.find(domain);
+    if (before != m_domains.end() && before->second.count(vm) > 0) {
+        address = before->second[vm].m_state.m_address;
+    }
+    HttpRequest request;
+    request.m_target = "/control/status";
+    const Result<HttpReply> reply = co_await httpCall(m_pool, address, std::move(request), m_settings.m_probeTimeoutMs);
+    // The targets may have changed while the answer was on its way.
+    const auto after = m_domains.find(domain);
+    if (after == m_domains.end() || after->second.count(vm) == 0 || after->second[vm].m_state.m_address != address) {
+        co_return;
+    }
+    Target &target = after->second[vm];
+    target.m_busy = false;
+    if (failed(reply)) {
+        const ErrorCode code = errorOf(reply).m_code;
+        takeFailure(target, code == ErrorCode::ConnectFailed || code == ErrorCode::ConnectionLost);
+    } else {
+        takeStatus(target, valueOf(reply).m_body);
+    }
+}
+}
--- /dev/null
+++ b/daemons/servicecall.cpp
@@ -0,0 +1,291 @@
+// Problem: a print order or a lesson payment must run at most once, and "not run" must be true.
+// Approach: with an idempotency key the call is claimed in the ledger before its first byte goes out, on a fresh connection; what the
+// service did is then not run (nothing left, or it said so), ran (its answer came) or unknown. Unknown is never retried.
+// Without a key nothing can recognise a repeat, so the call is sent once and only retried when nothing of it was sent.
+
+#include "daemons/servicecall.h"
+
+#include "daemons/attempt.h"
+#include "kernel/hashing.h"
+#include "net/logging.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr std::int64_t ConnectTimeoutMs = 1'000;
+constexpr std::int64_t DefaultRetryAfterMs = 1'000;
+constexpr std::int64_t ClaimTimeoutMs = 5'000;
+constexpr std::int64_t JoinPollMs = 200;
+constexpr unsigned FirstServerError = 500;
+
+struct CallState {
+    GatewayContext &m_context;
+    HttpExchange &m_exchange;
+    ServiceCall m_call;
+    std::string m_requestId;
+    IntentOp m_claim;
+    bool m_claimed = false;
+    std::int64_t m_startedMs = 0;
+};
+
+struct CallResult {
+    RunOutcome m_outcome = RunOutcome::NotRun;
+    AttemptEnd m_end = AttemptEnd::Neutral;
+    Error m_error;
+    HttpReply m_reply;
+};
+
+WorkRequest workRequest(CallState &state)
+{
+    WorkRequest work;
+    work.m_id = state.m_context.m_nextRequest++;
+    work.m_workspace = state.m_call.m_workspace;
+    work.m_pool = state.m_call.m_service;
+    work.m_deadlineMs = state.m_call.m_deadlineMs;
+    const std::string text = state.m_call.m_method + " " + state.m_call.m_target + "\n" + state.m_call.m_body;
+    work.m_fingerprint = hash64(text, hash64(state.m_call.m_workspace + "/" + state.m_call.m_service));
+    work.m_query.m_workspace = work.m_workspace;
+    return work;
+}
+
+HttpRequest serviceRequest(const CallState &state)
+{
+    HttpRequest request;
+    request.m_method = state.m_call.m_method;
+    request.m_target = state.m_call.m_target;
+    request.m_body = state.m_call.m_body;
+    request.m_headers.emplace_back("Content-Type", "application/json");
+    request.m_headers.emplace_back("X-Request-Id", state.m_requestId);
+    if (!state.m_call.m_idempotencyKey.empty()) {
+        request.m_headers.emplace_back("Idempotency-Key", state.m_call.m_idempotencyKey);
+    }
+    return request;
+}
+
+/** What a whole answer says about the run. */
+CallResult judgeReply(const CallState &state, const HttpReply &reply)
+{
+    CallResult result;
+    const bool refused = !headerValue(reply.m_headers, "X-Not-Run").empty();
+    if (refused) {
+        result.m_end = AttemptEnd::Refused;
+        result.m_error = Error{ErrorCode::UpstreamRefused, std::string(headerValue(reply.m_headers, "X-Not-Run"))};
+        return result;
+    }
+    const std::string_view echoed = headerValue(reply.m_headers, "X-Request-Id");
+    if (echoed != state.m_requestId) {
+        result.m_outcome = RunOutcome::Unknown;
+        result.m_error = Error{ErrorCode::ProtocolViolation, "an answer to another request"};
+        return result;
+    }
+    result.m_outcome = RunOutcome::Ran;
+    result.m_end = AttemptEnd::Finished;
+    result.m_reply = reply;
+    return result;
+}
+
+awaitable<CallResult> sendOnce(CallState &state, const Upstream &upstream)
+{
+    CallResult result;
+    Result<HttpConnectionPtr> made = co_await connectUpstream(state.m_context, upstream, !state.m_call.m_idempotent, ConnectTimeoutMs);
+    if (failed(made)) {
+        result.m_end = AttemptEnd::Unreachable;
+        result.m_error = errorOf(made);
+        co_return result;
+    }
+    // The claim and the connection took time: ask again at the moment of dispatch.
+    if (!state.m_context.m_dispatcher->mayDispatch(upstream)) {
+        result.m_error = Error{ErrorCode::NoUpstream, "left service"};
+        co_return result;
+    }
+    HttpConnectionPtr connection = std::move(valueOf(made));
+    const std::int64_t leftMs = std::max<std::int64_t>(1, state.m_call.m_deadlineMs - steadyMs());
+    const Result<HttpReply> reply = co_await httpExchange(*connection, serviceRequest(state), leftMs);
+    if (failed(reply)) {
+        result.m_outcome = RunOutcome::Unknown;
+        result.m_error = errorOf(reply);
+        const bool lost = errorOf(reply).m_code == ErrorCode::ConnectionLost;
+        result.m_end = lost && !connection->m_reused ? AttemptEnd::UpstreamLost : AttemptEnd::Unreachable;
+        co_return result;
+    }
+    const HeaderFields &headers = valueOf(reply).m_headers;
+    takeEngineNews(state.m_context,
+                   upstream,
+                   std::string(headerValue(headers, "X-Engine-Running")),
+                   headerValue(headers, "X-Engine-Cold") == "1",
+                   headerValue(headers, "X-Engine-Leaving") == "1");
+    result = judgeReply(state, valueOf(reply));
+    if (result.m_outcome == RunOutcome::Ran) {
+        state.m_context.m_connections.give(std::move(connection));
+    }
+    co_return result;
+}
+
+awaitable<void> answerProblem(CallState &state, Error error, std::int64_t retryAfterMs, RunOutcome outcome)
+{
+    logEvent(outcome == RunOutcome::Unknown ? LogEvent::OutcomeUnknown : LogEvent::RequestRefused,
+             {{"request", state.m_requestId}, {"workspace", state.m_call.m_workspace}, {"service", state.m_call.m_service}, {"error", describe(error)}});
+    if (outcome == RunOutcome::Unknown) {
+        ++state.m_context.m_metrics.m_unknownOutcomes;
+    }
+    co_await state.m_exchange.respond(problemWithOutcome(error, retryAfterMs, outcome));
+}
+
+HttpReply ranReply(const CallState &state, unsigned status, const std::string &body, bool replayed)
+{
+    HttpReply reply = jsonReply(status, body);
+    reply.m_headers.emplace_back("X-Request-Id", state.m_requestId);
+    reply.m_headers.emplace_back("X-Run-Outcome", "ran");
+    if (replayed) {
+        reply.m_headers.emplace_back("Idempotent-Replayed", "true");
+    }
+    return reply;
+}
+
+/** True when the owner named in a claim, "name/incarnation", is not known to have died. */
+bool ownerMayLive(const GatewayContext &context, const std::string &owner)
+{
+    if (owner == context.m_ledger->owner()) {
+        return true;
+    }
+    const std::size_t slash = owner.rfind('/');
+    const Membership &membership = context.m_node->membership();
+    const std::string name = owner.substr(0, slash);
+    const auto member = membership.m_members.find(name);
+    const bool sameIncarnation = member != membership.m_members.end() && slash != std::string::npos
+        && owner.substr(slash + 1) == std::to_string(member->second.m_incarnation);
+    return sameIncarnation && memberLives(membership, name, steadyMs());
+}
+
+/** Asks on the control thread, which owns the membership. */
+awaitable<bool> ownerMayLiveSafely(GatewayContext &context, std::string owner)
+{
+    const std::shared_ptr<OneShot<bool>> answer = std::make_shared<OneShot<bool>>(co_await asio::this_coro::executor);
+    asio::post(context.m_node->context(), [&context, owner, answer]() {
+        answer->set(ownerMayLive(context, owner));
+    });
+    const std::optional<bool> lives = co_await answer->wait(ConnectTimeoutMs);
+    co_return lives.value_or(true);
+}
+
+/** Claims the key; answers the caller itself when the call must not be dispatched. */
+awaitable<bool> claim(CallState &state, std::uint64_t fingerprint)
+{
+    state.m_claim.m_key = intentKey(state.m_call.m_workspace, state.m_call.m_idempotencyKey);
+    state.m_claim.m_fingerprint = fingerprint;
+    state.m_claim.m_nonce = randomId();
+    while (true) {
+        const std::int64_t leftMs = state.m_call.m_deadlineMs - steadyMs();
+        const Result<IntentResult> result = co_await state.m_context.m_ledger->apply(state.m_claim, std::min(ClaimTimeoutMs, std::max<std::int64_t>(1, leftMs)));
+        if (failed(result)) {
+            co_await answerProblem(state, errorOf(result), DefaultRetryAfterMs, RunOutcome::NotRun);
+            co_return false;
+        }
+        const IntentResult &intent = valueOf(result);
+        switch (intent.m_outcome) {
+        case IntentOutcome::Started:
+            state.m_claimed = true;
+            co_return true;
+        case IntentOutcome::Finished:
+            if (intent.m_bodyKept) {
+                co_await state.m_exchange.respond(ranReply(state, intent.m_status, intent.m_body, true));
+            } else {
+                co_await answerProblem(state, Error{ErrorCode::OutcomeNotKept, "status " + std::to_string(intent.m_status)}, 0, RunOutcome::Ran);
+            }
+            co_return false;
+        case IntentOutcome::KeyReused:
+            co_await answerProblem(state, Error{ErrorCode::KeyReused, "header Idempotency-Key"}, 0, RunOutcome::NotRun);
+            co_return false;
+        case IntentOutcome::Full:
+        case IntentOutcome::GaveUp:
+        case IntentOutcome::Recorded:
+            co_await answerProblem(state, Error{ErrorCode::Overloaded, "the ledger is full"}, DefaultRetryAfterMs, RunOutcome::NotRun);
+            co_return false;
+        case IntentOutcome::Running:
+            break;
+        }
+        if (!co_await ownerMayLiveSafely(state.m_context, intent.m_owner)) {
+            co_await answerProblem(state, Error{ErrorCode::OutcomeUnknown, "the gateway that ran it is gone"}, 0, RunOutcome::Unknown);
+            co_return false;
+        }
+        if (steadyMs() + JoinPollMs >= state.m_call.m_deadlineMs) {
+            co_await answerProblem(state, Error{ErrorCode::AlreadyRunning, "its answer is not there yet"}, DefaultRetryAfterMs, RunOutcome::Unknown);
+            co_return false;
+        }
+        co_await sleepFor(JoinPollMs);
+    }
+}
+
+void settleClaim(CallState &state, const CallResult &result)
+{
+    if (!state.m_claimed || result.m_outcome == RunOutcome::Unknown) {
+        return;
+    }
+    IntentOp op = state.m_claim;
+    op.m_kind = result.m_outcome == RunOutcome::Ran ? IntentOpKind::Finish : IntentOpKind::Release;
+    op.m_status = static_cast<std::uint16_t>(result.m_reply.m_status);
+    op.m_body = result.m_reply.m_body;
+    state.m_context.m_ledger->applyLater(std::move(op));
+}
+
+awaitable<void> answerRan(CallState &state, CallResult result)
+{
+    ++state.m_context.m_metrics.m_answered;
+    state.m_context.m_metrics.m_requests.add(static_cast<double>(steadyMs() - state.m_startedMs));
+    co_await state.m_exchange.respond(ranReply(state, result.m_reply.m_status, result.m_reply.m_body, false));
+}
+
+void noteFailure(CallState &state, const Upstream &upstream, const CallResult &result)
+{
+    logEvent(LogEvent::AttemptFailed, {{"request", state.m_requestId}, {"upstream", upstream.m_id}, {"error", describe(result.m_error)}});
+    if (result.m_end == AttemptEnd::UpstreamLost || result.m_end == AttemptEnd::Unreachable) {
+        reportUpstream(state.m_context, upstream, ReportKind::Doubt);
+    }
+}
+
+/** A call with this result may be sent again. */
+bool mayRetry(const CallState &state, const CallResult &result)
+{
+    const bool serverError = result.m_outcome == RunOutcome::Ran && result.m_reply.m_status >= FirstServerError;
+    return result.m_outcome == RunOutcome::NotRun || (state.m_call.m_idempotent && (result.m_outcome == RunOutcome::Unknown || serverError));
+}
+}
+
+awaitable<void> relayServiceCall(GatewayContext &context, HttpExchange &exchange, ServiceCall call)
+{
+    CallState state{context, exchange, std::move(call), {}, {}, false, steadyMs()};
+    state.m_requestId = context.m_settings.m_common.m_name + "-" + toHex(randomId());
+    WorkRequest work = workRequest(state);
+    const bool needsClaim = !state.m_call.m_idempotent && !state.m_call.m_idempotencyKey.empty();
+    while (true) {
+        const Action action = co_await context.m_dispatcher->submit(work);
+        if (action.m_kind == ActionKind::Refuse) {
+            settleClaim(state, CallResult{});
+            co_await answerProblem(state, Error{action.m_error, ""}, std::max(DefaultRetryAfterMs, action.m_retryAfterMs), RunOutcome::NotRun);
+            co_return;
+        }
+        if (needsClaim && !state.m_claimed && !co_await claim(state, work.m_fingerprint)) {
+            context.m_dispatcher->finish(work.m_id, AttemptEnd::Neutral);
+            co_return;
+        }
+        CallResult result = co_await sendOnce(state, *action.m_upstream);
+        context.m_dispatcher->finish(work.m_id, result.m_end);
+        if (result.m_outcome == RunOutcome::Ran && !mayRetry(state, result)) {
+            settleClaim(state, result);
+            co_await answerRan(state, std::move(result));
+            co_return;
+        }
+        noteFailure(state, *action.m_upstream, result);
+        if (!mayRetry(state, result)) {
+            co_await answerProblem(state, Error{ErrorCode::OutcomeUnknown, describe(result.m_error)}, 0, RunOutcome::Unknown);
+            co_return;
+        }
+        work.m_id = context.m_nextRequest++;
+        ++work.m_attempt;
+        work.m_query.m_excluded.push_back(action.m_upstream->m_id);
+    }
+}
+}
--- /dev/null
+++ b/examples/deployment.sh
@@ -0,0 +1,70 @@
+# Sourced by scripts that run a whole deployment on loopback. Needs: BUILD (build folder). Every process is started here and ended by id.
+# The addresses are 127.A.x.y with A drawn at random, so that several runs do not meet.
+
+deployment_pids=()
+
+deployment_cleanup() {
+    [ ${#deployment_pids[@]} -eq 0 ] || kill -KILL "${deployment_pids[@]}" 2>/dev/null || true
+    [ ${#deployment_pids[@]} -eq 0 ] || wait "${deployment_pids[@]}" 2>/dev/null || true
+}
+
+start() { # log-name command...
+    local log=$1
+    shift
+    "$@" >"$RUN/$log.log" 2>&1 &
+    deployment_pids+=($!)
+    eval "pid_${log//[^a-zA-Z0-9]/_}=$!"
+}
+
+pid_of() {
+    local variable="pid_${1//[^a-zA-Z0-9]/_}"
+    echo "${!variable}"
+}
+
+start_daemon() { # role number
+    start "$1-$2" "$BUILD/daemons/knapweedslip-$1" --settings "$RUN/$1-$2.yaml"
+}
+
+wait_until() { # seconds description command...
+    local limit=$((SECONDS + $1)) what=$2
+    shift 2
+    until "$@" >/dev/null 2>&1; do
+        if [ $SECONDS -ge $limit ]; then
+            echo "FAILED: $what (not within the time limit)"
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+ctl() {
+    "$BUILD/tools/knapweedslipctl" --admin "$PREFIX.1.1:7020" --key-file "$RUN/operator.key" "$@"
+}
+
+start_standins() { # engine options...
+    start platform "$BUILD/standins/standin-platform" --listen "$PREFIX.4.1:8500"
+    local z
+    for z in 1 2 3; do
+        start "engines-$z" "$BUILD/standins/standin-engine" --ip "$PREFIX.2.$z" --port 8001 --count 18 --vm-prefix "${ZONES[$((z - 1))]}-" "$@"
+        start "service-$z" "$BUILD/standins/standin-service" --listen "$PREFIX.3.$z:8080" --vm "$SERVICE-$z" --cold-ms 1000
+    done
+    wait_until 10 "the platform stand-in listens" curl -sf "http://$PREFIX.4.1:8500/standin/counts"
+    curl -sf -X PUT --data-binary @"$RUN/vms.json" "http://$PREFIX.4.1:8500/standin/vms" >/dev/null
+}
+
+warm_groups() {
+    ctl --output json status | grep -o '"phase":"warm"' | wc -l
+}
+
+has_warm_groups() { # at least
+    [ "$(warm_groups)" -ge "$1" ]
+}
+
+prepare_deployment() { # name zone zone zone
+    RUN=$(mktemp -d)
+    PREFIX=127.$((RANDOM % 200 + 20))
+    ZONES=("$2" "$3" "$4")
+    BALANCER_WAIT_MS=${BALANCER_WAIT_MS:-300} "$(dirname "${BASH_SOURCE[0]}")/generate" "$RUN" "$PREFIX" "$@"
+    SERVICE=$([ "$1" = tsakalos ] && echo orders || echo bookings)
+    trap deployment_cleanup EXIT
+}
--- /dev/null
+++ b/kernel/documents.cpp
@@ -0,0 +1,99 @@
+// Problem: an accepted configuration must be in force everywhere within seconds and never revert, though daemons boot during
+// outages, peers hold older copies and answers arrive out of order.
+// Approach: the store's write index is the only order. A view takes a delta only when it continues or repeats the view, a document
+// only when its index rises. The age of the last confirmation travels with each delta, so a daemon far from the store can bound
+// how old its view may be without asking the store itself.
+// Comparing revisions inside the values fails when two operators race, and trusting the newest answer fails when answers cross.
+
+#include "kernel/documents.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace knapweedslip
+{
+namespace
+{
+/** Takes the confirmation only if it is younger than the one held. */
+bool takeConfirmation(DocumentView &view, std::int64_t ageMs, std::int64_t nowMs)
+{
+    if (ageMs < 0 || nowMs - ageMs <= view.m_confirmedAtMs) {
+        return false;
+    }
+    view.m_confirmedAtMs = nowMs - ageMs;
+    return true;
+}
+
+void takeDocument(DocumentView &view, const Document &document)
+{
+    Document &held = view.m_documents[document.m_key];
+    if (document.m_modifyIndex > held.m_modifyIndex) {
+        held = document;
+    }
+}
+}
+
+AdoptOutcome adopt(DocumentView &view, const DocumentDelta &delta, std::int64_t nowMs)
+{
+    if (delta.m_index < view.m_index) {
+        return AdoptOutcome::Ignored;
+    }
+    if (delta.m_index == view.m_index) {
+        return takeConfirmation(view, delta.m_confirmationAgeMs, nowMs) ? AdoptOutcome::Confirmed : AdoptOutcome::Ignored;
+    }
+    if (delta.m_sinceIndex > view.m_index) {
+        return AdoptOutcome::Gap;
+    }
+    for (const Document &document : delta.m_documents) {
+        takeDocument(view, document);
+    }
+    view.m_index = delta.m_index;
+    takeConfirmation(view, delta.m_confirmationAgeMs, nowMs);
+    return AdoptOutcome::Adopted;
+}
+
+DocumentDelta deltaSince(const DocumentView &view, std::uint64_t sinceIndex, std::int64_t nowMs)
+{
+    DocumentDelta delta;
+    delta.m_sinceIndex = sinceIndex;
+    delta.m_index = view.m_index;
+    delta.m_confirmationAgeMs = view.m_confirmedAtMs < 0 ? -1 : std::max<std::int64_t>(0, nowMs - view.m_confirmedAtMs);
+    for (const std::pair<const std::string, Document> &entry : view.m_documents) {
+        if (entry.second.m_modifyIndex > sinceIndex) {
+            delta.m_documents.push_back(entry.second);
+        }
+    }
+    return delta;
+}
+
+const Document *findDocument(const DocumentView &view, const std::string &key)
+{
+    const auto it = view.m_documents.find(key);
+    return it == view.m_documents.end() ? nullptr : &it->second;
+}
+
+std::int64_t confirmationAgeMs(const DocumentView &view, std::int64_t nowMs)
+{
+    if (view.m_confirmedAtMs < 0) {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    return nowMs - view.m_confirmedAtMs;
+}
+
+bool hasQuorum(const Reach &reach)
+{
+    return reach.m_reachableDaemons * 2 > reach.m_knownDaemons;
+}
+
+Freshness judgeFreshness(const DocumentView &view, const Reach &reach, std::int64_t nowMs, std::int64_t maxAgeMs)
+{
+    if (confirmationAgeMs(view, nowMs) <= maxAgeMs) {
+        return Freshness::Current;
+    }
+    // A view that was never confirmed may be older than anything the others hold.
+    if (view.m_confirmedAtMs >= 0 && hasQuorum(reach)) {
+        return Freshness::StoreOutage;
+    }
+    return Freshness::Stale;
+}
+}
--- /dev/null
+++ b/kernel/domainrecord.cpp
@@ -0,0 +1,102 @@
+// Problem: who belongs to which serving group must be unique across controllers that pause, race and die.
+// Approach: the groups of a fabric domain are one value; the store's compare-and-swap serialises its writers.
+// One value per VM would need a transaction over several keys to form a group.
+
+#include "kernel/domainrecord.h"
+
+#include <boost/json.hpp>
+
+#include <set>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+json::object encodeGroup(const GroupRecord &group)
+{
+    json::array members;
+    for (const MemberRecord &member : group.m_members) {
+        members.push_back(json::object{{"vm", member.m_vm}, {"address", member.m_address}, {"boot_id", member.m_bootId}});
+    }
+    json::object object;
+    object["id"] = group.m_id;
+    object["generation"] = group.m_generation;
+    object["model"] = group.m_model;
+    object["version"] = group.m_version;
+    object["phase"] = enumName(GroupPhaseNames, group.m_phase);
+    object["cold_holder"] = group.m_coldHolder;
+    object["members"] = std::move(members);
+    return object;
+}
+
+std::string text(const json::value &value, std::string_view key)
+{
+    return json::value_to<std::string>(value.at(key));
+}
+
+GroupRecord decodeGroup(const json::value &value)
+{
+    GroupRecord group;
+    group.m_id = text(value, "id");
+    group.m_generation = value.at("generation").to_number<std::uint64_t>();
+    group.m_model = text(value, "model");
+    group.m_version = text(value, "version");
+    group.m_phase = enumFromName<GroupPhase>(GroupPhaseNames, text(value, "phase")).value_or(GroupPhase::Broken);
+    group.m_coldHolder = text(value, "cold_holder");
+    for (const json::value &member : value.at("members").as_array()) {
+        group.m_members.push_back({text(member, "vm"), text(member, "address"), text(member, "boot_id")});
+    }
+    return group;
+}
+}
+
+std::string encodeDomainRecord(const DomainRecord &record)
+{
+    json::array groups;
+    for (const GroupRecord &group : record.m_groups) {
+        groups.push_back(encodeGroup(group));
+    }
+    json::object object;
+    object["domain"] = record.m_domain;
+    object["availability_zone"] = record.m_availabilityZone;
+    object["holder"] = record.m_holder;
+    object["fence"] = record.m_fence;
+    object["last_generation"] = record.m_lastGeneration;
+    object["groups"] = std::move(groups);
+    return json::serialize(object);
+}
+
+Result<DomainRecord> decodeDomainRecord(const std::string &encoded)
+{
+    try {
+        const json::value value = json::parse(encoded);
+        DomainRecord record;
+        record.m_domain = text(value, "domain");
+        record.m_availabilityZone = text(value, "availability_zone");
+        record.m_holder = text(value, "holder");
+        record.m_fence = value.at("fence").to_number<std::uint64_t>();
+        record.m_lastGeneration = value.at("last_generation").to_number<std::uint64_t>();
+        for (const json::value &group : value.at("groups").as_array()) {
+            record.m_groups.push_back(decodeGroup(group));
+        }
+        return record;
+    } catch (const std::exception &exception) {
+        return Error{ErrorCode::ProtocolViolation, std::string("domain record: ") + exception.what()};
+    }
+}
+
+std::string doubledVm(const DomainRecord &record)
+{
+    std::set<std::string> vms;
+    for (const GroupRecord &group : record.m_groups) {
+        for (const MemberRecord &member : group.m_members) {
+            if (!vms.insert(member.m_vm).second) {
+                return member.m_vm;
+            }
+        }
+    }
+    return {};
+}
+}
--- /dev/null
+++ b/kernel/errors.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace knapweedslip
+{
+/**
+ * Every error that crosses an interface of this project.
+ * errorText() and errorName() give the words of each; no exception crosses an interface.
+ */
+enum class ErrorCode {
+    InvalidArgument,
+    InvalidSetting,
+    InvalidPlan,
+    Unauthorized,
+    UnknownWorkspace,
+    UnknownModel,
+    UnknownService,
+    BodyTooLarge,
+    MalformedRequest,
+    NotFound,
+    Conflict,
+    PreconditionRequired,
+    Overloaded,
+    DeadlineUnreachable,
+    Draining,
+    StaleConfiguration,
+    NoUpstream,
+    PoisonRequest,
+    KeyReused,
+    AlreadyRunning,
+    OutcomeUnknown,
+    OutcomeNotKept,
+    StoreUnavailable,
+    StoreUnclear,
+    ConnectFailed,
+    ConnectionLost,
+    Timeout,
+    ProtocolViolation,
+    UpstreamRefused,
+    StreamBroken,
+    NoQuorum,
+    Io,
+};
+
+/** An error: its code and what exactly it concerns. */
+struct Error {
+    ErrorCode m_code = ErrorCode::Io;
+    std::string m_detail;
+};
+
+/** Stable lower-case name, used in problem documents and logs. */
+std::string_view errorName(ErrorCode code);
+/** One sentence for a person. */
+std::string_view errorText(ErrorCode code);
+/** The HTTP status a caller sees for @p code. */
+unsigned errorStatus(ErrorCode code);
+/** "text: detail", for logs and terminals. */
+std::string describe(const Error &error);
+
+/** A value or an error. */
+template<typename T>
+using Result = std::variant<T, Error>;
+
+/** The value type of operations that only succeed or fail. */
+struct Done {
+};
+
+template<typename T>
+bool failed(const Result<T> &result)
+{
+    return std::holds_alternative<Error>(result);
+}
+
+template<typename T>
+const Error &errorOf(const Result<T> &result)
+{
+    return std::get<Error>(result);
+}
+
+template<typename T>
+T &valueOf(Result<T> &result)
+{
+    return std::get<T>(result);
+}
+
+template<typename T>
+const T &valueOf(const Result<T> &result)
+{
+    return std::get<T>(result);
+}
+}
--- /dev/null
+++ b/kernel/logevents.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+namespace knapweedslip
+{
+enum class LogLevel {
+    Info,
+    Warning,
+    Error,
+};
+
+/** Every event that a daemon logs. The numbers are in the catalogue, docs/EVENTS.md. */
+enum class LogEvent {
+    ProcessStarted,
+    ProcessStopping,
+    ProcessStopped,
+    SettingsRejected,
+    ListenFailed,
+    PlanAdopted,
+    PlanUnreadable,
+    FreshnessChanged,
+    StoreLost,
+    StoreRecovered,
+    PeerRejected,
+    RequestRefused,
+    AttemptFailed,
+    StreamResumed,
+    StreamBroken,
+    UpstreamDoubted,
+    UpstreamTurnedCold,
+    UpstreamLeaving,
+    PoisonConvicted,
+    IntentUnclear,
+    OutcomeUnknown,
+    DomainClaimed,
+    DomainReleased,
+    DomainLost,
+    GroupChanged,
+    OrderGiven,
+    OrderFailed,
+    PlanAccepted,
+    PlanRefused,
+    DrainLimitReached,
+};
+
+struct LogEventRow {
+    LogEvent m_event;
+    int m_number;
+    LogLevel m_level;
+    std::string_view m_name;
+    std::string_view m_meaning;
+};
+
+const LogEventRow &logEventRow(LogEvent event);
+const std::vector<LogEventRow> &logEventTable();
+}
--- /dev/null
+++ b/kernel/routepolicies.cpp
@@ -0,0 +1,121 @@
+// Problem: choose an upstream quickly, evenly, and where the prompt's prefix is cached.
+// Approach: every policy samples from the list of available upstreams, kept up to date by the scheduler, so a choice costs the same
+// for 50 and 12,000 upstreams. 'prefix-affinity' follows the longest known prefix as long as its holder is not much busier than a
+// random one; 'two-choices' takes the less busy of two; 'random' and 'round-robin' are the baselines.
+// Scanning all upstreams for the least busy one costs time in their number, and makes all gateways choose the same one.
+
+#include "kernel/registry.h"
+#include "kernel/routepolicy.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr int MaxSamples = 8;
+/** A prefix holder may be this much busier, relative to its limit, than the alternative. */
+constexpr double AffinityLoadSlack = 0.35;
+
+bool excluded(const RouteContext &context, const RouteQuery &query, std::uint32_t index)
+{
+    const std::string &id = (*context.m_upstreams)[index].m_info->m_id;
+    return std::find(query.m_excluded.begin(), query.m_excluded.end(), id) != query.m_excluded.end();
+}
+
+std::uint32_t sample(const RouteContext &context, const RouteQuery &query)
+{
+    const std::vector<std::uint32_t> &available = *context.m_available;
+    if (available.empty()) {
+        return NoUpstreamIndex;
+    }
+    std::uniform_int_distribution<std::size_t> place(0, available.size() - 1);
+    for (int i = 0; i < MaxSamples; ++i) {
+        const std::uint32_t index = available[place(*context.m_random)];
+        if (!excluded(context, query, index)) {
+            return index;
+        }
+    }
+    // Few are available and most are excluded: look at a bounded number in order.
+    const std::size_t bound = std::min<std::size_t>(available.size(), MaxSamples * 2);
+    for (std::size_t i = 0; i < bound; ++i) {
+        if (!excluded(context, query, available[i])) {
+            return available[i];
+        }
+    }
+    return NoUpstreamIndex;
+}
+
+std::uint32_t chooseRandom(const RouteContext &context, const RouteQuery &query)
+{
+    return sample(context, query);
+}
+
+std::uint32_t chooseRoundRobin(const RouteContext &context, const RouteQuery &query)
+{
+    const std::vector<std::uint32_t> &available = *context.m_available;
+    for (int i = 0; i < MaxSamples && !available.empty(); ++i) {
+        const std::uint32_t index = available[(*context.m_turn)++ % available.size()];
+        if (!excluded(context, query, index)) {
+            return index;
+        }
+    }
+    return sample(context, query);
+}
+
+std::uint32_t chooseOfTwo(const RouteContext &context, const RouteQuery &query)
+{
+    const std::uint32_t first = sample(context, query);
+    const std::uint32_t second = sample(context, query);
+    if (first == NoUpstreamIndex || second == NoUpstreamIndex) {
+        return first;
+    }
+    const std::vector<UpstreamState> &upstreams = *context.m_upstreams;
+    return relativeLoad(upstreams[second]) < relativeLoad(upstreams[first]) ? second : first;
+}
+
+std::uint32_t chooseByPrefix(const RouteContext &context, const RouteQuery &query)
+{
+    const std::uint32_t alternative = chooseOfTwo(context, query);
+    if (alternative == NoUpstreamIndex) {
+        return alternative;
+    }
+    const std::vector<UpstreamState> &upstreams = *context.m_upstreams;
+    for (auto it = query.m_prefixes.rbegin(); it != query.m_prefixes.rend(); ++it) {
+        const auto holder = context.m_prefixes->m_holders.find(*it);
+        if (holder == context.m_prefixes->m_holders.end() || holder->second >= upstreams.size()) {
+            continue;
+        }
+        const UpstreamState &candidate = upstreams[holder->second];
+        const bool open = candidate.m_availableAt >= 0 && candidate.m_info->m_pool == upstreams[alternative].m_info->m_pool;
+        if (open && !excluded(context, query, holder->second) && relativeLoad(candidate) <= relativeLoad(upstreams[alternative]) + AffinityLoadSlack) {
+            return holder->second;
+        }
+    }
+    return alternative;
+}
+
+const Registration<RoutePolicy> RandomChoice({"random", "any available upstream (baseline)", chooseRandom});
+const Registration<RoutePolicy> RoundRobin({"round-robin", "available upstreams in turn (baseline)", chooseRoundRobin});
+const Registration<RoutePolicy> TwoChoices({"two-choices", "the less busy of two random upstreams", chooseOfTwo});
+const Registration<RoutePolicy> PrefixAffinity({"prefix-affinity", "the holder of the longest cached prefix, bounded by load", chooseByPrefix});
+}
+
+double relativeLoad(const UpstreamState &upstream)
+{
+    return (upstream.m_running + upstream.m_othersRunning) / std::max(1.0, static_cast<double>(upstream.m_info->m_limit));
+}
+
+void rememberPrefix(PrefixMap &map, std::uint64_t prefix, std::uint32_t upstream)
+{
+    const bool fresh = map.m_holders.insert_or_assign(prefix, upstream).second;
+    if (!fresh) {
+        return;
+    }
+    map.m_order.push_back(prefix);
+    if (map.m_order.size() > PrefixMap::MaxEntries) {
+        map.m_holders.erase(map.m_order.front());
+        map.m_order.pop_front();
+    }
+}
+}
--- /dev/null
+++ b/kernel/scheduler.cpp
@@ -0,0 +1,593 @@
+// Problem: decide at once, for each request, whether it runs now and where, waits, or is refused with a time to come back, while
+// upstreams start cold, are lost, leave, and change owners.
+// Approach: one state machine. Each pool keeps the list of upstreams that can take a request now, updated with every event, so a
+// choice never scans; limits follow the table, the cold grant, the ramp after warming and the load that engines report; all work
+// (new, queued, retried, resumed, suspect) passes the same check at the moment of dispatch.
+// Checking once at admission would let queued and retried work reach upstreams that have left service since.
+
+#include "kernel/scheduler.h"
+
+#include "kernel/hashing.h"
+#include "kernel/registry.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedslip
+{
+namespace
+{
+/** Doubt about an upstream ends after this time unless the table confirms it. */
+constexpr std::int64_t DoubtMs = 3'000;
+/** Engine load reports older than this say nothing. */
+constexpr std::int64_t LoadReportLifeMs = 2'000;
+/** The limit of an upstream that became warm doubles once per step. */
+constexpr std::int64_t RampStepMs = 500;
+constexpr int MaxRampSteps = 20;
+/** How long a peer's request to keep an upstream apart stands unless repeated. */
+constexpr std::int64_t SetApartMs = 2'000;
+/** Peers have heard of it after this time. */
+constexpr std::int64_t SetApartSettleMs = 400;
+constexpr double RetryBurst = 10.0;
+constexpr double LimitDecrease = 0.7;
+constexpr double ServiceTimeGain = 0.1;
+constexpr std::int64_t MinRetryAfterMs = 1'000;
+constexpr const char *SharedLine = "";
+}
+
+Result<std::unique_ptr<Scheduler>> Scheduler::create(const SchedulerSettings &settings)
+{
+    const Result<RoutePolicy> route = findPlugin<RoutePolicy>(settings.m_routePolicy);
+    if (failed(route)) {
+        return errorOf(route);
+    }
+    const Result<AdmissionPolicy> admission = findPlugin<AdmissionPolicy>(settings.m_admissionPolicy);
+    if (failed(admission)) {
+        return errorOf(admission);
+    }
+    return std::unique_ptr<Scheduler>(new Scheduler(settings, valueOf(route), valueOf(admission)));
+}
+
+Scheduler::Scheduler(const SchedulerSettings &settings, const RoutePolicy &route, const AdmissionPolicy &admission)
+    : m_settings(settings)
+    , m_route(route)
+    , m_admission(admission)
+    , m_random(settings.m_seed)
+    , m_table(std::make_shared<const RouteTable>())
+    , m_retryBudget(settings.m_retryRatio, RetryBurst)
+{
+}
+
+void Scheduler::takeEntry(const std::shared_ptr<const Upstream> &entry, std::int64_t nowMs)
+{
+    const auto [it, isNew] = m_byId.try_emplace(entry->m_id, static_cast<std::uint32_t>(m_upstreams.size()));
+    if (isNew) {
+        m_upstreams.emplace_back();
+        m_pools[entry->m_pool].m_members.push_back(it->second);
+    }
+    UpstreamState &state = m_upstreams[it->second];
+    const bool sameGeneration = !isNew && state.m_info->m_generation == entry->m_generation;
+    const bool samePhase = sameGeneration && state.m_info->m_phase == entry->m_phase;
+    const bool justWarmed = !isNew && entry->m_phase == GroupPhase::Warm && (!sameGeneration || state.m_info->m_phase == GroupPhase::Cold);
+    if (!sameGeneration) {
+        state.m_doubtUntilMs = -1;
+        state.m_leaving = false;
+        state.m_othersRunning = 0;
+    }
+    if (!samePhase) {
+        state.m_turnedCold = false;
+        state.m_limit = entry->m_limit;
+    }
+    if (justWarmed) {
+        state.m_warmSinceMs = nowMs;
+    }
+    state.m_info = entry;
+    state.m_present = true;
+}
+
+void Scheduler::setTable(std::shared_ptr<const RouteTable> table, std::int64_t nowMs, Actions &actions)
+{
+    m_table = std::move(table);
+    for (UpstreamState &state : m_upstreams) {
+        state.m_present = false;
+    }
+    for (const std::shared_ptr<const Upstream> &entry : m_table->m_upstreams) {
+        takeEntry(entry, nowMs);
+    }
+    for (std::uint32_t index = 0; index < m_upstreams.size(); ++index) {
+        refresh(index, nowMs);
+    }
+    tick(nowMs, actions);
+}
+
+double Scheduler::limitOf(const UpstreamState &upstream, std::int64_t nowMs) const
+{
+    const Upstream &info = *upstream.m_info;
+    if (info.m_phase == GroupPhase::Cold) {
+        return info.m_coldHolder == m_settings.m_self ? info.m_coldLimit : 0.0;
+    }
+    const double share = std::max(1.0, static_cast<double>(info.m_limit) / m_settings.m_gateways);
+    const double left = static_cast<double>(info.m_limit) - upstream.m_othersRunning;
+    double limit = std::min(std::max(share, left), upstream.m_limit);
+    if (upstream.m_warmSinceMs >= 0) {
+        const int steps = static_cast<int>(std::min<std::int64_t>(MaxRampSteps, (nowMs - upstream.m_warmSinceMs) / RampStepMs));
+        const double start = std::max(1.0, static_cast<double>(info.m_coldLimit) / m_settings.m_gateways);
+        limit = std::min(limit, std::ldexp(start, steps));
+    }
+    return std::max(1.0, limit);
+}
+
+bool Scheduler::canTake(const UpstreamState &upstream, std::int64_t nowMs) const
+{
+    const bool open = upstream.m_present && !upstream.m_turnedCold && !upstream.m_leaving && nowMs >= upstream.m_doubtUntilMs;
+    return open && nowMs >= upstream.m_setApartUntilMs && upstream.m_running + 1 <= limitOf(upstream, nowMs);
+}
+
+void Scheduler::refresh(std::uint32_t index, std::int64_t nowMs)
+{
+    UpstreamState &state = m_upstreams[index];
+    std::vector<std::uint32_t> &available = m_pools[state.m_info->m_pool].m_available;
+    const bool listed = state.m_availableAt >= 0;
+    const bool open = canTake(state, nowMs);
+    if (open && !listed) {
+        state.m_availableAt = static_cast<int>(available.size());
+        available.push_back(index);
+    } else if (!open && listed) {
+        const std::uint32_t last = available.back();
+        available[static_cast<std::size_t>(state.m_availableAt)] = last;
+        m_upstreams[last].m_availableAt = state.m_availableAt;
+        available.pop_back();
+        state.m_availableAt = -1;
+    }
+}
+
+Scheduler::Pool *Scheduler::poolOf(const std::string &name)
+{
+    const auto it = m_pools.find(name);
+    if (it != m_pools.end()) {
+        return &it->second;
+    }
+    const bool planned = findModel(m_table->m_plan, name) != nullptr || findService(m_table->m_plan, name) != nullptr;
+    return planned ? &m_pools[name] : nullptr;
+}
+
+double Scheduler::slotsOf(const Pool &pool) const
+{
+    // Running requests hold slots and each available upstream has at least one more.
+    return static_cast<double>(pool.m_running) + static_cast<double>(pool.m_available.size());
+}
+
+void Scheduler::refuse(const WorkRequest &request, ErrorCode error, std::int64_t retryAfterMs, Actions &actions)
+{
+    ++m_counters.m_refused;
+    Action action;
+    action.m_kind = ActionKind::Refuse;
+    action.m_requestId = request.m_id;
+    action.m_error = error;
+    action.m_retryAfterMs = std::max(MinRetryAfterMs, retryAfterMs);
+    actions.push_back(std::move(action));
+}
+
+bool Scheduler::refuseEarly(const WorkRequest &request, std::int64_t nowMs, Actions &actions)
+{
+    if (!m_accepting && !request.m_resumed) {
+        refuse(request, m_refusal, MinRetryAfterMs, actions);
+        return true;
+    }
+    if (poolOf(request.m_pool) == nullptr) {
+        refuse(request, ErrorCode::UnknownModel, MinRetryAfterMs, actions);
+        return true;
+    }
+    if (m_settings.m_isolateSuspects && m_strikes.judge(request.m_fingerprint, nowMs) == Suspicion::Convicted) {
+        refuse(request, ErrorCode::PoisonRequest, StrikeBook::ForgetMs, actions);
+        return true;
+    }
+    return false;
+}
+
+void Scheduler::start(Pool &pool, std::uint32_t index, const WorkRequest &request, bool alone, std::int64_t nowMs, Actions &actions)
+{
+    UpstreamState &state = m_upstreams[index];
+    ++state.m_running;
+    ++pool.m_running;
+    ++m_counters.m_dispatched;
+    m_running[request.m_id] = Running{request, index, nowMs, alone};
+    for (const std::uint64_t prefix : request.m_query.m_prefixes) {
+        rememberPrefix(m_prefixes, prefix, index);
+    }
+    refresh(index, nowMs);
+    Action action;
+    action.m_requestId = request.m_id;
+    action.m_upstream = state.m_info;
+    action.m_alone = alone;
+    actions.push_back(std::move(action));
+}
+
+bool Scheduler::tryDispatch(Pool &pool, const WorkRequest &request, std::int64_t nowMs, Actions &actions)
+{
+    RouteContext context;
+    context.m_upstreams = &m_upstreams;
+    context.m_available = &pool.m_available;
+    context.m_prefixes = &m_prefixes;
+    context.m_random = &m_random;
+    context.m_turn = &pool.m_turn;
+    // An entry may have become unable since its last refresh by time alone; each failed try shortens the list.
+    for (std::uint32_t index = m_route.m_choose(context, request.m_query); index != NoUpstreamIndex; index = m_route.m_choose(context, request.m_query)) {
+        if (canTake(m_upstreams[index], nowMs)) {
+            start(pool, index, request, false, nowMs, actions);
+            return true;
+        }
+        refresh(index, nowMs);
+    }
+    return false;
+}
+
+const std::string &Scheduler::lineOf(const WorkRequest &request) const
+{
+    static const std::string shared = SharedLine;
+    return m_admission.m_fair ? request.m_workspace : shared;
+}
+
+int Scheduler::weightOf(const WorkRequest &request) const
+{
+    const WorkspacePlan *workspace = findWorkspace(m_table->m_plan, request.m_workspace);
+    return workspace == nullptr ? 1 : workspace->m_weight;
+}
+
+void Scheduler::enqueue(Pool &pool, const WorkRequest &request, std::int64_t nowMs, Actions &actions)
+{
+    const WorkspacePlan *workspace = findWorkspace(m_table->m_plan, request.m_workspace);
+    AdmissionQuery query;
+    query.m_nowMs = nowMs;
+    query.m_deadlineMs = request.m_deadlineMs;
+    query.m_running = pool.m_running;
+    query.m_slots = slotsOf(pool);
+    query.m_serviceMs = pool.m_serviceMs;
+    query.m_waitingAll = pool.m_queue.size();
+    query.m_waitingWorkspace = pool.m_queue.waiting(lineOf(request));
+    query.m_maxQueued = workspace == nullptr ? 1 : static_cast<std::size_t>(workspace->m_maxQueued);
+    const int weight = weightOf(request);
+    const int others = pool.m_queue.activeWeight() - (query.m_waitingWorkspace > 0 ? weight : 0);
+    query.m_share = static_cast<double>(weight) / std::max(1, weight + others);
+    const AdmissionVerdict verdict = m_admission.m_admit(query);
+    if (!verdict.m_admitted && !request.m_resumed) {
+        refuse(request, verdict.m_deadlineUnreachable ? ErrorCode::DeadlineUnreachable : ErrorCode::Overloaded, verdict.m_waitMs, actions);
+        return;
+    }
+    ++m_counters.m_queued;
+    m_waiting[request.m_id] = request;
+    const bool first = request.m_attempt > 0;
+    pool.m_queue.push(QueuedRequest{request.m_id, lineOf(request), nowMs, request.m_deadlineMs, 1.0}, weight, first);
+}
+
+void Scheduler::arrive(const WorkRequest &request, std::int64_t nowMs, Actions &actions)
+{
+    if (request.m_attempt == 0) {
+        m_retryBudget.earn(request.m_workspace);
+    }
+    if (refuseEarly(request, nowMs, actions)) {
+        return;
+    }
+    Pool &pool = *poolOf(request.m_pool);
+    if (m_settings.m_isolateSuspects && m_strikes.judge(request.m_fingerprint, nowMs) == Suspicion::Suspect) {
+        m_waiting[request.m_id] = request;
+        pool.m_suspects.push_back(request.m_id);
+        runSuspects(pool, nowMs, actions);
+        return;
+    }
+    // Nobody overtakes those who wait.
+    if (pool.m_queue.size() == 0 && tryDispatch(pool, request, nowMs, actions)) {
+        return;
+    }
+    enqueue(pool, request, nowMs, actions);
+    drainQueue(pool, nowMs, actions);
+}
+
+void Scheduler::retry(const WorkRequest &request, std::int64_t nowMs, Actions &actions)
+{
+    const bool allowed = request.m_attempt < MaxAttempts && m_retryBudget.spend(request.m_workspace);
+    if (!allowed) {
+        ++m_counters.m_retriesDenied;
+        refuse(request, ErrorCode::NoUpstream, MinRetryAfterMs, actions);
+        return;
+    }
+    ++m_counters.m_retried;
+    arrive(request, nowMs, actions);
+}
+
+void Scheduler::settleStrikes(const Running &running, AttemptEnd end, std::int64_t nowMs)
+{
+    const bool known = m_strikes.judge(running.m_request.m_fingerprint, nowMs) != Suspicion::None;
+    if (end == AttemptEnd::Finished && known) {
+        m_strikes.clear(running.m_request.m_fingerprint, nowMs);
+    }
+    if (end == AttemptEnd::UpstreamLost) {
+        m_strikes.strike(running.m_request.m_fingerprint, running.m_alone, nowMs);
+    }
+}
+
+void Scheduler::finish(std::uint64_t requestId, AttemptEnd end, std::int64_t nowMs, Actions &actions)
+{
+    const auto it = m_running.find(requestId);
+    if (it == m_running.end()) {
+        return;
+    }
+    const Running running = std::move(it->second);
+    m_running.erase(it);
+    UpstreamState &state = m_upstreams[running.m_upstream];
+    Pool &pool = m_pools[state.m_info->m_pool];
+    --state.m_running;
+    --pool.m_running;
+    settleStrikes(running, end, nowMs);
+    if (end == AttemptEnd::Finished) {
+        const double elapsed = static_cast<double>(nowMs - running.m_startedMs);
+        pool.m_serviceMs += ServiceTimeGain * (elapsed - pool.m_serviceMs);
+        state.m_limit = std::min(static_cast<double>(state.m_info->m_limit), state.m_limit + 1.0 / std::max(1.0, state.m_limit));
+    } else if (end == AttemptEnd::Refused) {
+        state.m_limit = std::max(1.0, state.m_limit * LimitDecrease);
+    } else if (end == AttemptEnd::UpstreamLost || end == AttemptEnd::Unreachable) {
+        state.m_doubtUntilMs = nowMs + DoubtMs;
+    }
+    refresh(running.m_upstream, nowMs);
+    runSuspects(pool, nowMs, actions);
+    drainQueue(pool, nowMs, actions);
+}
+
+void Scheduler::cancelWaiting(std::uint64_t requestId)
+{
+    const auto it = m_waiting.find(requestId);
+    if (it == m_waiting.end()) {
+        return;
+    }
+    Pool &pool = m_pools[it->second.m_pool];
+    pool.m_queue.remove(lineOf(it->second), requestId);
+    const auto suspect = std::find(pool.m_suspects.begin(), pool.m_suspects.end(), requestId);
+    if (suspect != pool.m_suspects.end()) {
+        pool.m_suspects.erase(suspect);
+    }
+    m_waiting.erase(it);
+}
+
+void Scheduler::report(const UpstreamReport &report, std::int64_t nowMs, Actions &actions)
+{
+    const auto it = m_byId.find(report.m_upstream);
+    if (it == m_byId.end() || report.m_generation < m_upstreams[it->second].m_info->m_generation) {
+        return;
+    }
+    UpstreamState &state = m_upstreams[it->second];
+    switch (report.m_kind) {
+    case ReportKind::Doubt:
+        state.m_doubtUntilMs = std::max(state.m_doubtUntilMs, nowMs + DoubtMs);
+        break;
+    case ReportKind::Cold:
+        state.m_turnedCold = state.m_info->m_phase == GroupPhase::Warm;
+        break;
+    case ReportKind::Leaving:
+        state.m_leaving = true;
+        break;
+    case ReportKind::Recovered:
+        if (state.m_turnedCold) {
+            state.m_warmSinceMs = nowMs;
+        }
+        state.m_doubtUntilMs = -1;
+        state.m_turnedCold = false;
+        state.m_leaving = false;
+        break;
+    case ReportKind::SetApart:
+        state.m_setApartUntilMs = std::max(state.m_setApartUntilMs, nowMs + SetApartMs);
+        break;
+    }
+    refresh(it->second, nowMs);
+    drainQueue(m_pools[state.m_info->m_pool], nowMs, actions);
+}
+
+void Scheduler::reportLoad(const std::string &upstream, int running, std::int64_t nowMs)
+{
+    const auto it = m_byId.find(upstream);
+    if (it == m_byId.end()) {
+        return;
+    }
+    UpstreamState &state = m_upstreams[it->second];
+    state.m_othersRunning = std::max(0, running - state.m_running);
+    state.m_reportedAtMs = nowMs;
+    refresh(it->second, nowMs);
+}
+
+void Scheduler::reportPrefix(const std::string &upstream, std::uint64_t prefix, bool cached)
+{
+    const auto it = m_byId.find(upstream);
+    if (it == m_byId.end()) {
+        return;
+    }
+    if (cached) {
+        rememberPrefix(m_prefixes, prefix, it->second);
+        return;
+    }
+    const auto holder = m_prefixes.m_holders.find(prefix);
+    if (holder != m_prefixes.m_holders.end() && holder->second == it->second) {
+        holder->second = NoUpstreamIndex;
+    }
+}
+
+void Scheduler::setAccepting(bool accepting, ErrorCode error)
+{
+    m_accepting = accepting;
+    m_refusal = error;
+}
+
+void Scheduler::setGateways(int gateways)
+{
+    m_settings.m_gateways = std::max(1, gateways);
+}
+
+void Scheduler::drainQueue(Pool &pool, std::int64_t nowMs, Actions &actions)
+{
+    while (pool.m_queue.size() > 0 && !pool.m_available.empty()) {
+        const QueuedRequest queued = *pool.m_queue.pop();
+        const WorkRequest request = m_waiting[queued.m_id];
+        if (!tryDispatch(pool, request, nowMs, actions)) {
+            pool.m_queue.push(queued, weightOf(request), true);
+            return;
+        }
+        m_waiting.erase(queued.m_id);
+    }
+}
+
+void Scheduler::dropLate(Pool &pool, std::int64_t nowMs, Actions &actions)
+{
+    const std::int64_t margin = m_admission.m_dropLate ? static_cast<std::int64_t>(pool.m_serviceMs) : 0;
+    for (const QueuedRequest &late : pool.m_queue.removeLate(nowMs + margin)) {
+        const double wait = static_cast<double>(pool.m_queue.size() + 1) * pool.m_serviceMs / std::max(1.0, slotsOf(pool));
+        refuse(m_waiting[late.m_id], ErrorCode::DeadlineUnreachable, static_cast<std::int64_t>(wait), actions);
+        m_waiting.erase(late.m_id);
+    }
+    for (auto it = pool.m_suspects.begin(); it != pool.m_suspects.end();) {
+        const WorkRequest request = m_waiting[*it];
+        const bool convicted = m_strikes.judge(request.m_fingerprint, nowMs) == Suspicion::Convicted;
+        if (!convicted && request.m_deadlineMs >= nowMs) {
+            ++it;
+            continue;
+        }
+        refuse(request, convicted ? ErrorCode::PoisonRequest : ErrorCode::DeadlineUnreachable, SetApartMs, actions);
+        m_waiting.erase(*it);
+        it = pool.m_suspects.erase(it);
+    }
+}
+
+void Scheduler::chooseSetApart(const std::string &name, Pool &pool, std::int64_t nowMs)
+{
+    std::uint64_t best = 0;
+    pool.m_setApart = NoUpstreamIndex;
+    for (const std::uint32_t index : pool.m_members) {
+        const UpstreamState &state = m_upstreams[index];
+        const bool usableNow = state.m_present && !state.m_turnedCold && !state.m_leaving && nowMs >= state.m_doubtUntilMs && nowMs >= state.m_setApartUntilMs;
+        if (!usableNow || limitOf(state, nowMs) < 1.0) {
+            continue;
+        }
+        // By name of this gateway, so that two gateways rarely choose the same one.
+        const std::uint64_t weight = rendezvousWeight(name + m_settings.m_self, state.m_info->m_id);
+        if (pool.m_setApart == NoUpstreamIndex || weight > best) {
+            pool.m_setApart = index;
+            best = weight;
+        }
+    }
+    pool.m_setApartSinceMs = nowMs;
+}
+
+void Scheduler::runSuspects(Pool &pool, std::int64_t nowMs, Actions &actions)
+{
+    const bool busy = pool.m_setApart != NoUpstreamIndex && m_upstreams[pool.m_setApart].m_running > 0;
+    if (pool.m_suspects.empty() && !busy) {
+        if (pool.m_setApart != NoUpstreamIndex) {
+            m_upstreams[pool.m_setApart].m_setApartUntilMs = -1;
+            refresh(pool.m_setApart, nowMs);
+        }
+        pool.m_setApart = NoUpstreamIndex;
+        return;
+    }
+    const bool lost = pool.m_setApart != NoUpstreamIndex
+        && (!m_upstreams[pool.m_setApart].m_present || nowMs < m_upstreams[pool.m_setApart].m_doubtUntilMs || m_upstreams[pool.m_setApart].m_turnedCold);
+    if (pool.m_setApart == NoUpstreamIndex || lost) {
+        if (pool.m_suspects.empty()) {
+            return;
+        }
+        chooseSetApart(m_waiting[pool.m_suspects.front()].m_pool, pool, nowMs);
+    }
+    if (pool.m_setApart == NoUpstreamIndex) {
+        return;
+    }
+    UpstreamState &state = m_upstreams[pool.m_setApart];
+    state.m_setApartUntilMs = nowMs + SetApartMs;
+    refresh(pool.m_setApart, nowMs);
+    const bool settled = nowMs >= pool.m_setApartSinceMs + SetApartSettleMs && state.m_othersRunning == 0;
+    if (pool.m_suspects.empty() || state.m_running > 0 || !settled) {
+        return;
+    }
+    const std::uint64_t id = pool.m_suspects.front();
+    pool.m_suspects.pop_front();
+    const WorkRequest request = m_waiting[id];
+    m_waiting.erase(id);
+    start(pool, pool.m_setApart, request, true, nowMs, actions);
+}
+
+void Scheduler::tick(std::int64_t nowMs, Actions &actions)
+{
+    for (std::uint32_t index = 0; index < m_upstreams.size(); ++index) {
+        UpstreamState &state = m_upstreams[index];
+        if (state.m_othersRunning > 0 && nowMs - state.m_reportedAtMs > LoadReportLifeMs) {
+            state.m_othersRunning = 0;
+        }
+        refresh(index, nowMs);
+    }
+    for (std::pair<const std::string, Pool> &entry : m_pools) {
+        dropLate(entry.second, nowMs, actions);
+        runSuspects(entry.second, nowMs, actions);
+        drainQueue(entry.second, nowMs, actions);
+    }
+}
+
+StrikeBook &Scheduler::strikes()
+{
+    return m_strikes;
+}
+
+const SchedulerCounters &Scheduler::counters() const
+{
+    return m_counters;
+}
+
+const std::vector<UpstreamState> &Scheduler::upstreams() const
+{
+    return m_upstreams;
+}
+
+std::size_t Scheduler::waiting() const
+{
+    return m_waiting.size();
+}
+
+std::vector<std::uint64_t> Scheduler::runningOn(const std::string &upstream) const
+{
+    std::vector<std::uint64_t> ids;
+    for (const std::pair<const std::uint64_t, Running> &entry : m_running) {
+        if (m_upstreams[entry.second.m_upstream].m_info->m_id == upstream) {
+            ids.push_back(entry.first);
+        }
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+bool Scheduler::inForce(const std::string &upstream, std::uint64_t generation, std::int64_t nowMs) const
+{
+    const auto known = m_table->m_generations.find(upstream);
+    const auto it = m_byId.find(upstream);
+    if (known == m_table->m_generations.end() || known->second != generation || it == m_byId.end()) {
+        return false;
+    }
+    return nowMs >= m_upstreams[it->second].m_doubtUntilMs;
+}
+
+bool Scheduler::mayDispatch(const std::string &upstream, std::uint64_t generation, std::int64_t nowMs) const
+{
+    const auto it = m_byId.find(upstream);
+    if (it == m_byId.end()) {
+        return false;
+    }
+    const UpstreamState &state = m_upstreams[it->second];
+    const bool open = state.m_present && !state.m_turnedCold && !state.m_leaving && nowMs >= state.m_doubtUntilMs;
+    return open && state.m_info->m_generation == generation && limitOf(state, nowMs) >= 1.0;
+}
+
+std::vector<UpstreamReport> Scheduler::setApart() const
+{
+    std::vector<UpstreamReport> reports;
+    for (const std::pair<const std::string, Pool> &entry : m_pools) {
+        if (entry.second.m_setApart != NoUpstreamIndex) {
+            const Upstream &info = *m_upstreams[entry.second.m_setApart].m_info;
+            reports.push_back({info.m_id, info.m_generation, ReportKind::SetApart});
+        }
+    }
+    return reports;
+}
+}
--- /dev/null
+++ b/kernel/sharding.cpp
@@ -0,0 +1,24 @@
+// Problem: a workspace whose requests crash upstreams should not be able to reach all of them.
+// Approach: a fixed random subset per workspace, by rendezvous weight.
+// Numbered shards put whole sets of workspaces together, so that one of them takes all its neighbours down.
+
+#include "kernel/sharding.h"
+
+#include "kernel/hashing.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+std::vector<std::string> shardOf(const std::string &workspace, const std::vector<std::string> &upstreams, std::size_t size)
+{
+    std::vector<std::string> shard = upstreams;
+    const std::size_t count = std::min(size, shard.size());
+    const auto heavier = [&](const std::string &a, const std::string &b) {
+        return rendezvousWeight(workspace, a) > rendezvousWeight(workspace, b);
+    };
+    std::partial_sort(shard.begin(), shard.begin() + static_cast<std::ptrdiff_t>(count), shard.end(), heavier);
+    shard.resize(count);
+    return shard;
+}
+}
--- /dev/null
+++ b/kernel/yamlreader.cpp
@@ -0,0 +1,126 @@
+// Problem: settings and plans are written by hand; each fault must be named with its line, and all of them at once.
+// Approach: small readers over yaml-cpp nodes that record findings instead of throwing.
+// yaml-cpp's own conversions throw at the first fault, which would hide the others.
+
+#include "kernel/yamlreader.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+YAML::Node parseYaml(YamlReader &reader, const std::string &text)
+{
+    try {
+        return YAML::Load(text);
+    } catch (const YAML::Exception &exception) {
+        reader.m_findings.push_back({reader.m_file, exception.mark.line + 1, exception.mark.column + 1, exception.msg});
+        return YAML::Node(YAML::NodeType::Undefined);
+    }
+}
+
+void addFinding(YamlReader &reader, const YAML::Node &node, const std::string &text)
+{
+    const YAML::Mark mark = node.IsDefined() ? node.Mark() : YAML::Mark::null_mark();
+    reader.m_findings.push_back({reader.m_file, mark.line + 1, mark.column + 1, text});
+}
+
+bool checkKeys(YamlReader &reader, const YAML::Node &node, std::initializer_list<std::string_view> known)
+{
+    if (!node.IsDefined() || !node.IsMap()) {
+        addFinding(reader, node, "a map of keys is expected here");
+        return false;
+    }
+    for (YAML::const_iterator it = node.begin(); it != node.end(); ++it) {
+        const std::string key = it->first.Scalar();
+        if (std::find(known.begin(), known.end(), key) == known.end()) {
+            addFinding(reader, it->first, "unknown key '" + key + "'");
+        }
+    }
+    return true;
+}
+
+std::string readString(YamlReader &reader, const YAML::Node &node, const std::string &key, const std::optional<std::string> &fallback)
+{
+    const YAML::Node value = node[key];
+    if (!value.IsDefined()) {
+        if (!fallback) {
+            addFinding(reader, node, "key '" + key + "' is missing");
+        }
+        return fallback.value_or("");
+    }
+    if (!value.IsScalar() || (!fallback && value.Scalar().empty())) {
+        addFinding(reader, value, "'" + key + "' must be a text");
+        return fallback.value_or("");
+    }
+    return value.Scalar();
+}
+
+std::int64_t readInteger(YamlReader &reader,
+                         const YAML::Node &node,
+                         const std::string &key,
+                         std::int64_t minimum,
+                         std::int64_t maximum,
+                         std::optional<std::int64_t> fallback)
+{
+    const YAML::Node value = node[key];
+    if (!value.IsDefined()) {
+        if (!fallback) {
+            addFinding(reader, node, "key '" + key + "' is missing");
+        }
+        return fallback.value_or(minimum);
+    }
+    std::int64_t number = 0;
+    if (!value.IsScalar() || !YAML::convert<std::int64_t>::decode(value, number)) {
+        addFinding(reader, value, "'" + key + "' must be a whole number");
+        return fallback.value_or(minimum);
+    }
+    if (number < minimum || number > maximum) {
+        addFinding(reader, value, "'" + key + "' must be from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+        return fallback.value_or(minimum);
+    }
+    return number;
+}
+
+bool readBool(YamlReader &reader, const YAML::Node &node, const std::string &key, bool fallback)
+{
+    const YAML::Node value = node[key];
+    if (!value.IsDefined()) {
+        return fallback;
+    }
+    bool flag = fallback;
+    if (!value.IsScalar() || !YAML::convert<bool>::decode(value, flag)) {
+        addFinding(reader, value, "'" + key + "' must be true or false");
+    }
+    return flag;
+}
+
+std::vector<std::string> readStrings(YamlReader &reader, const YAML::Node &node, const std::string &key)
+{
+    std::vector<std::string> texts;
+    for (const YAML::Node &item : readList(reader, node, key)) {
+        if (item.IsScalar()) {
+            texts.push_back(item.Scalar());
+        } else {
+            addFinding(reader, item, "each entry of '" + key + "' must be a text");
+        }
+    }
+    return texts;
+}
+
+std::vector<YAML::Node> readList(YamlReader &reader, const YAML::Node &node, const std::string &key)
+{
+    const YAML::Node value = node[key];
+    std::vector<YAML::Node> items;
+    if (!value.IsDefined()) {
+        return items;
+    }
+    if (!value.IsSequence()) {
+        addFinding(reader, value, "'" + key + "' must be a list");
+        return items;
+    }
+    for (YAML::const_iterator it = value.begin(); it != value.end(); ++it) {
+        items.push_back(*it);
+    }
+    return items;
+}
+}
--- /dev/null
+++ b/net/asio.cpp
@@ -0,0 +1,59 @@
+// Problem: every asynchronous part needs the same clock, addresses and waiting.
+// Approach: a few functions over Asio that return values instead of throwing.
+// Each part doing so by itself would mix clocks and let exceptions cross interfaces.
+
+#include "net/asio.h"
+
+#include <array>
+#include <charconv>
+#include <random>
+
+namespace knapweedslip
+{
+std::int64_t steadyMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+std::int64_t unixSeconds()
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+Result<Tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return Error{ErrorCode::InvalidArgument, "'" + address + "' is not ip:port"};
+    }
+    boost::system::error_code error;
+    const asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char *end = address.data() + address.size();
+    const std::from_chars_result parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+        return Error{ErrorCode::InvalidArgument, "'" + address + "' is not ip:port"};
+    }
+    return Tcp::endpoint(ip, port);
+}
+
+awaitable<bool> sleepFor(std::int64_t ms)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(ms));
+    const auto [error] = co_await timer.async_wait(UseTuple);
+    co_return !error;
+}
+
+std::uint64_t randomId()
+{
+    thread_local std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string toHex(std::uint64_t value)
+{
+    std::array<char, 16> digits{};
+    const std::to_chars_result end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    return std::string(digits.data(), end.ptr);
+}
+}
--- /dev/null
+++ b/net/http.cpp
@@ -0,0 +1,69 @@
+// Problem: programs here speak HTTP in several roles and need one form of requests, answers and errors.
+// Approach: plain structs over Beast's types, and problem documents made from the error table.
+// Passing Beast's templates around would make every unit that touches a request slow to compile.
+
+#include "net/http.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+std::string_view headerValue(const HeaderFields &headers, std::string_view name)
+{
+    const auto it = std::find_if(headers.begin(), headers.end(), [name](const std::pair<std::string, std::string> &field) {
+        return beast::iequals(field.first, beast::string_view(name.data(), name.size()));
+    });
+    return it == headers.end() ? std::string_view() : std::string_view(it->second);
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string queryValue(std::string_view target, std::string_view name)
+{
+    std::size_t start = target.find('?');
+    while (start != std::string_view::npos) {
+        const std::size_t end = target.find('&', start + 1);
+        const std::string_view pair = target.substr(start + 1, end == std::string_view::npos ? end : end - start - 1);
+        const std::size_t equals = pair.find('=');
+        if (pair.substr(0, equals) == name) {
+            return equals == std::string_view::npos ? std::string() : std::string(pair.substr(equals + 1));
+        }
+        start = end;
+    }
+    return {};
+}
+
+HttpReply jsonReply(unsigned status, const std::string &body)
+{
+    HttpReply reply;
+    reply.m_status = status;
+    reply.m_headers.emplace_back("Content-Type", "application/json");
+    reply.m_body = body;
+    return reply;
+}
+
+HttpReply problemReply(const Error &error, std::int64_t retryAfterMs)
+{
+    constexpr std::int64_t MsPerSecond = 1'000;
+    boost::json::object problem;
+    problem["type"] = "urn:knapweedslip:problem:" + std::string(errorName(error.m_code));
+    problem["title"] = errorText(error.m_code);
+    problem["status"] = errorStatus(error.m_code);
+    problem["detail"] = error.m_detail;
+    HttpReply reply;
+    reply.m_status = errorStatus(error.m_code);
+    reply.m_headers.emplace_back("Content-Type", "application/problem+json");
+    if (retryAfterMs > 0) {
+        const std::int64_t seconds = (retryAfterMs + MsPerSecond - 1) / MsPerSecond;
+        problem["retry_after_s"] = seconds;
+        reply.m_headers.emplace_back("Retry-After", std::to_string(seconds));
+    }
+    reply.m_body = boost::json::serialize(problem);
+    return reply;
+}
+}
--- /dev/null
+++ b/net/httpclient.cpp
@@ -0,0 +1,214 @@
+// Problem: an answer must belong to its request, and "not run" must be true.
+// Approach: a connection carries one exchange at a time and goes back to the pool only when the answer was read to its end, so an
+// unread answer can never meet the next request. Errors before the first byte went out differ in code from those after it.
+// Keeping a connection after a timeout lets a late answer be taken for the next one.
+
+#include "net/httpclient.h"
+
+namespace knapweedslip
+{
+namespace
+{
+http::request<http::string_body> toMessage(const HttpConnection &connection, const HttpRequest &request)
+{
+    http::request<http::string_body> message(http::string_to_verb(request.m_method), request.m_target, 11);
+    if (message.method() == http::verb::unknown) {
+        message.method_string(request.m_method);
+    }
+    message.set(http::field::host, connection.m_address);
+    for (const std::pair<std::string, std::string> &field : request.m_headers) {
+        message.set(field.first, field.second);
+    }
+    message.body() = request.m_body;
+    message.prepare_payload();
+    return message;
+}
+
+Error toError(const boost::system::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return Error{ErrorCode::Timeout, "no answer in time"};
+    }
+    return Error{ErrorCode::ConnectionLost, error.message()};
+}
+
+template<typename Fields>
+HeaderFields toFields(const Fields &message)
+{
+    HeaderFields headers;
+    for (const http::fields::value_type &field : message) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+}
+
+HttpConnectionPtr ConnectionPool::take(const asio::any_io_executor &executor, const std::string &address, const std::string &bootId)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto it = m_idle.find(Place(&executor.context(), address));
+    if (it == m_idle.end()) {
+        return nullptr;
+    }
+    std::vector<HttpConnectionPtr> &idle = it->second;
+    while (!idle.empty()) {
+        HttpConnectionPtr connection = std::move(idle.back());
+        idle.pop_back();
+        if (bootId.empty() || connection->m_bootId == bootId) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void ConnectionPool::give(HttpConnectionPtr connection)
+{
+    connection->m_reused = true;
+    connection->m_stream.expires_never();
+    const Place place(&connection->m_stream.get_executor().context(), connection->m_address);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<HttpConnectionPtr> &idle = m_idle[place];
+    if (idle.size() < MaxIdlePerAddress) {
+        idle.push_back(std::move(connection));
+    }
+}
+
+awaitable<Result<HttpConnectionPtr>> httpConnect(std::string address, std::int64_t timeoutMs)
+{
+    const Result<Tcp::endpoint> endpoint = parseEndpoint(address);
+    if (failed(endpoint)) {
+        co_return errorOf(endpoint);
+    }
+    HttpConnectionPtr connection = std::make_unique<HttpConnection>(beast::tcp_stream(co_await asio::this_coro::executor));
+    connection->m_address = address;
+    connection->m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
+    const auto [error] = co_await connection->m_stream.async_connect(valueOf(endpoint), UseTuple);
+    if (error) {
+        co_return Error{ErrorCode::ConnectFailed, address + ": " + error.message()};
+    }
+    boost::system::error_code ignored;
+    connection->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+    co_return std::move(connection);
+}
+
+awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs)
+{
+    const http::request<http::string_body> message = toMessage(connection, request);
+    connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
+    const auto [writeError, written] = co_await http::async_write(connection.m_stream, message, UseTuple);
+    if (writeError) {
+        co_return toError(writeError);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    if (request.m_method == "HEAD") {
+        parser.skip(true);
+    }
+    const auto [readError, size] = co_await http::async_read(connection.m_stream, connection.m_buffer, parser, UseTuple);
+    if (readError) {
+        co_return toError(readError);
+    }
+    HttpReply reply;
+    reply.m_status = parser.get().result_int();
+    reply.m_headers = toFields(parser.get());
+    reply.m_body = std::move(parser.get().body());
+    co_return reply;
+}
+
+awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs)
+{
+    HttpConnectionPtr connection = pool.take(co_await asio::this_coro::executor, address, {});
+    if (connection != nullptr) {
+        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
+        if (!failed(reply)) {
+            pool.give(std::move(connection));
+            co_return reply;
+        }
+        const bool repeatable = request.m_method == "GET" || request.m_method == "HEAD";
+        if (!repeatable || errorOf(reply).m_code == ErrorCode::Timeout) {
+            co_return reply;
+        }
+    }
+    Result<HttpConnectionPtr> fresh = co_await httpConnect(address, timeoutMs);
+    if (failed(fresh)) {
+        co_return errorOf(fresh);
+    }
+    connection = std::move(valueOf(fresh));
+    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
+    if (!failed(reply)) {
+        pool.give(std::move(connection));
+    }
+    co_return reply;
+}
+
+HttpStream::HttpStream(HttpConnection &connection)
+    : m_connection(connection)
+    , m_piece(PieceBytes)
+{
+    m_parser.body_limit(boost::none);
+}
+
+awaitable<Result<Done>> HttpStream::open(const HttpRequest &request, std::int64_t timeoutMs)
+{
+    const http::request<http::string_body> message = toMessage(m_connection, request);
+    m_connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
+    const auto [writeError, written] = co_await http::async_write(m_connection.m_stream, message, UseTuple);
+    if (writeError) {
+        co_return toError(writeError);
+    }
+    const auto [readError, size] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
+    if (readError) {
+        co_return toError(readError);
+    }
+    co_return Done{};
+}
+
+unsigned HttpStream::status() const
+{
+    return m_parser.get().result_int();
+}
+
+std::string HttpStream::header(std::string_view name) const
+{
+    return std::string(m_parser.get()[beast::string_view(name.data(), name.size())]);
+}
+
+awaitable<Result<std::string>> HttpStream::read(std::int64_t timeoutMs)
+{
+    while (!m_parser.is_done()) {
+        m_parser.get().body().data = m_piece.data();
+        m_parser.get().body().size = m_piece.size();
+        m_connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
+        auto [error, size] = co_await http::async_read_some(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
+        if (error && error != http::error::need_buffer) {
+            co_return toError(error);
+        }
+        const std::size_t got = m_piece.size() - m_parser.get().body().size;
+        if (got > 0) {
+            co_return std::string(m_piece.data(), got);
+        }
+    }
+    co_return std::string();
+}
+
+bool HttpStream::finished() const
+{
+    return m_parser.is_done();
+}
+
+std::vector<std::string> EventSplitter::feed(std::string_view text)
+{
+    constexpr std::string_view DataPrefix = "data:";
+    m_rest += text;
+    std::vector<std::string> events;
+    for (std::size_t end = m_rest.find("\n\n"); end != std::string::npos; end = m_rest.find("\n\n")) {
+        const std::string block = m_rest.substr(0, end);
+        m_rest.erase(0, end + 2);
+        if (block.compare(0, DataPrefix.size(), DataPrefix) == 0) {
+            const std::size_t start = block.find_first_not_of(' ', DataPrefix.size());
+            events.push_back(start == std::string::npos ? std::string() : block.substr(start));
+        }
+    }
+    return events;
+}
+}
--- /dev/null
+++ b/net/httpserver.cpp
@@ -0,0 +1,238 @@
+// Problem: serve many connections on several threads, with whole and streamed answers, and stop without cutting any.
+// Approach: one coroutine a connection, bound to one thread, Beast for the protocol; a stop closes the listener and lets each connection
+// finish its request.
+// Closing connections at a stop cuts answers; a thread a connection costs memory for each idle caller.
+
+#include "net/httpserver.h"
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr std::int64_t WriteTimeoutMs = 30'000;
+
+template<typename Message>
+void setFields(Message &message, const HeaderFields &headers)
+{
+    for (const std::pair<std::string, std::string> &field : headers) {
+        message.set(field.first, field.second);
+    }
+}
+
+HttpRequest toRequest(const http::request<http::string_body> &message)
+{
+    HttpRequest request;
+    request.m_method = std::string(message.method_string());
+    request.m_target = std::string(message.target());
+    for (const http::fields::value_type &field : message) {
+        request.m_headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.m_body = message.body();
+    return request;
+}
+}
+
+HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request)
+    : m_stream(stream)
+    , m_request(std::move(request))
+{
+}
+
+const HttpRequest &HttpExchange::request() const
+{
+    return m_request;
+}
+
+awaitable<Result<Done>> HttpExchange::respond(HttpReply reply)
+{
+    m_answered = true;
+    http::response<http::string_body> message(static_cast<http::status>(reply.m_status), 11);
+    setFields(message, reply.m_headers);
+    message.body() = std::move(reply.m_body);
+    message.prepare_payload();
+    m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    const auto [error, size] = co_await http::async_write(m_stream, message, UseTuple);
+    if (error) {
+        m_reusable = false;
+        co_return Error{ErrorCode::ConnectionLost, error.message()};
+    }
+    co_return Done{};
+}
+
+awaitable<Result<Done>> HttpExchange::beginStream(unsigned status, const HeaderFields &headers)
+{
+    m_answered = true;
+    http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+    setFields(message, headers);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    const auto [error, size] = co_await http::async_write_header(m_stream, serializer, UseTuple);
+    if (error) {
+        m_reusable = false;
+        co_return Error{ErrorCode::ConnectionLost, error.message()};
+    }
+    co_return Done{};
+}
+
+awaitable<Result<Done>> HttpExchange::writeChunk(std::string_view text)
+{
+    m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    const auto [error, size] = co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(text.data(), text.size())), UseTuple);
+    if (error) {
+        m_reusable = false;
+        co_return Error{ErrorCode::ConnectionLost, error.message()};
+    }
+    co_return Done{};
+}
+
+awaitable<Result<Done>> HttpExchange::endStream()
+{
+    m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    const auto [error, size] = co_await asio::async_write(m_stream, http::make_chunk_last(), UseTuple);
+    if (error) {
+        m_reusable = false;
+        co_return Error{ErrorCode::ConnectionLost, error.message()};
+    }
+    co_return Done{};
+}
+
+void HttpExchange::abort()
+{
+    m_answered = true;
+    m_reusable = false;
+    boost::system::error_code ignored;
+    m_stream.socket().close(ignored);
+}
+
+bool HttpExchange::answered() const
+{
+    return m_answered;
+}
+
+bool HttpExchange::reusable() const
+{
+    return m_reusable;
+}
+
+HttpServer::HttpServer(std::vector<asio::io_context *> contexts, HttpHandler handler, const HttpServerLimits &limits)
+    : m_contexts(std::move(contexts))
+    , m_acceptor(*m_contexts.front())
+    , m_handler(std::move(handler))
+    , m_limits(limits)
+{
+}
+
+Result<std::shared_ptr<HttpServer>>
+HttpServer::create(std::vector<asio::io_context *> contexts, const std::string &address, HttpHandler handler, const HttpServerLimits &limits)
+{
+    const Result<Tcp::endpoint> endpoint = parseEndpoint(address);
+    if (failed(endpoint)) {
+        return errorOf(endpoint);
+    }
+    std::shared_ptr<HttpServer> server(new HttpServer(std::move(contexts), std::move(handler), limits));
+    boost::system::error_code error;
+    server->m_acceptor.open(valueOf(endpoint).protocol(), error);
+    if (!error) {
+        server->m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        server->m_acceptor.bind(valueOf(endpoint), error);
+    }
+    if (!error) {
+        server->m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return Error{ErrorCode::Io, "cannot listen on " + address + ": " + error.message()};
+    }
+    asio::co_spawn(
+        server->m_acceptor.get_executor(),
+        [server]() {
+            return server->acceptLoop();
+        },
+        asio::detached);
+    return server;
+}
+
+awaitable<void> HttpServer::acceptLoop()
+{
+    while (!m_stopping) {
+        asio::io_context &context = *m_contexts[m_nextContext++ % m_contexts.size()];
+        auto [error, socket] = co_await m_acceptor.async_accept(context, UseTuple);
+        if (error) {
+            if (m_stopping || !m_acceptor.is_open()) {
+                co_return;
+            }
+            continue;
+        }
+        const asio::any_io_executor executor = socket.get_executor();
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), moved = std::make_shared<Tcp::socket>(std::move(socket))]() {
+                return self->serve(std::move(*moved));
+            },
+            asio::detached);
+    }
+}
+
+awaitable<void> HttpServer::serve(Tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    while (!m_stopping) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(m_limits.m_maxBodyBytes);
+        stream.expires_after(std::chrono::milliseconds(m_limits.m_idleTimeoutMs));
+        const auto [error, size] = co_await http::async_read(stream, buffer, parser, UseTuple);
+        if (error == http::error::body_limit) {
+            HttpExchange exchange(stream, {});
+            co_await exchange.respond(problemReply(Error{ErrorCode::BodyTooLarge, "over " + std::to_string(m_limits.m_maxBodyBytes) + " bytes"}));
+            break;
+        }
+        if (error && error.category() == http::make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream) {
+            HttpExchange exchange(stream, {});
+            co_await exchange.respond(problemReply(Error{ErrorCode::MalformedRequest, error.message()}));
+            break;
+        }
+        if (error) {
+            break;
+        }
+        stream.expires_never();
+        const bool keepAlive = parser.get().keep_alive();
+        HttpExchange exchange(stream, toRequest(parser.get()));
+        ++m_active;
+        co_await m_handler(exchange);
+        if (!exchange.answered()) {
+            co_await exchange.respond(problemReply(Error{ErrorCode::NotFound, std::string(pathOf(exchange.request().m_target))}));
+        }
+        --m_active;
+        if (!keepAlive || !exchange.reusable()) {
+            break;
+        }
+    }
+    stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+}
+
+void HttpServer::stopAccepting()
+{
+    m_stopping = true;
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()]() {
+        boost::system::error_code ignored;
+        self->m_acceptor.close(ignored);
+    });
+}
+
+int HttpServer::active() const
+{
+    return m_active;
+}
+
+std::string HttpServer::address() const
+{
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint = m_acceptor.local_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+}
--- /dev/null
+++ b/net/iothreads.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "net/asio.h"
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace knapweedslip
+{
+/**
+ * Threads of a process, each running one io_context by itself, so that everything bound to a context needs no lock. Context 0 carries
+ * control work; requests are spread over the others.
+ */
+class IoThreads
+{
+public:
+    /** @param workers threads for requests, besides the control thread. */
+    explicit IoThreads(int workers);
+    IoThreads(const IoThreads &) = delete;
+    IoThreads &operator=(const IoThreads &) = delete;
+    ~IoThreads();
+
+    asio::io_context &control();
+    /** The contexts for requests. */
+    std::vector<asio::io_context *> workers();
+    /** Starts the worker threads and runs the control context on this thread until stop(). */
+    void run();
+    /** Ends run(); may be called from any thread. */
+    void stop();
+
+private:
+    struct Context {
+        asio::io_context m_context{1};
+        asio::executor_work_guard<asio::io_context::executor_type> m_guard{m_context.get_executor()};
+    };
+
+    std::vector<std::unique_ptr<Context>> m_contexts;
+    std::vector<std::thread> m_threads;
+};
+}
--- /dev/null
+++ b/net/node.cpp
@@ -0,0 +1,516 @@
+// Problem: every daemon must hold the configuration in force, know its peers and stop cleanly, though the store and any link may fail.
+// Approach: a few daemons a zone watch the store, all gossip with a few random peers every round; a heartbeat names the sender's view and
+// the age of its confirmation, and whoever is behind is sent the documents it lacks. News of upstreams and strikes travel along.
+// A watch of the store by every daemon costs the store a call for each, and dies with the store.
+
+#include "net/node.h"
+
+#include "net/logging.h"
+#include "net/metrics.h"
+
+#include <boost/json.hpp>
+
+#include <csignal>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+constexpr std::int64_t GossipIntervalMs = 200;
+constexpr std::size_t GossipFanOut = 3;
+constexpr std::int64_t PeerTimeoutMs = 1'000;
+constexpr std::int64_t PeerIdleMs = 30'000;
+constexpr std::int64_t ReportLifeMs = 5'000;
+constexpr std::int64_t WatchWaitMs = 1'000;
+constexpr std::int64_t WatchPauseMs = 200;
+constexpr std::int64_t StopPollMs = 20;
+constexpr int DrainLimitExitStatus = 3;
+/** A daemon that hears nothing of the store for this long asks it itself. */
+constexpr std::int64_t AskStoreAfterMs = 2'000;
+constexpr const char *ConfigPrefix = "knapweedslip/config/";
+constexpr EnumNames<3> FreshnessNames{"current", "store-outage", "stale"};
+constexpr EnumNames<5> ReportKindNames{"doubt", "cold", "leaving", "recovered", "set-apart"};
+}
+
+Node::Node(IoThreads &threads, CommonSettings settings, NodeHooks hooks)
+    : m_threads(threads)
+    , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_random(randomId())
+    , m_peerAcceptor(threads.control())
+{
+    m_store.m_address = m_settings.m_storeAddress;
+    m_store.m_timeoutMs = m_settings.m_storeTimeoutMs;
+    m_membership.m_self.m_name = m_settings.m_name;
+    m_membership.m_self.m_role = m_settings.m_role;
+    m_membership.m_self.m_availabilityZone = m_settings.m_availabilityZone;
+    m_membership.m_self.m_incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    m_membership.m_peers = m_settings.m_peers;
+}
+
+Result<Done> Node::start()
+{
+    const Result<Tcp::endpoint> endpoint = parseEndpoint(m_settings.m_peerListen);
+    if (failed(endpoint)) {
+        return errorOf(endpoint);
+    }
+    boost::system::error_code error;
+    m_peerAcceptor.open(valueOf(endpoint).protocol(), error);
+    if (!error) {
+        m_peerAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        m_peerAcceptor.bind(valueOf(endpoint), error);
+    }
+    if (!error) {
+        m_peerAcceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return Error{ErrorCode::Io, "cannot listen on " + m_settings.m_peerListen + ": " + error.message()};
+    }
+    Result<std::shared_ptr<HttpServer>> status = HttpServer::create({&context()}, m_settings.m_statusListen, [this](HttpExchange &exchange) {
+        return serveStatus(exchange);
+    });
+    if (failed(status)) {
+        return errorOf(status);
+    }
+    m_status = valueOf(status);
+    asio::co_spawn(context(), acceptLoop(), asio::detached);
+    asio::co_spawn(context(), gossipLoop(), asio::detached);
+    asio::co_spawn(context(), watchLoop(), asio::detached);
+    asio::co_spawn(context(), stopLoop(), asio::detached);
+    logEvent(LogEvent::ProcessStarted, {{"availability_zone", m_settings.m_availabilityZone}, {"status", m_settings.m_statusListen}});
+    return Done{};
+}
+
+int Node::run()
+{
+    m_threads.run();
+    return m_exitStatus;
+}
+
+const CommonSettings &Node::settings() const
+{
+    return m_settings;
+}
+
+StoreClient &Node::store()
+{
+    ++m_storeCalls;
+    return m_store;
+}
+
+Membership &Node::membership()
+{
+    return m_membership;
+}
+
+const DocumentView &Node::view() const
+{
+    return m_view;
+}
+
+Freshness Node::freshness() const
+{
+    return m_freshness;
+}
+
+Reach Node::reach() const
+{
+    const MemberCount count = countMembers(m_membership, steadyMs());
+    return Reach{count.m_known, count.m_living};
+}
+
+bool Node::stopping() const
+{
+    return m_stopping;
+}
+
+asio::io_context &Node::context()
+{
+    return m_threads.control();
+}
+
+HeartbeatMessage Node::heartbeat()
+{
+    const std::int64_t nowMs = steadyMs();
+    forgetOldReports(nowMs);
+    HeartbeatMessage message;
+    message.m_sender = m_settings.m_name;
+    message.m_viewIndex = m_view.m_index;
+    message.m_confirmationAgeMs = m_view.m_confirmedAtMs < 0 ? -1 : nowMs - m_view.m_confirmedAtMs;
+    m_membership.m_self.m_viewIndex = m_view.m_index;
+    message.m_members = beat(m_membership);
+    for (const std::pair<const ReportKey, HeldReport> &entry : m_reports) {
+        message.m_reports.push_back({entry.second.m_report, nowMs - entry.second.m_bornMs});
+    }
+    if (m_hooks.m_strikes) {
+        for (const StrikeRecord &record : m_hooks.m_strikes()) {
+            message.m_strikes.push_back({record, std::max<std::int64_t>(0, nowMs - record.m_lastMs)});
+        }
+    }
+    return message;
+}
+
+void Node::forgetOldReports(std::int64_t nowMs)
+{
+    std::erase_if(m_reports, [nowMs](const std::pair<const ReportKey, HeldReport> &entry) {
+        return nowMs - entry.second.m_bornMs > ReportLifeMs;
+    });
+}
+
+bool Node::takeReport(const AgedReport &aged)
+{
+    const std::int64_t bornMs = steadyMs() - aged.m_ageMs;
+    const ReportKey key(aged.m_report.m_upstream, aged.m_report.m_kind);
+    const auto it = m_reports.find(key);
+    // The same news comes back from other peers with slightly different ages.
+    constexpr std::int64_t SameNewsMs = 500;
+    const bool known = it != m_reports.end() && it->second.m_report.m_generation >= aged.m_report.m_generation && bornMs <= it->second.m_bornMs + SameNewsMs;
+    if (known || aged.m_ageMs > ReportLifeMs) {
+        return false;
+    }
+    m_reports[key] = HeldReport{aged.m_report, bornMs};
+    return true;
+}
+
+void Node::takeHeartbeat(const HeartbeatMessage &message)
+{
+    const std::int64_t nowMs = steadyMs();
+    mergeMembers(m_membership, message.m_members, nowMs);
+    for (const AgedReport &report : message.m_reports) {
+        if (takeReport(report) && m_hooks.m_onReport) {
+            m_hooks.m_onReport(report.m_report);
+        }
+    }
+    for (const AgedStrike &strike : message.m_strikes) {
+        StrikeRecord record = strike.m_record;
+        record.m_lastMs = nowMs - strike.m_ageMs;
+        if (m_hooks.m_onStrike) {
+            m_hooks.m_onStrike(record);
+        }
+    }
+    if (message.m_viewIndex == m_view.m_index) {
+        takeDelta(DocumentDelta{m_view.m_index, m_view.m_index, message.m_confirmationAgeMs, {}});
+    }
+}
+
+void Node::takeDelta(const DocumentDelta &delta)
+{
+    const AdoptOutcome outcome = adopt(m_view, delta, steadyMs());
+    if (outcome != AdoptOutcome::Adopted) {
+        return;
+    }
+    ++m_adoptions;
+    logEvent(LogEvent::PlanAdopted, {{"index", std::to_string(m_view.m_index)}, {"documents", std::to_string(delta.m_documents.size())}});
+    if (m_hooks.m_onView) {
+        m_hooks.m_onView(m_view);
+    }
+    updateFreshness();
+    broadcast();
+}
+
+void Node::updateFreshness()
+{
+    const Freshness now = judgeFreshness(m_view, reach(), steadyMs(), m_settings.m_maxConfigurationAgeMs);
+    if (now == m_freshness) {
+        return;
+    }
+    m_freshness = now;
+    m_membership.m_self.m_ready = now != Freshness::Stale && !m_stopping;
+    logEvent(LogEvent::FreshnessChanged, {{"freshness", std::string(enumName(FreshnessNames, now))}, {"index", std::to_string(m_view.m_index)}});
+    if (m_hooks.m_onFreshness) {
+        m_hooks.m_onFreshness(now);
+    }
+}
+
+void Node::report(const UpstreamReport &report)
+{
+    if (takeReport({report, 0})) {
+        broadcast();
+    }
+}
+
+void Node::broadcast()
+{
+    for (const PeerAddress &peer : m_membership.m_peers) {
+        if (peer.m_name != m_settings.m_name) {
+            asio::co_spawn(context(), talkTo(peer), asio::detached);
+        }
+    }
+}
+
+awaitable<void> Node::broadcastAndWait(std::int64_t timeoutMs)
+{
+    const std::shared_ptr<int> left = std::make_shared<int>(0);
+    const std::int64_t nowMs = steadyMs();
+    for (const PeerAddress &peer : m_membership.m_peers) {
+        if (peer.m_name == m_settings.m_name || !memberLives(m_membership, peer.m_name, nowMs)) {
+            continue;
+        }
+        ++*left;
+        asio::co_spawn(
+            context(),
+            [this, peer, left]() -> awaitable<void> {
+                co_await talkTo(peer);
+                --*left;
+            },
+            asio::detached);
+    }
+    while (*left > 0 && steadyMs() < nowMs + timeoutMs) {
+        co_await sleepFor(1);
+    }
+}
+
+awaitable<void> Node::gossipLoop()
+{
+    while (true) {
+        for (const PeerAddress &peer : choosePeers(m_membership, GossipFanOut, m_random)) {
+            asio::co_spawn(context(), talkTo(peer), asio::detached);
+        }
+        updateFreshness();
+        co_await sleepFor(GossipIntervalMs);
+    }
+}
+
+awaitable<void> Node::talkTo(PeerAddress peer)
+{
+    // One exchange with a peer at a time; news that comes meanwhile goes with the next.
+    if (!m_talking.insert(peer.m_name).second) {
+        co_return;
+    }
+    std::unique_ptr<PeerConnection> connection = std::move(m_connections[peer.m_name]);
+    if (connection == nullptr) {
+        Result<std::unique_ptr<PeerConnection>> made = co_await peerConnect(peer.m_address, PeerTimeoutMs);
+        if (!failed(made)) {
+            connection = std::move(valueOf(made));
+        }
+    }
+    if (connection != nullptr) {
+        const SocketDeadline deadline(connection->m_socket, PeerTimeoutMs);
+        const Result<Done> done = co_await exchangeWith(*connection);
+        if (!failed(done)) {
+            m_connections[peer.m_name] = std::move(connection);
+        }
+    }
+    m_talking.erase(peer.m_name);
+}
+
+awaitable<Result<Done>> Node::exchangeWith(PeerConnection &connection)
+{
+    Result<Done> sent = co_await peerSend(connection, m_settings.m_peerSecret, heartbeat(), m_traffic);
+    if (failed(sent)) {
+        co_return sent;
+    }
+    Result<PeerMessage> answer = co_await peerReceive(connection, m_settings.m_peerSecret, m_traffic);
+    if (failed(answer)) {
+        co_return errorOf(answer);
+    }
+    const HeartbeatMessage *other = std::get_if<HeartbeatMessage>(&valueOf(answer));
+    if (other == nullptr) {
+        co_return Error{ErrorCode::ProtocolViolation, "a heartbeat is expected"};
+    }
+    const std::uint64_t theirs = other->m_viewIndex;
+    takeHeartbeat(*other);
+    if (theirs == m_view.m_index) {
+        co_return Done{};
+    }
+    // Whoever is ahead sends what the other lacks.
+    if (theirs < m_view.m_index) {
+        sent = co_await peerSend(connection, m_settings.m_peerSecret, deltaSince(m_view, theirs, steadyMs()), m_traffic);
+    } else {
+        sent = co_await peerSend(connection, m_settings.m_peerSecret, DocumentsRequestMessage{m_view.m_index}, m_traffic);
+    }
+    if (failed(sent)) {
+        co_return sent;
+    }
+    answer = co_await peerReceive(connection, m_settings.m_peerSecret, m_traffic);
+    if (failed(answer)) {
+        co_return errorOf(answer);
+    }
+    if (const DocumentDelta *delta = std::get_if<DocumentDelta>(&valueOf(answer))) {
+        takeDelta(*delta);
+    }
+    co_return Done{};
+}
+
+awaitable<void> Node::acceptLoop()
+{
+    while (m_peerAcceptor.is_open()) {
+        auto [error, socket] = co_await m_peerAcceptor.async_accept(UseTuple);
+        if (!error) {
+            asio::co_spawn(context(), servePeer(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+awaitable<void> Node::servePeer(Tcp::socket socket)
+{
+    Result<std::unique_ptr<PeerConnection>> accepted = co_await peerAccept(std::move(socket));
+    if (failed(accepted)) {
+        co_return;
+    }
+    PeerConnection &connection = *valueOf(accepted);
+    while (true) {
+        const SocketDeadline deadline(connection.m_socket, PeerIdleMs);
+        const Result<PeerMessage> message = co_await peerReceive(connection, m_settings.m_peerSecret, m_traffic);
+        if (failed(message)) {
+            const ErrorCode code = errorOf(message).m_code;
+            if (code == ErrorCode::Unauthorized || code == ErrorCode::ProtocolViolation) {
+                logEvent(LogEvent::PeerRejected, {{"error", describe(errorOf(message))}});
+            }
+            co_return;
+        }
+        PeerMessage answer;
+        if (const HeartbeatMessage *other = std::get_if<HeartbeatMessage>(&valueOf(message))) {
+            takeHeartbeat(*other);
+            answer = heartbeat();
+        } else if (const DocumentsRequestMessage *request = std::get_if<DocumentsRequestMessage>(&valueOf(message))) {
+            answer = deltaSince(m_view, request->m_since, steadyMs());
+        } else {
+            takeDelta(std::get<DocumentDelta>(valueOf(message)));
+            answer = heartbeat();
+        }
+        const Result<Done> sent = co_await peerSend(connection, m_settings.m_peerSecret, answer, m_traffic);
+        if (failed(sent)) {
+            co_return;
+        }
+    }
+}
+
+awaitable<void> Node::watchLoop()
+{
+    // The first read does not wait, so that a new daemon is in force at once.
+    std::int64_t waitMs = 0;
+    while (true) {
+        const std::int64_t nowMs = steadyMs();
+        const bool watch = shouldWatchStore(m_membership, m_settings.m_watchersPerZone, nowMs) || confirmationAgeMs(m_view, nowMs) > AskStoreAfterMs;
+        if (!watch) {
+            co_await sleepFor(WatchPauseMs);
+            continue;
+        }
+        Result<DocumentDelta> delta = co_await storeWatch(store(), ConfigPrefix, m_view.m_index, waitMs);
+        const bool answers = !failed(delta);
+        if (answers != m_storeAnswers) {
+            m_storeAnswers = answers;
+            logEvent(answers ? LogEvent::StoreRecovered : LogEvent::StoreLost, {{"error", answers ? std::string() : describe(errorOf(delta))}});
+        }
+        if (answers) {
+            waitMs = WatchWaitMs;
+            takeDelta(valueOf(delta));
+            updateFreshness();
+        } else {
+            co_await sleepFor(WatchPauseMs);
+        }
+    }
+}
+
+awaitable<void> Node::serveStatus(HttpExchange &exchange)
+{
+    const std::string path(pathOf(exchange.request().m_target));
+    if (path == "/healthz") {
+        co_await exchange.respond(jsonReply(200, R"({"status":"live"})"));
+    } else if (path == "/readyz") {
+        const bool ready = m_freshness != Freshness::Stale && !m_stopping;
+        const std::string body = std::string(R"({"ready":)") + (ready ? "true" : "false") + "}";
+        const unsigned status = ready ? 200 : 503;
+        co_await exchange.respond(jsonReply(status, body));
+    } else if (path == "/metrics") {
+        HttpReply reply;
+        reply.m_headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        reply.m_body = metrics();
+        co_await exchange.respond(std::move(reply));
+    } else if (path == "/debug/state") {
+        const std::string_view header = headerValue(exchange.request().m_headers, "Authorization");
+        if (!equalSecrets(header, "Bearer " + m_settings.m_operatorKey.m_text)) {
+            co_await exchange.respond(problemReply(Error{ErrorCode::Unauthorized, "the operators' key is needed"}));
+            co_return;
+        }
+        co_await exchange.respond(jsonReply(200, dump()));
+    }
+}
+
+std::string Node::dump() const
+{
+    const std::int64_t nowMs = steadyMs();
+    json::object object;
+    object["name"] = m_settings.m_name;
+    object["role"] = enumName(RoleNames, m_settings.m_role);
+    object["availability_zone"] = m_settings.m_availabilityZone;
+    object["view_index"] = m_view.m_index;
+    object["confirmation_age_ms"] = m_view.m_confirmedAtMs < 0 ? -1 : nowMs - m_view.m_confirmedAtMs;
+    object["freshness"] = enumName(FreshnessNames, m_freshness);
+    object["store_answers"] = m_storeAnswers;
+    object["stopping"] = m_stopping.load();
+    json::array members;
+    for (const std::pair<const std::string, Member> &entry : m_membership.m_members) {
+        const Member &member = entry.second;
+        members.push_back(json::object{{"name", member.m_name},
+                                       {"role", enumName(RoleNames, member.m_role)},
+                                       {"availability_zone", member.m_availabilityZone},
+                                       {"lives", memberLives(m_membership, member.m_name, nowMs)},
+                                       {"ready", member.m_ready},
+                                       {"leaving", member.m_leaving},
+                                       {"view_index", member.m_viewIndex}});
+    }
+    object["members"] = std::move(members);
+    json::array reports;
+    for (const std::pair<const ReportKey, HeldReport> &entry : m_reports) {
+        reports.push_back(json::object{{"upstream", entry.second.m_report.m_upstream},
+                                       {"kind", enumName(ReportKindNames, entry.second.m_report.m_kind)},
+                                       {"generation", entry.second.m_report.m_generation},
+                                       {"age_ms", nowMs - entry.second.m_bornMs}});
+    }
+    object["reports"] = std::move(reports);
+    if (m_hooks.m_dump) {
+        boost::system::error_code error;
+        object["daemon"] = json::parse(m_hooks.m_dump(), error);
+    }
+    return json::serialize(object);
+}
+
+std::string Node::metrics() const
+{
+    std::string text;
+    text += exposeCounter("knapweedslip_view_index", "Index of the configuration in force", static_cast<double>(m_view.m_index), true);
+    text += exposeCounter("knapweedslip_view_adoptions_total", "Newer views adopted", static_cast<double>(m_adoptions), false);
+    text += exposeCounter("knapweedslip_store_calls_total", "Calls of the platform's store", static_cast<double>(m_storeCalls), false);
+    text += exposeCounter("knapweedslip_peer_sent_bytes_total", "Bytes sent to peers", static_cast<double>(m_traffic.m_sentBytes), false);
+    text += exposeCounter("knapweedslip_peer_received_bytes_total", "Bytes received from peers", static_cast<double>(m_traffic.m_receivedBytes), false);
+    text += exposeCounter("knapweedslip_peer_messages_total", "Messages sent to peers", static_cast<double>(m_traffic.m_sentMessages), false);
+    text += exposeCounter("knapweedslip_peer_rejected_total", "Peer frames rejected", static_cast<double>(m_traffic.m_rejected), false);
+    text += exposeCounter("knapweedslip_ready", "1 while new work is taken", m_freshness != Freshness::Stale && !m_stopping ? 1.0 : 0.0, true);
+    return m_hooks.m_metrics ? text + m_hooks.m_metrics() : text;
+}
+
+awaitable<void> Node::stopLoop()
+{
+    asio::signal_set signals(context(), SIGTERM, SIGINT);
+    co_await signals.async_wait(UseTuple);
+    m_stopping = true;
+    m_membership.m_self.m_ready = false;
+    m_membership.m_self.m_leaving = true;
+    logEvent(LogEvent::ProcessStopping);
+    co_await broadcastAndWait(PeerTimeoutMs);
+    if (m_hooks.m_onStop) {
+        co_await m_hooks.m_onStop();
+    }
+    co_await sleepFor(m_settings.m_balancerWaitMs);
+    if (m_hooks.m_onStopAccepting) {
+        m_hooks.m_onStopAccepting();
+    }
+    const std::int64_t limitMs = steadyMs() + m_settings.m_drainLimitMs;
+    while (m_hooks.m_drained && !m_hooks.m_drained() && steadyMs() < limitMs) {
+        co_await sleepFor(StopPollMs);
+    }
+    if (m_hooks.m_drained && !m_hooks.m_drained()) {
+        logEvent(LogEvent::DrainLimitReached);
+        m_exitStatus = DrainLimitExitStatus;
+    }
+    logEvent(LogEvent::ProcessStopped);
+    m_threads.stop();
+}
+}
--- /dev/null
+++ b/standins/enginevm.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "standins/history.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace knapweedslip::standin
+{
+/** Behaviour shared by the engine VMs of one process. */
+struct EngineOptions {
+    std::int64_t m_tokenMs = 5;
+    std::int64_t m_firstTokenMs = 20;
+    std::int64_t m_loadMs = 300;
+    /** How long an engine is cold after it joined a group. */
+    std::int64_t m_coldMs = 500;
+    std::int64_t m_restartMs = 500;
+    /** Concurrent requests that a cold engine bears; one more and it falls over. */
+    int m_coldRequests = 1;
+    int m_maxRequests = 32;
+    /** Refuses orders with an old fencing number. */
+    bool m_checkFence = true;
+};
+
+/** Faults of one VM, switched on by PUT /standin/faults. */
+struct EngineFaults {
+    bool m_frozen = false;
+    bool m_leaving = false;
+    std::int64_t m_slowTokenMs = 0;
+    /** Cuts the next stream after so many tokens; negative: never. */
+    std::int64_t m_cutAfter = -1;
+    /** Skips or repeats the offset of one token of the next stream; negative: never. */
+    std::int64_t m_skipAt = -1;
+    std::int64_t m_repeatAt = -1;
+    /** Answers the next request with another request's id. */
+    bool m_crossed = false;
+};
+
+/** One engine VM: status, orders, completions. Lives on one thread. */
+class EngineVm
+{
+public:
+    EngineVm(std::string vm, const EngineOptions &options, History &history);
+
+    awaitable<void> serve(HttpExchange &exchange);
+
+private:
+    awaitable<void> serveOrder(HttpExchange &exchange);
+    awaitable<void> serveCompletion(HttpExchange &exchange);
+    awaitable<void> streamTokens(HttpExchange &exchange, std::string requestId, std::string prompt, std::uint64_t offset, std::uint64_t count);
+    awaitable<bool> membersAnswer();
+    HttpReply status() const;
+    HttpReply refusal(const std::string &reason) const;
+    void setFaults(const std::string &body);
+    void crash(const std::string &cause);
+    bool down() const;
+    bool cold() const;
+    bool loading() const;
+    void startBoot();
+
+    std::string m_vm;
+    EngineOptions m_options;
+    History &m_history;
+    EngineFaults m_faults;
+    ConnectionPool m_pool;
+    std::string m_bootId;
+    std::int64_t m_downUntilMs = 0;
+    std::int64_t m_loadedAtMs = 0;
+    std::int64_t m_coldUntilMs = 0;
+    std::string m_loaded;
+    std::string m_group;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_fence = 0;
+    int m_rank = 0;
+    std::vector<std::string> m_peers;
+    int m_running = 0;
+};
+}
--- /dev/null
+++ b/tools/ctl.cpp
@@ -0,0 +1,390 @@
+// Problem: operators change and watch the system from a shell, by hand and in scripts.
+// Approach: a subcommand for each task over the administration API; tables for people, --output json for scripts, and exit statuses that
+// tell a conflict, a finding and a failure to reach the system apart.
+
+#include "kernel/logevents.h"
+#include "kernel/plan.h"
+#include "net/keys.h"
+#include "net/synccall.h"
+#include "tools/ctlformat.h"
+
+#include <CLI/CLI.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+constexpr int ExitOk = 0;
+constexpr int ExitRefused = 1;
+constexpr int ExitUsage = 2;
+constexpr int ExitConflict = 3;
+constexpr int ExitUnreachable = 4;
+constexpr int ExitNotInForce = 5;
+constexpr std::int64_t CallTimeoutMs = 20'000;
+constexpr std::int64_t RolloutPollMs = 100;
+constexpr unsigned StatusConflict = 412;
+
+/** Values of the command line. */
+struct Options {
+    std::string m_admin = "127.0.0.1:7300";
+    std::string m_keyFile;
+    std::string m_output = "text";
+    std::string m_author;
+    std::string m_reason;
+    std::string m_file;
+    std::string m_name;
+    std::string m_state;
+    std::string m_address;
+    std::uint64_t m_revision = 0;
+    bool m_hasBase = false;
+    std::uint64_t m_base = 0;
+    int m_groups = 0;
+    bool m_dryRun = false;
+    bool m_wait = false;
+    std::int64_t m_waitMs = 10'000;
+};
+
+struct Answer {
+    int m_exit = ExitOk;
+    json::value m_body;
+};
+
+std::string readFile(const std::string &path, bool &found)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    found = static_cast<bool>(file);
+    return text.str();
+}
+
+int exitOf(unsigned status)
+{
+    constexpr unsigned FirstError = 400;
+    if (status < FirstError) {
+        return ExitOk;
+    }
+    return status == StatusConflict ? ExitConflict : ExitRefused;
+}
+
+Answer call(const Options &options, const std::string &address, HttpRequest request)
+{
+    const Result<Secret> key = readSecret(options.m_keyFile);
+    if (failed(key)) {
+        std::cerr << describe(errorOf(key)) << "\n";
+        return {ExitUsage, nullptr};
+    }
+    request.m_headers.emplace_back("Authorization", "Bearer " + valueOf(key).m_text);
+    const Result<HttpReply> reply = syncCall(address, request, CallTimeoutMs);
+    if (failed(reply)) {
+        std::cerr << address << ": " << describe(errorOf(reply)) << "\n";
+        return {ExitUnreachable, nullptr};
+    }
+    boost::system::error_code error;
+    Answer answer;
+    answer.m_body = json::parse(valueOf(reply).m_body, error);
+    answer.m_exit = exitOf(valueOf(reply).m_status);
+    if (answer.m_exit != ExitOk && answer.m_body.is_object()) {
+        std::cerr << formatProblem(answer.m_body.as_object());
+    }
+    return answer;
+}
+
+HttpRequest changeRequest(const Options &options, const std::string &method, const std::string &target, const std::string &body)
+{
+    HttpRequest request;
+    request.m_method = method;
+    request.m_target = target;
+    if (options.m_dryRun) {
+        request.m_target += target.find('?') == std::string::npos ? "?dry_run=true" : "&dry_run=true";
+    }
+    request.m_headers.emplace_back("X-Author", options.m_author);
+    request.m_headers.emplace_back("X-Reason", options.m_reason);
+    if (options.m_hasBase) {
+        request.m_headers.emplace_back("If-Match", std::to_string(options.m_base));
+    }
+    request.m_body = body;
+    return request;
+}
+
+HttpRequest readRequest(const std::string &target)
+{
+    HttpRequest request;
+    request.m_target = target;
+    return request;
+}
+
+void print(const Options &options, const Answer &answer, const std::string &text)
+{
+    if (answer.m_exit == ExitOk) {
+        std::cout << (options.m_output == "json" ? json::serialize(answer.m_body) + "\n" : text);
+    }
+}
+
+std::string statusText(const json::object &status)
+{
+    std::string text = formatFields(status);
+    const auto table = [&](const char *key, const std::vector<std::string> &columns) {
+        const json::value *rows = status.if_contains(key);
+        if (rows != nullptr && rows->is_array()) {
+            text += "\n" + formatTable(rows->as_array(), columns);
+        }
+    };
+    table("availability_zones", {"name", "state"});
+    table("groups", {"id", "model", "availability_zone", "phase", "generation", "controller", "vms"});
+    table("daemons", {"name", "role", "availability_zone", "lives", "ready", "view_index", "behind"});
+    return text;
+}
+
+/** Polls until every living daemon has the view, or the time is over. */
+int followRollout(const Options &options, std::uint64_t index)
+{
+    const std::int64_t limitMs = steadyMs() + options.m_waitMs;
+    Answer answer;
+    do {
+        answer = call(options, options.m_admin, readRequest("/v1/status?index=" + std::to_string(index)));
+        if (answer.m_exit != ExitOk) {
+            return answer.m_exit;
+        }
+        if (answer.m_body.at("in_force_everywhere").as_bool()) {
+            std::cerr << "in force on every living daemon\n";
+            return ExitOk;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(RolloutPollMs));
+    } while (steadyMs() < limitMs);
+    std::cerr << "not in force everywhere yet:\n";
+    for (const json::value &daemon : answer.m_body.at("daemons").as_array()) {
+        if (daemon.at("behind").as_bool()) {
+            std::cerr << "  " << json::value_to<std::string>(daemon.at("name")) << (daemon.at("lives").as_bool() ? " is behind\n" : " is not heard of\n");
+        }
+    }
+    return ExitNotInForce;
+}
+
+int change(const Options &options, const HttpRequest &request)
+{
+    const Answer answer = call(options, options.m_admin, request);
+    std::string text;
+    if (answer.m_exit == ExitOk) {
+        text = formatFields(answer.m_body.as_object());
+        if (const json::value *effect = answer.m_body.as_object().if_contains("effect")) {
+            text += "effect:\n" + formatFields(effect->as_object());
+        }
+    }
+    print(options, answer, text);
+    if (answer.m_exit != ExitOk || options.m_dryRun || !options.m_wait) {
+        return answer.m_exit;
+    }
+    return followRollout(options, answer.m_body.at("view_index").to_number<std::uint64_t>());
+}
+
+int checkSheet(const Options &options)
+{
+    bool found = false;
+    const std::string sheet = readFile(options.m_file, found);
+    if (!found) {
+        std::cerr << options.m_file << ": the file cannot be read\n";
+        return ExitUsage;
+    }
+    const std::variant<Plan, Findings> plan = parsePlan(sheet, options.m_file);
+    if (const Findings *findings = std::get_if<Findings>(&plan)) {
+        std::cerr << describe(*findings);
+        return ExitRefused;
+    }
+    std::cout << options.m_file << ": no findings\n";
+    return ExitOk;
+}
+
+int applySheet(Options options)
+{
+    const int checked = checkSheet(options);
+    if (checked != ExitOk) {
+        return checked;
+    }
+    bool found = false;
+    const std::string sheet = readFile(options.m_file, found);
+    return change(options, changeRequest(options, "PUT", "/v1/plan", sheet));
+}
+
+int showStatus(const Options &options)
+{
+    const Answer answer = call(options, options.m_admin, readRequest("/v1/status"));
+    print(options, answer, answer.m_exit == ExitOk ? statusText(answer.m_body.as_object()) : std::string());
+    return answer.m_exit;
+}
+
+int showPlan(const Options &options)
+{
+    const Answer answer = call(options, options.m_admin, readRequest("/v1/plan"));
+    print(options, answer, answer.m_exit == ExitOk ? json::value_to<std::string>(answer.m_body.at("sheet")) + "\n" : std::string());
+    return answer.m_exit;
+}
+
+int showHistory(const Options &options)
+{
+    const Answer answer = call(options, options.m_admin, readRequest("/v1/plan/history"));
+    const std::string text = answer.m_exit == ExitOk ? formatTable(answer.m_body.as_array(), {"revision", "author", "reason", "unix_seconds"}) : std::string();
+    print(options, answer, text);
+    return answer.m_exit;
+}
+
+int dumpProcess(const Options &options)
+{
+    const Answer answer = call(options, options.m_address, readRequest("/debug/state"));
+    print(options, answer, answer.m_exit == ExitOk ? json::serialize(answer.m_body) + "\n" : std::string());
+    return answer.m_exit;
+}
+
+int listEvents(const Options &options)
+{
+    json::array rows;
+    for (const LogEventRow &row : logEventTable()) {
+        rows.push_back(json::object{{"number", row.m_number}, {"name", row.m_name}, {"meaning", row.m_meaning}});
+    }
+    Answer answer;
+    answer.m_body = rows;
+    print(options, answer, formatTable(rows, {"number", "name", "meaning"}));
+    return ExitOk;
+}
+
+void addChangeOptions(CLI::App &command, Options &options)
+{
+    command.add_option("--author", options.m_author, "who makes the change")->required();
+    command.add_option("--reason", options.m_reason, "why")->required();
+    command.add_flag("--dry-run", options.m_dryRun, "show the effect and change nothing");
+    command.add_flag("--wait", options.m_wait, "wait until the change is in force on every living daemon");
+    command.add_option("--wait-ms", options.m_waitMs, "longest wait");
+}
+
+void addBaseOption(CLI::App &command, Options &options, bool needed)
+{
+    CLI::Option *option = command.add_option("--base", options.m_base, "revision that the change is based on");
+    if (needed) {
+        option->required();
+    }
+    option->each([&options](const std::string &) {
+        options.m_hasBase = true;
+    });
+}
+
+void addPlanCommands(CLI::App &app, Options &options, std::function<int()> &run)
+{
+    CLI::App *check = app.add_subcommand("check", "check a plan sheet and print all findings");
+    check->add_option("file", options.m_file, "YAML sheet")->required();
+    check->callback([&]() {
+        run = [&options]() {
+            return checkSheet(options);
+        };
+    });
+    CLI::App *apply = app.add_subcommand("apply", "put a plan sheet in force");
+    apply->add_option("file", options.m_file, "YAML sheet")->required();
+    addChangeOptions(*apply, options);
+    addBaseOption(*apply, options, true);
+    apply->callback([&]() {
+        run = [&options]() {
+            return applySheet(options);
+        };
+    });
+    CLI::App *rollback = app.add_subcommand("rollback", "put an earlier plan in force as a new revision");
+    rollback->add_option("revision", options.m_revision, "earlier revision")->required();
+    addChangeOptions(*rollback, options);
+    addBaseOption(*rollback, options, true);
+    rollback->callback([&]() {
+        run = [&options]() {
+            return change(options, changeRequest(options, "POST", "/v1/plan/rollback?revision=" + std::to_string(options.m_revision), {}));
+        };
+    });
+}
+
+void addPartCommands(CLI::App &app, Options &options, std::function<int()> &run)
+{
+    CLI::App *zone = app.add_subcommand("zone", "take an availability zone out of service or bring it back");
+    zone->add_option("name", options.m_name, "availability zone")->required();
+    zone->add_option("state", options.m_state, "in or out")->required()->check(CLI::IsMember({"in", "out"}));
+    addChangeOptions(*zone, options);
+    addBaseOption(*zone, options, false);
+    zone->callback([&]() {
+        run = [&options]() {
+            return change(options, changeRequest(options, "POST", "/v1/zones/" + options.m_name, R"({"state":")" + options.m_state + R"("})"));
+        };
+    });
+    for (const bool drained : {true, false}) {
+        CLI::App *drain = app.add_subcommand(drained ? "drain" : "undrain", drained ? "let a VM finish and take it out of its group" : "let a VM take work again");
+        drain->add_option("vm", options.m_name, "VM")->required();
+        addChangeOptions(*drain, options);
+        addBaseOption(*drain, options, false);
+        drain->callback([&options, &run, drained]() {
+            run = [&options, drained]() {
+                const std::string body = std::string(R"({"drained":)") + (drained ? "true}" : "false}");
+                return change(options, changeRequest(options, "POST", "/v1/vms/" + options.m_name, body));
+            };
+        });
+    }
+    CLI::App *groups = app.add_subcommand("groups", "set the number of serving groups of a model");
+    groups->add_option("model", options.m_name, "model")->required();
+    groups->add_option("count", options.m_groups, "groups wanted")->required();
+    addChangeOptions(*groups, options);
+    addBaseOption(*groups, options, false);
+    groups->callback([&]() {
+        run = [&options]() {
+            return change(options, changeRequest(options, "POST", "/v1/models/" + options.m_name, R"({"groups":)" + std::to_string(options.m_groups) + "}"));
+        };
+    });
+}
+
+void addReadCommands(CLI::App &app, Options &options, std::function<int()> &run)
+{
+    const auto add = [&](const char *name, const char *help, int (*command)(const Options &)) {
+        CLI::App *sub = app.add_subcommand(name, help);
+        sub->callback([&options, &run, command]() {
+            run = [&options, command]() {
+                return command(options);
+            };
+        });
+        return sub;
+    };
+    add("status", "groups, availability zones and daemons", showStatus);
+    add("plan", "print the plan sheet in force", showPlan);
+    add("history", "who changed the plan, when and why", showHistory);
+    add("events", "list the numbered log events", listEvents);
+    add("dump", "print the state of one daemon", dumpProcess)->add_option("address", options.m_address, "its status_listen address")->required();
+    CLI::App *rollout = app.add_subcommand("rollout", "wait until a view is in force on every living daemon");
+    rollout->add_option("index", options.m_revision, "view index printed by a change")->required();
+    rollout->add_option("--wait-ms", options.m_waitMs, "longest wait");
+    rollout->callback([&]() {
+        run = [&options]() {
+            return followRollout(options, options.m_revision);
+        };
+    });
+}
+}
+}
+
+int main(int argc, char **argv)
+{
+    using namespace knapweedslip;
+    CLI::App app("Operators' command line of knapweedslip", "knapweedslipctl");
+    Options options;
+    std::function<int()> run;
+    app.add_option("--admin", options.m_admin, "address of an administration API");
+    app.add_option("--key-file", options.m_keyFile, "file with the operators' key");
+    app.add_option("--output", options.m_output, "text or json")->check(CLI::IsMember({"text", "json"}));
+    app.require_subcommand(1);
+    app.footer(
+        "Examples:\n"
+        "  knapweedslipctl --key-file operator.key status\n"
+        "  knapweedslipctl --key-file operator.key apply monday.yaml --base 4 --author dana --reason 'Monday plan' --wait\n"
+        "  knapweedslipctl --key-file operator.key zone attica-2 out --author dana --reason 'switch work' --wait\n"
+        "Exit status: 0 done, 1 refused, 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
+    addPlanCommands(app, options, run);
+    addPartCommands(app, options, run);
+    addReadCommands(app, options, run);
+    CLI11_PARSE(app, argc, argv);
+    return run();
+}
