--- /dev/null
+++ b/autotests/intentstest.cpp
@@ -0,0 +1,110 @@
+#include "kernel/intents.h"
+
+#include <catch2/catch.hpp>
+
+using namespace knapweedslip;
+
+namespace {
+IntentOp op(IntentOpKind kind, std::uint64_t nonce, std::uint64_t fingerprint = 7, const std::string &key = "k")
+{
+    IntentOp made;
+    made.m_kind = kind;
+    made.m_key = intentKey("w", key);
+    made.m_nonce = nonce;
+    made.m_fingerprint = fingerprint;
+    made.m_owner = "g" + std::to_string(nonce);
+    made.m_status = 201;
+    made.m_body = "done";
+    return made;
+}
+}
+
+TEST_CASE("what an operation comes to after others", "[intents]")
+{
+    struct Row {
+        const char *m_name;
+        std::vector<IntentOp> m_ops;
+        IntentOutcome m_last;
+    };
+    const IntentOpKind begin = IntentOpKind::Begin;
+    const IntentOpKind finish = IntentOpKind::Finish;
+    const IntentOpKind release = IntentOpKind::Release;
+    const std::vector<Row> rows{
+        {"first", {op(begin, 1)}, IntentOutcome::Started},
+        {"the same attempt again", {op(begin, 1), op(begin, 1)}, IntentOutcome::Started},
+        {"another attempt", {op(begin, 1), op(begin, 2)}, IntentOutcome::Running},
+        {"after the end", {op(begin, 1), op(finish, 1), op(begin, 2)}, IntentOutcome::Finished},
+        {"the same attempt after the end", {op(begin, 1), op(finish, 1), op(begin, 1)}, IntentOutcome::Finished},
+        {"after a release", {op(begin, 1), op(release, 1), op(begin, 2)}, IntentOutcome::Started},
+        {"a released attempt stays released", {op(begin, 1), op(release, 1), op(begin, 1)}, IntentOutcome::Running},
+        {"release before a lost claim", {op(release, 1), op(begin, 1)}, IntentOutcome::Running},
+        {"another's release does nothing", {op(begin, 1), op(release, 2), op(begin, 3)}, IntentOutcome::Running},
+        {"a release after the end does nothing", {op(begin, 1), op(finish, 1), op(release, 1), op(begin, 2)}, IntentOutcome::Finished},
+        {"another request under the key", {op(begin, 1), op(begin, 2, 8)}, IntentOutcome::KeyReused},
+    };
+    for (const Row &row : rows) {
+        INFO(row.m_name);
+        const IntentBatch together = applyIntents({}, row.m_ops, 100);
+        CHECK(together.m_results.back().m_outcome == row.m_last);
+        // The same one by one, through the encoding.
+        std::string stored;
+        IntentOutcome last = IntentOutcome::Full;
+        for (const IntentOp &single : row.m_ops) {
+            wire::IntentShardT shard;
+            REQUIRE(decodeIntentShard(stored, shard));
+            const IntentBatch batch = applyIntents(shard, {single}, 100);
+            last = batch.m_results.back().m_outcome;
+            stored = encodeIntentShard(batch.m_next);
+        }
+        CHECK(last == row.m_last);
+    }
+}
+
+TEST_CASE("a kept answer is given again, a long one is not kept", "[intents]")
+{
+    IntentOp end = op(IntentOpKind::Finish, 1);
+    IntentBatch batch = applyIntents({}, {op(IntentOpKind::Begin, 1), end, op(IntentOpKind::Begin, 2)}, 100);
+    CHECK(batch.m_results.back().m_body == "done");
+    CHECK(batch.m_results.back().m_status == 201);
+    CHECK(batch.m_results.back().m_bodyKept);
+    end.m_body = std::string(MaxKeptBodyBytes + 1, 'x');
+    batch = applyIntents({}, {op(IntentOpKind::Begin, 1), end, op(IntentOpKind::Begin, 2)}, 100);
+    CHECK(batch.m_results.back().m_outcome == IntentOutcome::Finished);
+    CHECK_FALSE(batch.m_results.back().m_bodyKept);
+}
+
+TEST_CASE("a key is forgotten after its lifetime and not before", "[intents]")
+{
+    const IntentBatch first = applyIntents({}, {op(IntentOpKind::Begin, 1)}, 100);
+    CHECK(applyIntents(first.m_next, {op(IntentOpKind::Begin, 2)}, 100 + IntentLifetimeS).m_results[0].m_outcome == IntentOutcome::Running);
+    CHECK(applyIntents(first.m_next, {op(IntentOpKind::Begin, 2)}, 101 + IntentLifetimeS).m_results[0].m_outcome == IntentOutcome::Started);
+}
+
+TEST_CASE("a full shard refuses new keys and still finishes old ones", "[intents]")
+{
+    wire::IntentShardT shard;
+    std::uint64_t nonce = 0;
+    IntentOutcome outcome = IntentOutcome::Started;
+    while (outcome == IntentOutcome::Started) {
+        ++nonce;
+        IntentOp end = op(IntentOpKind::Finish, nonce, 7, std::to_string(nonce));
+        end.m_body = std::string(MaxKeptBodyBytes, 'x');
+        IntentBatch batch = applyIntents(shard, {op(IntentOpKind::Begin, nonce, 7, std::to_string(nonce)), end}, 100);
+        outcome = batch.m_results[0].m_outcome;
+        shard = std::move(batch.m_next);
+    }
+    CHECK(outcome == IntentOutcome::Full);
+    CHECK(encodeIntentShard(shard).size() <= MaxIntentShardBytes);
+    CHECK(nonce > 100);
+}
+
+TEST_CASE("bytes that are not a shard are recognised", "[intents]")
+{
+    wire::IntentShardT shard;
+    CHECK(decodeIntentShard("", shard));
+    CHECK_FALSE(decodeIntentShard("abc", shard));
+    std::string good = encodeIntentShard(applyIntents({}, {op(IntentOpKind::Begin, 1)}, 100).m_next);
+    CHECK(decodeIntentShard(good, shard));
+    good.resize(good.size() / 2);
+    CHECK_FALSE(decodeIntentShard(good, shard));
+}
--- /dev/null
+++ b/autotests/schedulertest.cpp
@@ -0,0 +1,327 @@
+#include "autotests/fixtures.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace knapweedslip;
+using namespace knapweedslip::test;
+
+namespace {
+int dispatches(const Actions &actions)
+{
+    return static_cast<int>(std::count_if(actions.begin(), actions.end(), [](const Action &action) {
+        return action.m_kind == ActionKind::Dispatch;
+    }));
+}
+
+const Action *actionOf(const Actions &actions, std::uint64_t id)
+{
+    const auto it = std::find_if(actions.begin(), actions.end(), [id](const Action &action) {
+        return action.m_requestId == id;
+    });
+    return it == actions.end() ? nullptr : &*it;
+}
+}
+
+TEST_CASE("requests fill the limit, wait, and follow when a slot is free", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 2).make(), 0, actions);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        scheduler->arrive(makeRequest(id), 0, actions);
+    }
+    REQUIRE(dispatches(actions) == 2);
+    REQUIRE(scheduler->waiting() == 1);
+    scheduler->finish(1, AttemptEnd::Finished, 10, actions);
+    CHECK(dispatches(actions) == 3);
+    CHECK(scheduler->waiting() == 0);
+}
+
+TEST_CASE("who takes new work", "[scheduler]")
+{
+    struct Row {
+        const char *m_name;
+        GroupPhase m_phase;
+        const char *m_holder;
+        std::vector<ReportKind> m_reports;
+        int m_dispatched;
+    };
+    const std::vector<Row> rows{
+        {"warm", GroupPhase::Warm, "", {}, 4},
+        {"cold, own grant", GroupPhase::Cold, "g1", {}, 1},
+        {"cold, another's grant", GroupPhase::Cold, "g2", {}, 0},
+        {"cold, no grant", GroupPhase::Cold, "", {}, 0},
+        {"turned cold unseen by the table", GroupPhase::Warm, "", {ReportKind::Cold}, 0},
+        {"turned cold and recovered", GroupPhase::Warm, "", {ReportKind::Cold, ReportKind::Recovered}, 1},
+        {"in doubt", GroupPhase::Warm, "", {ReportKind::Doubt}, 0},
+        {"leaving", GroupPhase::Warm, "", {ReportKind::Leaving}, 0},
+        {"set apart by a peer", GroupPhase::Warm, "", {ReportKind::SetApart}, 0},
+    };
+    for (const Row &row : rows) {
+        INFO(row.m_name);
+        const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+        Actions actions;
+        scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 4, row.m_phase, row.m_holder).make(), 0, actions);
+        for (const ReportKind kind : row.m_reports) {
+            scheduler->report({"u", 1, kind}, 0, actions);
+        }
+        for (std::uint64_t id = 1; id <= 6; ++id) {
+            scheduler->arrive(makeRequest(id), 0, actions);
+        }
+        CHECK(dispatches(actions) == row.m_dispatched);
+        CHECK(scheduler->mayDispatch("u", 1, 0) == (row.m_dispatched > 0 || row.m_reports == std::vector<ReportKind>{ReportKind::SetApart}));
+    }
+}
+
+TEST_CASE("queued and retried work does not follow a zone out of service", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    const TableMaker both = TableMaker().model("m").workspace("w").upstream("out", 1, GroupPhase::Warm, {}, "z1").upstream("in", 1, GroupPhase::Warm, {}, "z2");
+    scheduler->setTable(both.make(), 0, actions);
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        scheduler->arrive(makeRequest(id), 0, actions);
+    }
+    REQUIRE(dispatches(actions) == 2);
+    TableMaker one = TableMaker().model("m").workspace("w").upstream("in", 1, GroupPhase::Warm, {}, "z2");
+    one.m_table.m_generations["out"] = 1;
+    scheduler->setTable(one.make(), 10, actions);
+    CHECK(scheduler->inForce("out", 1, 10));
+    CHECK_FALSE(scheduler->mayDispatch("out", 1, 10));
+    actions.clear();
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        scheduler->finish(id, AttemptEnd::Finished, 20, actions);
+    }
+    scheduler->retry(makeRequest(9), 20, actions);
+    for (const Action &action : actions) {
+        REQUIRE(action.m_kind == ActionKind::Dispatch);
+        CHECK(action.m_upstream->m_id == "in");
+    }
+}
+
+TEST_CASE("answers of a replaced or doubted generation may not be passed on", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").upstream("u").make(), 0, actions);
+    CHECK(scheduler->inForce("u", 1, 0));
+    CHECK_FALSE(scheduler->inForce("u", 2, 0));
+    scheduler->report({"u", 1, ReportKind::Doubt}, 0, actions);
+    CHECK_FALSE(scheduler->inForce("u", 1, 1));
+    scheduler->setTable(TableMaker().model("m").upstream("u", 4, GroupPhase::Warm, {}, "z1", 2).make(), 2, actions);
+    CHECK(scheduler->inForce("u", 2, 2));
+    CHECK_FALSE(scheduler->inForce("u", 1, 2));
+    scheduler->setTable(TableMaker().model("m").make(), 3, actions);
+    CHECK_FALSE(scheduler->inForce("u", 2, 3));
+}
+
+TEST_CASE("a request that cannot be in time is refused at once with a time to come back", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 1).make(), 0, actions);
+    scheduler->arrive(makeRequest(1), 0, actions);
+    for (std::uint64_t id = 2; id < 60; ++id) {
+        scheduler->arrive(makeRequest(id, "w", 1'000), 0, actions);
+    }
+    const auto refused = std::find_if(actions.begin(), actions.end(), [](const Action &action) {
+        return action.m_kind == ActionKind::Refuse;
+    });
+    REQUIRE(refused != actions.end());
+    CHECK(refused->m_error == ErrorCode::DeadlineUnreachable);
+    CHECK(refused->m_retryAfterMs >= 1'000);
+    CHECK(scheduler->waiting() < 10);
+}
+
+TEST_CASE("a waiting request is refused as soon as it can no longer finish", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 1).make(), 0, actions);
+    scheduler->arrive(makeRequest(1), 0, actions);
+    scheduler->arrive(makeRequest(2, "w", 1'000), 0, actions);
+    REQUIRE(scheduler->waiting() == 1);
+    scheduler->tick(850, actions);
+    REQUIRE(actionOf(actions, 2) != nullptr);
+    CHECK(actionOf(actions, 2)->m_kind == ActionKind::Refuse);
+}
+
+TEST_CASE("a daemon that is stale or stopping refuses new work and keeps what runs", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u").make(), 0, actions);
+    scheduler->arrive(makeRequest(1), 0, actions);
+    scheduler->setAccepting(false, ErrorCode::StaleConfiguration);
+    scheduler->arrive(makeRequest(2), 0, actions);
+    CHECK(actionOf(actions, 2)->m_error == ErrorCode::StaleConfiguration);
+    CHECK(scheduler->runningOn("u") == std::vector<std::uint64_t>{1});
+}
+
+TEST_CASE("the retry budget bounds retries to a part of first attempts", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 100'000).make(), 0, actions);
+    std::uint64_t id = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        WorkRequest request = makeRequest(++id);
+        scheduler->arrive(request, 0, actions);
+        scheduler->finish(id, AttemptEnd::Neutral, 0, actions);
+        request.m_id = ++id;
+        request.m_attempt = 1;
+        scheduler->retry(request, 0, actions);
+        scheduler->finish(id, AttemptEnd::Neutral, 0, actions);
+    }
+    CHECK(scheduler->counters().m_retried <= 1'000 / 10 + 10);
+    CHECK(scheduler->counters().m_retriesDenied >= 880);
+}
+
+TEST_CASE("a suspect runs by itself and is refused after it crashed an upstream alone", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    const std::shared_ptr<const RouteTable> table = TableMaker().model("m").workspace("w").upstream("a").upstream("b").upstream("c").make();
+    scheduler->setTable(table, 0, actions);
+    scheduler->arrive(makeRequest(1), 0, actions);
+    scheduler->finish(1, AttemptEnd::UpstreamLost, 10, actions);
+    WorkRequest again = makeRequest(2);
+    again.m_fingerprint = 1;
+    actions.clear();
+    scheduler->arrive(again, 20, actions);
+    REQUIRE(actions.empty());
+    for (std::int64_t now = 30; now < 1'000; now += 50) {
+        scheduler->tick(now, actions);
+    }
+    REQUIRE(actionOf(actions, 2) != nullptr);
+    CHECK(actionOf(actions, 2)->m_alone);
+    for (std::uint64_t id = 100; id < 120; ++id) {
+        scheduler->arrive(makeRequest(id), 1'000, actions);
+    }
+    CHECK(scheduler->runningOn(actionOf(actions, 2)->m_upstream->m_id).size() == 1);
+    scheduler->finish(2, AttemptEnd::UpstreamLost, 1'010, actions);
+    again.m_id = 3;
+    actions.clear();
+    scheduler->arrive(again, 1'020, actions);
+    REQUIRE(actionOf(actions, 3) != nullptr);
+    CHECK(actionOf(actions, 3)->m_error == ErrorCode::PoisonRequest);
+}
+
+TEST_CASE("an innocent suspect is cleared by finishing alone", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("a").upstream("b").make(), 0, actions);
+    scheduler->strikes().strike(1, false, 0);
+    scheduler->arrive(makeRequest(1), 0, actions);
+    for (std::int64_t now = 10; now < 1'000; now += 50) {
+        scheduler->tick(now, actions);
+    }
+    REQUIRE(actionOf(actions, 1) != nullptr);
+    scheduler->finish(1, AttemptEnd::Finished, 1'000, actions);
+    CHECK(scheduler->strikes().judge(1, 1'000) == Suspicion::None);
+    scheduler->strikes().merge(StrikeRecord{1, 0, 1, 500, -1});
+    CHECK(scheduler->strikes().judge(1, 1'000) == Suspicion::None);
+    CHECK(scheduler->setApart().size() <= 1);
+    scheduler->tick(1'050, actions);
+    CHECK(scheduler->setApart().empty());
+}
+
+TEST_CASE("an upstream that became warm is ramped up", "[scheduler]")
+{
+    SchedulerSettings settings;
+    settings.m_gateways = 4;
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler(settings);
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 64, GroupPhase::Cold, "g2").make(), 0, actions);
+    scheduler->setTable(TableMaker().model("m").workspace("w").upstream("u", 64, GroupPhase::Warm).make(), 100, actions);
+    for (std::uint64_t id = 1; id <= 100; ++id) {
+        scheduler->arrive(makeRequest(id), 100, actions);
+    }
+    CHECK(dispatches(actions) == 1);
+    scheduler->tick(1'150, actions);
+    CHECK(dispatches(actions) == 4);
+    scheduler->tick(20'000, actions);
+    CHECK(dispatches(actions) == 64);
+}
+
+TEST_CASE("the list of available upstreams agrees with a scan of all of them", "[scheduler]")
+{
+    rc::prop("fast path against slow path", []() {
+        const std::uint64_t seed = *rc::gen::arbitrary<std::uint64_t>();
+        std::mt19937_64 random(seed);
+        SchedulerSettings settings;
+        settings.m_seed = seed;
+        const std::unique_ptr<Scheduler> scheduler = makeScheduler(settings);
+        Actions actions;
+        std::set<std::uint64_t> running;
+        std::uint64_t nextId = 0;
+        std::int64_t now = 0;
+        const int steps = *rc::gen::inRange(1, 150);
+        for (int step = 0; step < steps; ++step) {
+            now += static_cast<std::int64_t>(random() % 300);
+            actions.clear();
+            const std::string id(1, static_cast<char>('a' + random() % 6));
+            switch (random() % 6) {
+            case 0: {
+                TableMaker maker = TableMaker().model("m").workspace("w");
+                for (char name = 'a'; name < 'g'; ++name) {
+                    if (random() % 4 != 0) {
+                        const GroupPhase phase = random() % 3 == 0 ? GroupPhase::Cold : GroupPhase::Warm;
+                        maker.upstream(std::string(1, name), 3, phase, random() % 2 == 0 ? "g1" : "g2", "z", 1 + random() % 3);
+                    }
+                }
+                scheduler->setTable(maker.make(), now, actions);
+                break;
+            }
+            case 1:
+            case 2:
+                scheduler->arrive(makeRequest(++nextId), now, actions);
+                break;
+            case 3:
+                if (!running.empty()) {
+                    const std::uint64_t done = *running.begin();
+                    running.erase(running.begin());
+                    scheduler->finish(done, random() % 4 == 0 ? AttemptEnd::Refused : AttemptEnd::Finished, now, actions);
+                }
+                break;
+            case 4:
+                scheduler->report({id, 1 + random() % 3, static_cast<ReportKind>(random() % 5)}, now, actions);
+                break;
+            default:
+                scheduler->tick(now, actions);
+                break;
+            }
+            for (const Action &action : actions) {
+                if (action.m_kind == ActionKind::Dispatch) {
+                    running.insert(action.m_requestId);
+                    RC_ASSERT(scheduler->mayDispatch(action.m_upstream->m_id, action.m_upstream->m_generation, now));
+                }
+            }
+            Actions none;
+            scheduler->tick(now, none);
+            for (const Action &action : none) {
+                if (action.m_kind == ActionKind::Dispatch) {
+                    running.insert(action.m_requestId);
+                }
+            }
+            int total = 0;
+            for (const UpstreamState &state : scheduler->upstreams()) {
+                const bool open = state.m_present && !state.m_turnedCold && !state.m_leaving && now >= state.m_doubtUntilMs && now >= state.m_setApartUntilMs;
+                if (state.m_availableAt >= 0) {
+                    RC_ASSERT(open);
+                }
+                if (scheduler->waiting() > 0) {
+                    RC_ASSERT(state.m_availableAt < 0);
+                }
+                total += state.m_running;
+            }
+            RC_ASSERT(static_cast<std::size_t>(total) == running.size());
+        }
+    });
+}
--- a/daemons/admin.cpp
+++ b/daemons/admin.cpp
@@ -10,12 +10,10 @@
 #include <charconv>
 #include <map>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 struct AdminContext {
     AdminSettings m_settings;
     Node *m_node = nullptr;
@@ -70,7 +68,8 @@
                 continue;
             }
             ++groups;
-            const bool serves = zoneInService(plan, valueOf(record).m_availabilityZone) && (group.m_phase == GroupPhase::Warm || group.m_phase == GroupPhase::Cold);
+            const bool serves =
+                zoneInService(plan, valueOf(record).m_availabilityZone) && (group.m_phase == GroupPhase::Warm || group.m_phase == GroupPhase::Cold);
             servingGroups += serves ? 1 : 0;
             accelerators += serves ? static_cast<int>(group.m_members.size()) : 0;
         }
@@ -329,7 +328,9 @@
     const std::optional<std::uint64_t> wanted = revisionOf(queryValue(request.m_target, "revision"));
     const Result<std::vector<PlanDocument>> history = co_await readPlanHistory(*context.m_node);
     if (failed(order) || failed(history) || !wanted) {
-        const Error error = failed(order) ? errorOf(order) : failed(history) ? errorOf(history) : Error{ErrorCode::MalformedRequest, "query revision: a number"};
+        const Error error = failed(order)     ? errorOf(order)
+                            : failed(history) ? errorOf(history)
+                                              : Error{ErrorCode::MalformedRequest, "query revision: a number"};
         co_await exchange.respond(problemReply(error));
         co_return;
     }
--- a/daemons/attempt.cpp
+++ b/daemons/attempt.cpp
@@ -8,12 +8,10 @@
 
 #include <charconv>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 std::string bootIdOf(const HttpReply &reply)
 {
     boost::system::error_code error;
--- a/daemons/callerapi.h
+++ b/daemons/callerapi.h
@@ -4,8 +4,7 @@
 
 #include <string>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** A caller's completion request after checking. */
 struct CompletionCall {
     std::string m_workspace;
--- a/daemons/controller.cpp
+++ b/daemons/controller.cpp
@@ -12,12 +12,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr std::int64_t RoundMs = 100;
 constexpr std::int64_t ListIntervalMs = 1'000;
 constexpr std::int64_t SessionPauseMs = 200;
@@ -250,10 +248,6 @@
 int main(int argc, char **argv)
 {
     using namespace knapweedslip;
-    return daemonMain<ControllerSettings>(argc,
-                                          argv,
-                                          "knapweedslip-controller",
-                                          "Forms serving groups, probes upstreams and orders engines",
-                                          readControllerSettings,
-                                          runController);
+    return daemonMain<ControllerSettings>(
+        argc, argv, "knapweedslip-controller", "Forms serving groups, probes upstreams and orders engines", readControllerSettings, runController);
 }
--- a/daemons/dispatcher.h
+++ b/daemons/dispatcher.h
@@ -9,8 +9,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** The scheduler behind a lock, for the threads of one gateway. Actions reach the waiting requests on their own threads. */
 class Dispatcher
 {
--- a/daemons/domainkeeper.cpp
+++ b/daemons/domainkeeper.cpp
@@ -12,12 +12,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr std::int64_t PreferredTryMs = 200;
 constexpr std::int64_t OtherTryMs = 1'500;
 /** The preferred controller must have been there this long before the domain is handed over. */
@@ -108,7 +106,7 @@
     const bool clean = !failed(written) && valueOf(written) == CasOutcome::Written;
     // Whatever happened, the store's word counts, not the memory of what was sent.
     const bool read = co_await readRecord();
-    co_return clean && read;
+    co_return clean &&read;
 }
 
 awaitable<void> DomainKeeper::tryClaim(const KeeperRound &input, const ControllerSession &session)
--- a/daemons/domainkeeper.h
+++ b/daemons/domainkeeper.h
@@ -10,8 +10,7 @@
 #include <set>
 #include <string>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** The lease of this controller in the store, under which it holds domains. */
 struct ControllerSession {
     std::string m_id;
--- a/daemons/gateway.cpp
+++ b/daemons/gateway.cpp
@@ -12,12 +12,10 @@
 
 #include <iostream>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 HttpReply listModels(const GatewayTable &table)
 {
     json::array models;
@@ -197,5 +195,6 @@
 int main(int argc, char **argv)
 {
     using namespace knapweedslip;
-    return daemonMain<GatewaySettings>(argc, argv, "knapweedslip-gateway", "Serves callers and routes their requests to upstreams", readGatewaySettings, runGateway);
+    return daemonMain<GatewaySettings>(
+        argc, argv, "knapweedslip-gateway", "Serves callers and routes their requests to upstreams", readGatewaySettings, runGateway);
 }
--- a/daemons/gatewaycontext.h
+++ b/daemons/gatewaycontext.h
@@ -11,8 +11,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** The route table and what callers are recognised by. Immutable. */
 struct GatewayTable {
     std::shared_ptr<const RouteTable> m_routes;
--- a/daemons/intentledger.h
+++ b/daemons/intentledger.h
@@ -9,8 +9,7 @@
 #include <memory>
 #include <string>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /**
  * The intent ledger as one gateway uses it: collects the operations that wait for a shard and writes them together. Works on the control
  * thread; apply() may be called from any thread.
--- a/daemons/modelrelay.cpp
+++ b/daemons/modelrelay.cpp
@@ -14,12 +14,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr std::int64_t ConnectTimeoutMs = 1'000;
 constexpr std::int64_t DefaultRetryAfterMs = 1'000;
 
@@ -214,7 +212,8 @@
     if (failed(opened)) {
         co_return failedAttempt(errorOf(opened));
     }
-    takeEngineNews(relay.m_context, upstream, stream.header("X-Engine-Running"), stream.header("X-Engine-Cold") == "1", stream.header("X-Engine-Leaving") == "1");
+    takeEngineNews(
+        relay.m_context, upstream, stream.header("X-Engine-Running"), stream.header("X-Engine-Cold") == "1", stream.header("X-Engine-Leaving") == "1");
     constexpr unsigned Ok = 200;
     if (stream.status() != Ok) {
         const std::string reason = stream.header("X-Not-Run");
--- a/daemons/planeditor.cpp
+++ b/daemons/planeditor.cpp
@@ -9,10 +9,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr int MaxTries = 16;
 constexpr std::int64_t ReadBackMs = 10'000;
 constexpr std::int64_t ReadBackPauseMs = 100;
--- a/daemons/planeditor.h
+++ b/daemons/planeditor.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <variant>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** A change of the plan: takes the sheet in force and returns the next one or its findings. */
 using SheetEdit = std::function<std::variant<std::string, Findings>(const std::string &sheet)>;
 
--- a/daemons/prober.cpp
+++ b/daemons/prober.cpp
@@ -7,12 +7,10 @@
 
 #include <boost/json.hpp>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 std::string textOf(const json::object &object, const char *key)
 {
     const json::value *value = object.if_contains(key);
--- a/daemons/prober.h
+++ b/daemons/prober.h
@@ -7,8 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Asks VMs for their state at a fixed rate and remembers the answers. Works on the control thread. */
 class Prober
 {
--- a/daemons/servicecall.cpp
+++ b/daemons/servicecall.cpp
@@ -11,10 +11,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr std::int64_t ConnectTimeoutMs = 1'000;
 constexpr std::int64_t DefaultRetryAfterMs = 1'000;
 constexpr std::int64_t ClaimTimeoutMs = 5'000;
@@ -155,8 +153,8 @@
     const Membership &membership = context.m_node->membership();
     const std::string name = owner.substr(0, slash);
     const auto member = membership.m_members.find(name);
-    const bool sameIncarnation = member != membership.m_members.end() && slash != std::string::npos
-        && owner.substr(slash + 1) == std::to_string(member->second.m_incarnation);
+    const bool sameIncarnation =
+        member != membership.m_members.end() && slash != std::string::npos && owner.substr(slash + 1) == std::to_string(member->second.m_incarnation);
     return sameIncarnation && memberLives(membership, name, steadyMs());
 }
 
@@ -179,7 +177,8 @@
     state.m_claim.m_nonce = randomId();
     while (true) {
         const std::int64_t leftMs = state.m_call.m_deadlineMs - steadyMs();
-        const Result<IntentResult> result = co_await state.m_context.m_ledger->apply(state.m_claim, std::min(ClaimTimeoutMs, std::max<std::int64_t>(1, leftMs)));
+        const Result<IntentResult> result =
+            co_await state.m_context.m_ledger->apply(state.m_claim, std::min(ClaimTimeoutMs, std::max<std::int64_t>(1, leftMs)));
         if (failed(result)) {
             co_await answerProblem(state, errorOf(result), DefaultRetryAfterMs, RunOutcome::NotRun);
             co_return false;
--- a/kernel/admission.h
+++ b/kernel/admission.h
@@ -3,8 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** What an admission policy knows about the pool and the workspace of a request. */
 struct AdmissionQuery {
     std::int64_t m_nowMs = 0;
--- a/kernel/claim.h
+++ b/kernel/claim.h
@@ -2,8 +2,7 @@
 
 #include <cstdint>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Times of a lease on a fabric domain. */
 struct ClaimTimes {
     /** Lifetime of the lease in the store after its last renewal. */
--- a/kernel/documents.h
+++ b/kernel/documents.h
@@ -5,8 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** One value of the platform's store and the store's index of its last write. */
 struct Document {
     std::string m_key;
--- a/kernel/domainrecord.h
+++ b/kernel/domainrecord.h
@@ -7,8 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 enum class GroupPhase {
     /** Members are being ordered to join; takes no requests. */
     Forming,
--- a/kernel/errors.cpp
+++ b/kernel/errors.cpp
@@ -7,10 +7,8 @@
 #include <array>
 #include <cstddef>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 struct ErrorRow {
     ErrorCode m_code;
     unsigned m_status;
--- a/kernel/errors.h
+++ b/kernel/errors.h
@@ -4,8 +4,7 @@
 #include <string_view>
 #include <variant>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /**
  * Every error that crosses an interface of this project.
  * errorText() and errorName() give the words of each; no exception crosses an interface.
--- a/kernel/fairqueue.h
+++ b/kernel/fairqueue.h
@@ -9,8 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** A request that waits. */
 struct QueuedRequest {
     std::uint64_t m_id = 0;
--- a/kernel/findings.cpp
+++ b/kernel/findings.cpp
@@ -4,8 +4,7 @@
 
 #include "kernel/findings.h"
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 std::string describe(const Findings &findings)
 {
     std::string text;
--- a/kernel/findings.h
+++ b/kernel/findings.h
@@ -3,8 +3,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** One thing wrong in a settings file or a plan, and where. Lines and columns count from 1; 0 means the whole file. */
 struct Finding {
     std::string m_file;
--- a/kernel/intents.cpp
+++ b/kernel/intents.cpp
@@ -11,10 +11,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr std::uint64_t LowSeed = 1;
 constexpr std::uint64_t HighSeed = 2;
 /** Bytes of one entry besides owner and body, padding and offsets included. */
--- a/kernel/intents.h
+++ b/kernel/intents.h
@@ -7,8 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** 128-bit identity of an idempotency key within a workspace. */
 struct IntentKey {
     std::uint64_t m_low = 0;
--- a/kernel/logevents.cpp
+++ b/kernel/logevents.cpp
@@ -6,8 +6,7 @@
 
 #include <cstddef>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 const std::vector<LogEventRow> &logEventTable()
 {
     static const std::vector<LogEventRow> table{
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -3,8 +3,7 @@
 #include <string_view>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 enum class LogLevel {
     Info,
     Warning,
--- a/kernel/membership.cpp
+++ b/kernel/membership.cpp
@@ -9,8 +9,7 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 void mergeMembers(Membership &membership, const std::vector<Member> &members, std::int64_t nowMs)
 {
     for (const Member &member : members) {
@@ -19,8 +18,7 @@
         }
         const auto [it, isNew] = membership.m_members.try_emplace(member.m_name, member);
         Member &held = it->second;
-        const bool newer = member.m_incarnation > held.m_incarnation
-            || (member.m_incarnation == held.m_incarnation && member.m_heartbeat > held.m_heartbeat);
+        const bool newer = member.m_incarnation > held.m_incarnation || (member.m_incarnation == held.m_incarnation && member.m_heartbeat > held.m_heartbeat);
         if (isNew || newer) {
             held = member;
             held.m_heardMs = nowMs;
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 enum class Role {
     Gateway,
     Controller,
--- a/kernel/placement.cpp
+++ b/kernel/placement.cpp
@@ -10,10 +10,8 @@
 #include <algorithm>
 #include <set>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 const VmState *findVm(const std::vector<VmState> &vms, const std::string &name)
 {
     const auto it = std::find_if(vms.begin(), vms.end(), [&](const VmState &vm) {
--- a/kernel/placement.h
+++ b/kernel/placement.h
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** What a controller knows about one engine VM. */
 struct VmState {
     std::string m_vm;
--- a/kernel/plan.cpp
+++ b/kernel/plan.cpp
@@ -9,10 +9,8 @@
 #include <algorithm>
 #include <set>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr std::int64_t MaxGroupVms = 256;
 constexpr std::int64_t MaxGroups = 20'000;
 constexpr std::int64_t MaxConcurrentRequests = 100'000;
@@ -111,7 +109,8 @@
                 return zone.m_name == upstream.m_availabilityZone;
             });
             if (!known) {
-                addFinding(reader, root["services"], "upstream '" + upstream.m_vm + "' names the unknown availability zone '" + upstream.m_availabilityZone + "'");
+                addFinding(
+                    reader, root["services"], "upstream '" + upstream.m_vm + "' names the unknown availability zone '" + upstream.m_availabilityZone + "'");
             }
         }
     }
@@ -162,7 +161,8 @@
 }
 
 /** Finds the entry with @p name in list @p list and sets @p key to @p value. */
-std::variant<std::string, Findings> withEntryValue(const std::string &sheet, const std::string &list, const std::string &name, const std::string &key, const std::string &value)
+std::variant<std::string, Findings>
+withEntryValue(const std::string &sheet, const std::string &list, const std::string &name, const std::string &key, const std::string &value)
 {
     YamlReader reader{"plan", {}};
     YAML::Node root = parseYaml(reader, sheet);
--- a/kernel/plan.h
+++ b/kernel/plan.h
@@ -8,8 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** A model that should serve, and the shape of its serving groups. */
 struct ModelPlan {
     std::string m_name;
--- a/kernel/registry.h
+++ b/kernel/registry.h
@@ -6,8 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /**
  * Plug-ins of one kind, found by name. A plug-in is a plain struct with m_name and m_help, registered by a static Registration in its
  * own file; the settings choose one by name.
--- a/kernel/routepolicy.h
+++ b/kernel/routepolicy.h
@@ -9,8 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Random numbers of one scheduler; seeded by its creator. */
 using Random = std::mt19937_64;
 
--- a/kernel/routetable.cpp
+++ b/kernel/routetable.cpp
@@ -9,12 +9,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 bool drained(const Plan &plan, const std::string &vm)
 {
     return std::find(plan.m_drainedVms.begin(), plan.m_drainedVms.end(), vm) != plan.m_drainedVms.end();
--- a/kernel/routetable.h
+++ b/kernel/routetable.h
@@ -10,8 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 inline constexpr const char *PlanKey = "knapweedslip/config/plan";
 inline constexpr const char *DomainKeyPrefix = "knapweedslip/config/domain/";
 
--- a/kernel/scheduler.cpp
+++ b/kernel/scheduler.cpp
@@ -13,10 +13,8 @@
 #include <algorithm>
 #include <cmath>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 /** Doubt about an upstream ends after this time unless the table confirms it. */
 constexpr std::int64_t DoubtMs = 3'000;
 /** Engine load reports older than this say nothing. */
@@ -485,7 +483,8 @@
         pool.m_setApart = NoUpstreamIndex;
         return;
     }
-    const bool lost = pool.m_setApart != NoUpstreamIndex
+    const bool lost =
+        pool.m_setApart != NoUpstreamIndex
         && (!m_upstreams[pool.m_setApart].m_present || nowMs < m_upstreams[pool.m_setApart].m_doubtUntilMs || m_upstreams[pool.m_setApart].m_turnedCold);
     if (pool.m_setApart == NoUpstreamIndex || lost) {
         if (pool.m_suspects.empty()) {
--- a/kernel/scheduler.h
+++ b/kernel/scheduler.h
@@ -14,8 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Choices of one scheduler. */
 struct SchedulerSettings {
     /** Name of this gateway; cold grants are compared with it. */
--- a/kernel/serviceplacement.cpp
+++ b/kernel/serviceplacement.cpp
@@ -8,10 +8,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 GroupPhase phaseOf(const VmState &vm, const GroupRecord &group, const Plan &plan)
 {
     if (!usable(vm, plan)) {
--- a/kernel/streamjoin.h
+++ b/kernel/streamjoin.h
@@ -3,8 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** One token event of an engine's stream. */
 struct TokenEvent {
     std::string m_requestId;
--- a/kernel/strikes.cpp
+++ b/kernel/strikes.cpp
@@ -7,8 +7,7 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 StrikeRecord &StrikeBook::touch(std::uint64_t fingerprint)
 {
     const auto found = m_index.find(fingerprint);
--- a/kernel/strikes.h
+++ b/kernel/strikes.h
@@ -6,8 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 enum class Suspicion {
     /** Nothing known against it. */
     None,
--- a/kernel/yamlreader.cpp
+++ b/kernel/yamlreader.cpp
@@ -6,8 +6,7 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 YAML::Node parseYaml(YamlReader &reader, const std::string &text)
 {
     try {
@@ -55,12 +54,8 @@
     return value.Scalar();
 }
 
-std::int64_t readInteger(YamlReader &reader,
-                         const YAML::Node &node,
-                         const std::string &key,
-                         std::int64_t minimum,
-                         std::int64_t maximum,
-                         std::optional<std::int64_t> fallback)
+std::int64_t readInteger(
+    YamlReader &reader, const YAML::Node &node, const std::string &key, std::int64_t minimum, std::int64_t maximum, std::optional<std::int64_t> fallback)
 {
     const YAML::Node value = node[key];
     if (!value.IsDefined()) {
--- a/net/daemonmain.h
+++ b/net/daemonmain.h
@@ -9,8 +9,7 @@
 #include <string>
 #include <variant>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 inline constexpr int ExitSettings = 2;
 inline constexpr int ExitListen = 4;
 
@@ -39,7 +38,8 @@
     bool checkOnly = false;
     app.add_option("--settings", path, "YAML file with the settings")->required();
     app.add_flag("--check-settings", checkOnly, "read the settings, print all findings and exit");
-    app.footer("Example:\n  " + name + " --settings examples/tsakalos/" + name.substr(name.find('-') + 1) + "-1.yaml\nExit status: 0 stopped as planned, 2 bad settings, 3 drain limit reached, 4 cannot listen");
+    app.footer("Example:\n  " + name + " --settings examples/tsakalos/" + name.substr(name.find('-') + 1)
+               + "-1.yaml\nExit status: 0 stopped as planned, 2 bad settings, 3 drain limit reached, 4 cannot listen");
     CLI11_PARSE(app, argc, argv);
     const std::variant<Settings, Findings> settings = read(path);
     if (const Findings *findings = std::get_if<Findings>(&settings)) {
--- a/net/http.h
+++ b/net/http.h
@@ -11,8 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -5,10 +5,8 @@
 
 #include "net/httpclient.h"
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 http::request<http::string_body> toMessage(const HttpConnection &connection, const HttpRequest &request)
 {
     http::request<http::string_body> message(http::string_to_verb(request.m_method), request.m_target, 11);
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -6,8 +6,7 @@
 #include <mutex>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** A connection to one address, bound to one context. */
 struct HttpConnection {
     explicit HttpConnection(beast::tcp_stream stream)
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -5,10 +5,8 @@
 
 #include "net/httpserver.h"
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr std::int64_t WriteTimeoutMs = 30'000;
 
 template<typename Message>
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -6,8 +6,7 @@
 #include <functional>
 #include <memory>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** One request being served on a connection, and the ways to answer it. Used on the connection's own thread only. */
 class HttpExchange
 {
--- a/net/iothreads.cpp
+++ b/net/iothreads.cpp
@@ -4,8 +4,7 @@
 
 #include "net/iothreads.h"
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 IoThreads::IoThreads(int workers)
 {
     for (int i = 0; i < workers + 1; ++i) {
--- a/net/iothreads.h
+++ b/net/iothreads.h
@@ -6,8 +6,7 @@
 #include <thread>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /**
  * Threads of a process, each running one io_context by itself, so that everything bound to a context needs no lock. Context 0 carries
  * control work; requests are spread over the others.
--- a/net/keys.cpp
+++ b/net/keys.cpp
@@ -12,10 +12,8 @@
 #include <array>
 #include <fstream>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr std::size_t MinSecretLength = 16;
 
 const unsigned char *bytesOf(std::string_view text)
--- a/net/metrics.cpp
+++ b/net/metrics.cpp
@@ -8,12 +8,10 @@
 
 #include <sstream>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace histogram = boost::histogram;
 
-namespace
-{
+namespace {
 constexpr unsigned BinCount = 120;
 constexpr double LowestMs = 0.05;
 constexpr double HighestMs = 100'000.0;
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -7,8 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Latency histogram with logarithmic bins from 0.05 ms to 100 s; may be filled by several threads. */
 class LatencyHistogram
 {
--- a/net/node.cpp
+++ b/net/node.cpp
@@ -12,12 +12,10 @@
 
 #include <csignal>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr std::int64_t GossipIntervalMs = 200;
 constexpr std::size_t GossipFanOut = 3;
 constexpr std::int64_t PeerTimeoutMs = 1'000;
@@ -46,8 +44,8 @@
     m_membership.m_self.m_name = m_settings.m_name;
     m_membership.m_self.m_role = m_settings.m_role;
     m_membership.m_self.m_availabilityZone = m_settings.m_availabilityZone;
-    m_membership.m_self.m_incarnation = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    m_membership.m_self.m_incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     m_membership.m_peers = m_settings.m_peers;
 }
 
--- a/net/node.h
+++ b/net/node.h
@@ -11,12 +11,11 @@
 #include <atomic>
 #include <functional>
 #include <map>
-#include <set>
 #include <memory>
+#include <set>
 #include <string>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** What a daemon adds to the node it runs on. All are called on the control thread; any may be empty. */
 struct NodeHooks {
     /** A newer view of the configuration was adopted. */
--- a/net/peercodec.h
+++ b/net/peercodec.h
@@ -9,8 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** A report and its age, so that relayed news dies out. */
 struct AgedReport {
     UpstreamReport m_report;
--- a/net/peerlink.h
+++ b/net/peerlink.h
@@ -8,8 +8,7 @@
 #include <memory>
 #include <string>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Counts of one daemon's peer traffic. */
 struct PeerTraffic {
     std::uint64_t m_sentBytes = 0;
--- a/net/settings.cpp
+++ b/net/settings.cpp
@@ -15,10 +15,8 @@
 #include <fstream>
 #include <sstream>
 
-namespace knapweedslip
-{
-namespace
-{
+namespace knapweedslip {
+namespace {
 constexpr std::int64_t MaxTimeMs = 86'400'000;
 constexpr std::int64_t MaxThreads = 64;
 constexpr std::int64_t MaxBodyBytes = 64 * 1024 * 1024;
@@ -140,7 +138,8 @@
 }
 
 template<typename Settings>
-std::variant<Settings, Findings> readFile(const std::string &path, std::initializer_list<std::string_view> keys, Settings (*read)(YamlReader &, const YAML::Node &))
+std::variant<Settings, Findings>
+readFile(const std::string &path, std::initializer_list<std::string_view> keys, Settings (*read)(YamlReader &, const YAML::Node &))
 {
     YamlReader reader{path, {}};
     std::ifstream file(path);
@@ -160,7 +159,7 @@
     return settings;
 }
 
-#define KNAPWEEDSLIP_COMMON_KEYS                                                                                                       \
+#define KNAPWEEDSLIP_COMMON_KEYS                                                                                                               \
     "name", "availability_zone", "status_listen", "peer_listen", "store_address", "store_timeout_ms", "peer_secret_file", "operator_key_file", \
         "worker_threads", "watchers_per_zone", "max_configuration_age_ms", "balancer_wait_ms", "drain_limit_ms", "peers"
 }
--- a/net/settings.h
+++ b/net/settings.h
@@ -9,8 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Settings that every daemon has. */
 struct CommonSettings {
     std::string m_name;
--- a/net/snapshotcell.h
+++ b/net/snapshotcell.h
@@ -5,8 +5,7 @@
 #include <memory>
 #include <mutex>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /**
  * Read-copy-update of one immutable value. A writer publishes a new copy; a reader keeps the copy it took for as long as it needs,
  * also across suspensions of a coroutine. Reading costs one atomic load while nothing has changed.
--- a/net/storeclient.cpp
+++ b/net/storeclient.cpp
@@ -8,12 +8,10 @@
 
 #include <boost/json.hpp>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 Error storeError(const Error &error)
 {
     return error.m_code == ErrorCode::ConnectFailed ? error : Error{ErrorCode::StoreUnavailable, describe(error)};
--- a/net/storeclient.h
+++ b/net/storeclient.h
@@ -6,8 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** The platform's store and VM list, spoken to by Consul's HTTP API. */
 struct StoreClient {
     std::string m_address;
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -9,8 +9,7 @@
 #include <csignal>
 #include <iostream>
 
-namespace knapweedslip::standin
-{
+namespace knapweedslip::standin {
 int run(const std::string &ip, int port, const std::string &prefix, int count, const EngineOptions &options)
 {
     IoThreads threads(0);
@@ -20,9 +19,10 @@
     for (int i = 0; i < count; ++i) {
         vms.push_back(std::make_unique<EngineVm>(prefix + std::to_string(i + 1), options, history));
         EngineVm *vm = vms.back().get();
-        Result<std::shared_ptr<HttpServer>> server = HttpServer::create({&threads.control()}, ip + ":" + std::to_string(port + i), [vm](HttpExchange &exchange) {
-            return vm->serve(exchange);
-        });
+        Result<std::shared_ptr<HttpServer>> server =
+            HttpServer::create({&threads.control()}, ip + ":" + std::to_string(port + i), [vm](HttpExchange &exchange) {
+                return vm->serve(exchange);
+            });
         if (failed(server)) {
             std::cerr << describe(errorOf(server)) << "\n";
             return 2;
--- a/standins/enginevm.cpp
+++ b/standins/enginevm.cpp
@@ -8,12 +8,10 @@
 
 #include <boost/json.hpp>
 
-namespace knapweedslip::standin
-{
+namespace knapweedslip::standin {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr const char *PoisonMark = "POISON";
 constexpr std::uint64_t DefaultTokens = 16;
 constexpr std::uint64_t MaxTokens = 100'000;
@@ -293,7 +291,7 @@
         shift -= faults.m_repeatAt == static_cast<std::int64_t>(k) ? 1 : 0;
         const std::uint64_t place = k + static_cast<std::uint64_t>(shift);
         const std::string event = "data: {\"id\":" + quote(id) + ",\"generation\":" + std::to_string(generation) + ",\"offset\":" + std::to_string(place)
-            + ",\"text\":" + quote(tokenText(prompt, place)) + "}\n\n";
+                                  + ",\"text\":" + quote(tokenText(prompt, place)) + "}\n\n";
         sent = co_await exchange.writeChunk(event);
         co_await sleepFor(m_options.m_tokenMs + m_faults.m_slowTokenMs);
         while (m_faults.m_frozen) {
--- a/standins/enginevm.h
+++ b/standins/enginevm.h
@@ -9,8 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip::standin
-{
+namespace knapweedslip::standin {
 /** Behaviour shared by the engine VMs of one process. */
 struct EngineOptions {
     std::int64_t m_tokenMs = 5;
--- a/standins/kvstore.h
+++ b/standins/kvstore.h
@@ -6,8 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip::standin
-{
+namespace knapweedslip::standin {
 /** One key of the stand-in store. */
 struct KvEntry {
     std::string m_value;
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -14,12 +14,10 @@
 #include <deque>
 #include <iostream>
 
-namespace knapweedslip::standin
-{
+namespace knapweedslip::standin {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr std::int64_t WatchPollMs = 5;
 constexpr std::int64_t DefaultWaitMs = 300'000;
 constexpr std::int64_t ExpireIntervalMs = 20;
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -12,12 +12,10 @@
 #include <csignal>
 #include <iostream>
 
-namespace knapweedslip::standin
-{
+namespace knapweedslip::standin {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 struct Service {
     std::string m_vm;
     std::string m_bootId;
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -14,12 +14,10 @@
 #include <iostream>
 #include <sstream>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr int ExitOk = 0;
 constexpr int ExitRefused = 1;
 constexpr int ExitUsage = 2;
@@ -315,7 +313,8 @@
         };
     });
     for (const bool drained : {true, false}) {
-        CLI::App *drain = app.add_subcommand(drained ? "drain" : "undrain", drained ? "let a VM finish and take it out of its group" : "let a VM take work again");
+        CLI::App *drain =
+            app.add_subcommand(drained ? "drain" : "undrain", drained ? "let a VM finish and take it out of its group" : "let a VM take work again");
         drain->add_option("vm", options.m_name, "VM")->required();
         addChangeOptions(*drain, options);
         addBaseOption(*drain, options, false);
@@ -376,12 +375,11 @@
     app.add_option("--key-file", options.m_keyFile, "file with the operators' key");
     app.add_option("--output", options.m_output, "text or json")->check(CLI::IsMember({"text", "json"}));
     app.require_subcommand(1);
-    app.footer(
-        "Examples:\n"
-        "  knapweedslipctl --key-file operator.key status\n"
-        "  knapweedslipctl --key-file operator.key apply monday.yaml --base 4 --author dana --reason 'Monday plan' --wait\n"
-        "  knapweedslipctl --key-file operator.key zone attica-2 out --author dana --reason 'switch work' --wait\n"
-        "Exit status: 0 done, 1 refused, 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
+    app.footer("Examples:\n"
+               "  knapweedslipctl --key-file operator.key status\n"
+               "  knapweedslipctl --key-file operator.key apply monday.yaml --base 4 --author dana --reason 'Monday plan' --wait\n"
+               "  knapweedslipctl --key-file operator.key zone attica-2 out --author dana --reason 'switch work' --wait\n"
+               "Exit status: 0 done, 1 refused, 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
     addPlanCommands(app, options, run);
     addPartCommands(app, options, run);
     addReadCommands(app, options, run);
--- a/tools/ctlformat.cpp
+++ b/tools/ctlformat.cpp
@@ -5,12 +5,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 std::string plainText(const json::value &value)
 {
     if (value.is_string()) {
--- /dev/null
+++ b/tools/experimentsload.cpp
@@ -0,0 +1,372 @@
+// Problem: admission, fairness, routing, zone moves, poison requests and faults under load must be judged by figures, not by argument.
+// Approach: each experiment sets up the load model and names what it measures; variants differ in one policy only.
+
+#include "kernel/registry.h"
+#include "tools/experiment.h"
+#include "tools/loadmodel.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+double quantileOf(std::vector<double> values, double q)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    const std::size_t place = std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(place), values.end());
+    return values[place];
+}
+
+namespace
+{
+constexpr int Groups = 12;
+constexpr int GroupLimit = 8;
+/** Requests a second that 12 groups of 8 slots bear with the model's default times: 96 slots / (0.2 + 41 * 0.02) s. */
+constexpr double Capacity = 94.0;
+constexpr std::int64_t RunMs = 60'000;
+constexpr std::int64_t DeadlineMs = 4'000;
+constexpr std::int64_t ZoneOutMs = 20'000;
+constexpr std::int64_t ZoneInMs = 40'000;
+constexpr std::int64_t SecondMs = 1'000;
+
+std::vector<ModelUpstream> upstreams(int count)
+{
+    std::vector<ModelUpstream> list;
+    for (int i = 0; i < count; ++i) {
+        ModelUpstream upstream;
+        upstream.m_id = "group-" + std::to_string(i);
+        upstream.m_zone = "zone-" + std::to_string(i % 3);
+        upstream.m_limit = GroupLimit;
+        list.push_back(upstream);
+    }
+    return list;
+}
+
+/** Ten workspaces, two of them large, at @p load times the capacity. */
+std::vector<WorkspaceLoad> workspaces(double load, int prompts = 0)
+{
+    std::vector<WorkspaceLoad> list;
+    for (int i = 0; i < 10; ++i) {
+        WorkspaceLoad workspace;
+        workspace.m_name = "workspace-" + std::to_string(i);
+        workspace.m_weight = i < 2 ? 4 : 1;
+        workspace.m_requestsPerSecond = Capacity * load * (i < 2 ? 0.26 : 0.06);
+        workspace.m_deadlineMs = DeadlineMs;
+        workspace.m_prompts = prompts;
+        list.push_back(workspace);
+    }
+    return list;
+}
+
+LoadModelSettings baseSettings(std::uint64_t seed, double load)
+{
+    LoadModelSettings settings;
+    settings.m_seed = seed;
+    settings.m_gateways = 8;
+    settings.m_upstreams = upstreams(Groups);
+    settings.m_workspaces = workspaces(load);
+    return settings;
+}
+
+struct Totals {
+    double m_offered = 0.0;
+    double m_good = 0.0;
+    double m_late = 0.0;
+    double m_refused = 0.0;
+    double m_broken = 0.0;
+    std::vector<double> m_firstTokenMs;
+};
+
+Totals totalsOf(const LoadModelResult &result)
+{
+    Totals totals;
+    for (const std::pair<const std::string, WorkspaceResult> &entry : result.m_workspaces) {
+        totals.m_offered += static_cast<double>(entry.second.m_offered);
+        totals.m_good += static_cast<double>(entry.second.m_good);
+        totals.m_late += static_cast<double>(entry.second.m_late);
+        totals.m_refused += static_cast<double>(entry.second.m_refused);
+        totals.m_broken += static_cast<double>(entry.second.m_broken);
+        totals.m_firstTokenMs.insert(totals.m_firstTokenMs.end(), entry.second.m_firstTokenMs.begin(), entry.second.m_firstTokenMs.end());
+    }
+    return totals;
+}
+
+double goodShare(const LoadModelResult &result, const std::string &workspace)
+{
+    const WorkspaceResult &figures = result.m_workspaces.at(workspace);
+    return static_cast<double>(figures.m_good) / std::max(1.0, static_cast<double>(figures.m_offered));
+}
+
+/** "policy@load" to its parts. */
+std::pair<std::string, double> splitVariant(const std::string &variant)
+{
+    const std::size_t at = variant.find('@');
+    return {variant.substr(0, at), std::stod(variant.substr(at + 1))};
+}
+
+std::vector<std::string> admissionVariants()
+{
+    std::vector<std::string> variants;
+    for (const char *load : {"0.7", "1.0", "1.5", "3.0"}) {
+        for (const char *policy : {"fifo-unbounded", "fifo-bounded", "fair-deadline"}) {
+            variants.push_back(std::string(policy) + "@" + load);
+        }
+    }
+    return variants;
+}
+
+Figures runAdmission(const std::string &variant, std::uint64_t seed)
+{
+    const std::pair<std::string, double> parts = splitVariant(variant);
+    LoadModelSettings settings = baseSettings(seed, parts.second);
+    settings.m_scheduler.m_admissionPolicy = parts.first;
+    settings.m_scheduler.m_routePolicy = "two-choices";
+    LoadModel model(settings);
+    const LoadModelResult result = model.run(RunMs);
+    const Totals totals = totalsOf(result);
+    return {{"goodput_per_s", totals.m_good * SecondMs / RunMs},
+            {"good_share", totals.m_good / totals.m_offered},
+            {"late_share", totals.m_late / totals.m_offered},
+            {"refused_share", totals.m_refused / totals.m_offered},
+            {"first_token_p95_ms", quantileOf(totals.m_firstTokenMs, 0.95)}};
+}
+
+std::vector<std::string> fairnessVariants()
+{
+    return {"fifo-unbounded@1", "fifo-unbounded@10", "fair-deadline@1", "fair-deadline@10"};
+}
+
+Figures runFairness(const std::string &variant, std::uint64_t seed)
+{
+    const std::pair<std::string, double> parts = splitVariant(variant);
+    LoadModelSettings settings = baseSettings(seed, 0.5);
+    settings.m_scheduler.m_admissionPolicy = parts.first;
+    settings.m_scheduler.m_routePolicy = "two-choices";
+    for (WorkspaceLoad &workspace : settings.m_workspaces) {
+        workspace.m_requestsPerSecond = Capacity * 0.05;
+        workspace.m_weight = 1;
+    }
+    settings.m_workspaces.front().m_requestsPerSecond *= parts.second;
+    LoadModel model(settings);
+    const LoadModelResult result = model.run(RunMs);
+    std::vector<double> others;
+    double offered = 0.0;
+    double good = 0.0;
+    for (const std::pair<const std::string, WorkspaceResult> &entry : result.m_workspaces) {
+        if (entry.first != "workspace-0") {
+            others.insert(others.end(), entry.second.m_firstTokenMs.begin(), entry.second.m_firstTokenMs.end());
+            offered += static_cast<double>(entry.second.m_offered);
+            good += static_cast<double>(entry.second.m_good);
+        }
+    }
+    return {{"others_first_token_p95_ms", quantileOf(others, 0.95)}, {"others_good_share", good / offered}};
+}
+
+std::vector<std::string> routingVariants()
+{
+    return {"random@0.7", "round-robin@0.7", "two-choices@0.7", "prefix-affinity@0.7"};
+}
+
+Figures runRouting(const std::string &variant, std::uint64_t seed)
+{
+    const std::pair<std::string, double> parts = splitVariant(variant);
+    LoadModelSettings settings = baseSettings(seed, parts.second);
+    settings.m_workspaces = workspaces(parts.second, 100);
+    settings.m_scheduler.m_routePolicy = parts.first;
+    LoadModel model(settings);
+    const LoadModelResult result = model.run(RunMs);
+    const Totals totals = totalsOf(result);
+    return {{"cache_hit_share", static_cast<double>(result.m_cacheHits) / std::max(1.0, static_cast<double>(result.m_cacheLooks))},
+            {"first_token_p50_ms", quantileOf(totals.m_firstTokenMs, 0.5)},
+            {"first_token_p95_ms", quantileOf(totals.m_firstTokenMs, 0.95)},
+            {"imbalance", result.m_imbalance},
+            {"good_share", totals.m_good / totals.m_offered}};
+}
+
+std::vector<std::string> zoneVariants()
+{
+    std::vector<std::string> variants;
+    for (const char *load : {"0.5", "0.7", "0.85"}) {
+        for (const char *policy : {"fifo-unbounded", "fair-deadline", "fair-deadline+store-down"}) {
+            variants.push_back(std::string(policy) + "@" + load);
+        }
+    }
+    return variants;
+}
+
+/** Time from the closing of a zone to the last new work there before it was opened again. */
+double lastWorkMs(const HistoryEvents &events, const std::string &zone)
+{
+    std::int64_t closedMs = -1;
+    std::int64_t lastMs = 0;
+    for (const HistoryEvent &event : events) {
+        if (event.m_place != zone) {
+            continue;
+        }
+        if (event.m_kind == HistoryKind::Closed) {
+            closedMs = event.m_atMs;
+        } else if (event.m_kind == HistoryKind::Opened) {
+            closedMs = -1;
+        } else if (event.m_kind == HistoryKind::Dispatched && closedMs >= 0) {
+            lastMs = std::max(lastMs, event.m_atMs - closedMs);
+        }
+    }
+    return static_cast<double>(lastMs);
+}
+
+Figures runZone(const std::string &variant, std::uint64_t seed)
+{
+    const std::pair<std::string, double> parts = splitVariant(variant);
+    const std::size_t plus = parts.first.find('+');
+    LoadModelSettings settings = baseSettings(seed, parts.second);
+    settings.m_scheduler.m_admissionPolicy = parts.first.substr(0, plus);
+    LoadModel model(settings);
+    model.at(ZoneOutMs, [&model]() {
+        model.setZone("zone-0", false);
+    });
+    if (plus != std::string::npos) {
+        // The store goes down right after the change was accepted; the relay between daemons carries it.
+        model.at(ZoneOutMs + 1, [&model]() {
+            model.setStoreDown(true);
+        });
+        model.at(ZoneInMs - SecondMs, [&model]() {
+            model.setStoreDown(false);
+        });
+    }
+    model.at(ZoneInMs, [&model]() {
+        model.setZone("zone-0", true);
+    });
+    const LoadModelResult result = model.run(RunMs);
+    const Totals totals = totalsOf(result);
+    return {{"priority_good_share", goodShare(result, "workspace-0")},
+            {"ordinary_good_share", goodShare(result, "workspace-9")},
+            {"all_good_share", totals.m_good / totals.m_offered},
+            {"last_work_after_out_ms", lastWorkMs(result.m_history, "zone-0")},
+            {"cold_overloads", static_cast<double>(result.m_coldOverloads)}};
+}
+
+std::vector<std::string> poisonVariants()
+{
+    return {"none", "strikes"};
+}
+
+Figures runPoison(const std::string &variant, std::uint64_t seed)
+{
+    LoadModelSettings settings = baseSettings(seed, 0.6);
+    settings.m_scheduler.m_isolateSuspects = variant == "strikes";
+    LoadModel model(settings);
+    constexpr int Times = 20;
+    model.at(10 * SecondMs, [&model]() {
+        model.sendPoison("workspace-3", 0xBAD, Times);
+    });
+    const LoadModelResult result = model.run(RunMs);
+    const Totals totals = totalsOf(result);
+    return {{"groups_lost", static_cast<double>(result.m_crashes)},
+            {"others_good_share", totals.m_good / totals.m_offered},
+            {"broken", totals.m_broken},
+            {"cold_overloads", static_cast<double>(result.m_coldOverloads)}};
+}
+
+std::vector<std::string> shardingVariants()
+{
+    return {"none@12", "shard-4@12", "shard-4-forget@12", "none@375", "shard-8@375", "shard-8-forget@375"};
+}
+
+Figures runSharding(const std::string &variant, std::uint64_t seed)
+{
+    const std::pair<std::string, double> parts = splitVariant(variant);
+    const int groups = static_cast<int>(parts.second);
+    LoadModelSettings settings = baseSettings(seed, 0.6);
+    settings.m_upstreams = upstreams(groups);
+    settings.m_scheduler.m_isolateSuspects = false;
+    const double scale = static_cast<double>(groups) / Groups * (groups > Groups ? 0.1 : 1.0);
+    for (WorkspaceLoad &workspace : settings.m_workspaces) {
+        workspace.m_requestsPerSecond *= scale;
+    }
+    if (parts.first != "none") {
+        settings.m_shardSize = static_cast<std::size_t>(std::stoi(parts.first.substr(6)));
+        settings.m_forgetDelayMs = parts.first.find("forget") == std::string::npos ? 0 : 60'000;
+    }
+    LoadModel model(settings);
+    constexpr int Times = 60;
+    model.at(10 * SecondMs, [&model]() {
+        model.sendPoison("workspace-3", 0xBAD, Times);
+    });
+    const LoadModelResult result = model.run(RunMs);
+    double offered = 0.0;
+    double good = 0.0;
+    for (const std::pair<const std::string, WorkspaceResult> &entry : result.m_workspaces) {
+        if (entry.first != "workspace-3") {
+            offered += static_cast<double>(entry.second.m_offered);
+            good += static_cast<double>(entry.second.m_good);
+        }
+    }
+    return {{"groups_lost", static_cast<double>(result.m_crashes)},
+            {"others_good_share", good / offered},
+            {"own_good_share", goodShare(result, "workspace-3")}};
+}
+
+std::vector<std::string> faultVariants()
+{
+    return {"fifo-unbounded@0.7", "fair-deadline@0.7"};
+}
+
+Figures runFaults(const std::string &variant, std::uint64_t seed)
+{
+    const std::pair<std::string, double> parts = splitVariant(variant);
+    LoadModelSettings settings = baseSettings(seed, parts.second);
+    settings.m_scheduler.m_admissionPolicy = parts.first;
+    LoadModel model(settings);
+    constexpr std::int64_t FaultMs = 30 * SecondMs;
+    constexpr std::int64_t FaultEndMs = 50 * SecondMs;
+    constexpr std::int64_t EndMs = 100 * SecondMs;
+    // A domain goes dark during a zone move, and the store is down while it is repaired.
+    model.at(FaultMs, [&model]() {
+        model.setZone("zone-0", false);
+    });
+    model.at(FaultMs + SecondMs, [&model]() {
+        model.crash("group-1", "domain dark");
+        model.crash("group-4", "domain dark");
+    });
+    model.at(FaultMs + 2 * SecondMs, [&model]() {
+        model.setStoreDown(true);
+    });
+    model.at(FaultEndMs, [&model]() {
+        model.setStoreDown(false);
+        model.setZone("zone-0", true);
+    });
+    const LoadModelResult result = model.run(EndMs);
+    const std::vector<std::uint64_t> &good = result.m_goodBySecond;
+    const auto meanOf = [&good](std::size_t from, std::size_t to) {
+        double sum = 0.0;
+        for (std::size_t second = from; second < to; ++second) {
+            sum += static_cast<double>(good[second]);
+        }
+        return sum / static_cast<double>(to - from);
+    };
+    const double before = meanOf(10, 30);
+    double recovery = 50.0;
+    for (std::size_t second = 50; second + 5 <= good.size(); ++second) {
+        if (meanOf(second, second + 5) >= 0.95 * before) {
+            recovery = static_cast<double>(second) - 50.0;
+            break;
+        }
+    }
+    return {{"goodput_before_per_s", before},
+            {"goodput_during_per_s", meanOf(31, 50)},
+            {"goodput_after_per_s", meanOf(80, 100)},
+            {"recovery_s", recovery},
+            {"cold_overloads", static_cast<double>(result.m_coldOverloads)}};
+}
+
+const Registration<Experiment> Admission({"admission", "goodput in deadline at 0.7 to 3 times capacity", admissionVariants, runAdmission});
+const Registration<Experiment> Fairness({"fairness", "others' first token while one workspace sends 10 times its share", fairnessVariants, runFairness});
+const Registration<Experiment> Routing({"routing", "cache hits, first token and imbalance by route policy", routingVariants, runRouting});
+const Registration<Experiment> ZoneMove({"zone-move", "service while a zone leaves and returns", zoneVariants, runZone});
+const Registration<Experiment> Poison({"poison", "a request that crashes each upstream, sent 20 times", poisonVariants, runPoison});
+const Registration<Experiment> Sharding({"sharding", "shuffle sharding against none, with and without a forget delay", shardingVariants, runSharding});
+const Registration<Experiment> Faults({"faults", "a dark domain during a zone move, store down during repair", faultVariants, runFaults});
+}
+}
--- /dev/null
+++ b/tools/httpload.cpp
@@ -0,0 +1,287 @@
+// Problem: real processes must be loaded at a fixed rate, whatever they answer, and every answer checked.
+// Approach: an open loop with exponential gaps; each request knows the text it must get, and every step goes into a history.
+// A closed loop slows down with the system and hides its worst moments.
+
+#include "tools/httpload.h"
+
+#include "kernel/hashing.h"
+#include "net/httpclient.h"
+#include "net/keys.h"
+#include "net/metrics.h"
+#include "tools/historycheck.h"
+
+#include <boost/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <random>
+
+namespace knapweedslip
+{
+namespace json = boost::json;
+
+namespace
+{
+constexpr std::int64_t ConnectTimeoutMs = 2'000;
+constexpr std::int64_t AnswerSlackMs = 5'000;
+constexpr int MaxResends = 16;
+
+struct LoadState {
+    const HttpLoadOptions &m_options;
+    Secret m_key;
+    std::mt19937_64 m_random;
+    ConnectionPool m_pool;
+    HistoryEvents m_history;
+    std::map<std::string, int> m_ends;
+    LatencyHistogram m_firstToken;
+    LatencyHistogram m_whole;
+    int m_open = 0;
+    int m_wrong = 0;
+};
+
+void note(LoadState &state, HistoryKind kind, const std::string &subject, const std::string &place, const std::string &key = {})
+{
+    state.m_history.push_back(HistoryEvent{steadyMs(), kind, subject, place, key, 0, false});
+}
+
+HttpRequest completionRequest(const LoadState &state, const std::string &name)
+{
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = "/v1/completions";
+    request.m_headers.emplace_back("Authorization", "Bearer " + state.m_key.m_text);
+    request.m_headers.emplace_back("Content-Type", "application/json");
+    request.m_headers.emplace_back("X-Deadline-Ms", std::to_string(state.m_options.m_deadlineMs));
+    json::object body;
+    body["model"] = state.m_options.m_model;
+    body["prompt"] = name;
+    body["max_tokens"] = state.m_options.m_maxTokens;
+    body["stream"] = true;
+    request.m_body = json::serialize(body);
+    return request;
+}
+
+/** What a stream of events came to. */
+struct StreamEnd {
+    std::string m_text;
+    bool m_done = false;
+    bool m_error = false;
+};
+
+void takeEvent(const std::string &data, StreamEnd &end)
+{
+    if (data == "[DONE]") {
+        end.m_done = true;
+        return;
+    }
+    boost::system::error_code error;
+    const json::value value = json::parse(data, error);
+    if (error || !value.is_object()) {
+        return;
+    }
+    const json::value *choices = value.as_object().if_contains("choices");
+    if (choices != nullptr && choices->is_array() && !choices->as_array().empty()) {
+        end.m_text += json::value_to<std::string>(choices->at(0).at("text"));
+    }
+    end.m_error = end.m_error || value.as_object().if_contains("error") != nullptr;
+}
+
+void endRequest(LoadState &state, const std::string &name, const std::string &end, const std::string &text)
+{
+    ++state.m_ends[end];
+    note(state, HistoryKind::Answer, name, end, text);
+    --state.m_open;
+}
+
+awaitable<void> oneCompletion(LoadState &state, std::string target, std::string name)
+{
+    const std::int64_t startedMs = steadyMs();
+    note(state, HistoryKind::Invoke, name, {});
+    HttpConnectionPtr connection = state.m_pool.take(co_await asio::this_coro::executor, target, {});
+    if (connection == nullptr) {
+        Result<HttpConnectionPtr> made = co_await httpConnect(target, ConnectTimeoutMs);
+        if (failed(made)) {
+            endRequest(state, name, "not-reached", {});
+            co_return;
+        }
+        connection = std::move(valueOf(made));
+    }
+    HttpStream stream(*connection);
+    const HttpRequest request = completionRequest(state, name);
+    const std::int64_t limitMs = state.m_options.m_deadlineMs + AnswerSlackMs;
+    const Result<Done> opened = co_await stream.open(request, limitMs);
+    if (failed(opened)) {
+        endRequest(state, name, connection->m_reused ? "not-reached" : "broken", {});
+        co_return;
+    }
+    constexpr unsigned Ok = 200;
+    const bool streamed = stream.status() == Ok;
+    EventSplitter splitter;
+    StreamEnd end;
+    std::string raw;
+    while (!stream.finished()) {
+        const Result<std::string> piece = co_await stream.read(limitMs);
+        if (failed(piece)) {
+            break;
+        }
+        if (streamed && end.m_text.empty() && !valueOf(piece).empty()) {
+            state.m_firstToken.add(static_cast<double>(steadyMs() - startedMs));
+        }
+        for (const std::string &data : splitter.feed(valueOf(piece))) {
+            takeEvent(data, end);
+        }
+    }
+    if (!streamed) {
+        endRequest(state, name, "refused-" + std::to_string(stream.status()), {});
+    } else if (end.m_done && !end.m_error) {
+        const bool right = end.m_text == expectedText(name);
+        state.m_wrong += right ? 0 : 1;
+        state.m_whole.add(static_cast<double>(steadyMs() - startedMs));
+        endRequest(state, name, "whole", end.m_text);
+    } else {
+        endRequest(state, name, "broken", end.m_text);
+    }
+    if (stream.finished()) {
+        state.m_pool.give(std::move(connection));
+    }
+}
+
+awaitable<void> onePaidSend(LoadState &state, std::string target, std::string key, int number)
+{
+    const std::string name = key + "#" + std::to_string(number);
+    note(state, HistoryKind::Invoke, name, key);
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = "/services/" + state.m_options.m_service + "/orders";
+    request.m_headers.emplace_back("Authorization", "Bearer " + state.m_key.m_text);
+    request.m_headers.emplace_back("Idempotency-Key", key);
+    request.m_headers.emplace_back("X-Deadline-Ms", std::to_string(state.m_options.m_deadlineMs));
+    request.m_body = R"({"order":")" + key + R"("})";
+    const Result<HttpReply> reply = co_await httpCall(state.m_pool, target, std::move(request), state.m_options.m_deadlineMs + AnswerSlackMs);
+    std::string end = "lost";
+    std::string body;
+    if (!failed(reply)) {
+        end = std::string(headerValue(valueOf(reply).m_headers, "X-Run-Outcome"));
+        body = valueOf(reply).m_body;
+    }
+    endRequest(state, name, end, body);
+}
+
+awaitable<void> completionLoop(LoadState &state)
+{
+    const std::int64_t endMs = steadyMs() + state.m_options.m_seconds * 1'000LL;
+    std::exponential_distribution<double> gap(state.m_options.m_rate / 1'000.0);
+    double nextMs = static_cast<double>(steadyMs());
+    for (std::uint64_t number = 0; steadyMs() < endMs; ++number) {
+        const std::string name = "p" + std::to_string(state.m_options.m_seed) + "-" + std::to_string(number) + "|" + std::to_string(state.m_options.m_maxTokens);
+        const std::string target = state.m_options.m_targets[state.m_random() % state.m_options.m_targets.size()];
+        ++state.m_open;
+        asio::co_spawn(co_await asio::this_coro::executor, oneCompletion(state, target, name), asio::detached);
+        nextMs += gap(state.m_random);
+        const std::int64_t pause = static_cast<std::int64_t>(nextMs) - steadyMs();
+        if (pause > 0) {
+            co_await sleepFor(pause);
+        }
+    }
+}
+
+awaitable<void> resend(LoadState &state, std::string key, int number, std::int64_t delayMs)
+{
+    co_await sleepFor(delayMs);
+    const std::string target = state.m_options.m_targets[state.m_random() % state.m_options.m_targets.size()];
+    co_await onePaidSend(state, target, key, number);
+}
+
+awaitable<void> paidLoop(LoadState &state)
+{
+    const std::int64_t endMs = steadyMs() + state.m_options.m_seconds * 1'000LL;
+    std::exponential_distribution<double> gap(state.m_options.m_rate / 1'000.0);
+    constexpr std::uint64_t LongestResendMs = 1'500;
+    for (std::uint64_t number = 0; steadyMs() < endMs; ++number) {
+        const std::string key = "k" + std::to_string(state.m_options.m_seed) + "-" + std::to_string(number);
+        for (int send = 0; send < std::min(MaxResends, state.m_options.m_resends); ++send) {
+            ++state.m_open;
+            const std::int64_t delayMs = send == 0 ? 0 : static_cast<std::int64_t>(state.m_random() % LongestResendMs);
+            asio::co_spawn(co_await asio::this_coro::executor, resend(state, key, send, delayMs), asio::detached);
+        }
+        co_await sleepFor(std::max<std::int64_t>(1, static_cast<std::int64_t>(gap(state.m_random))));
+    }
+}
+
+void writeReport(const LoadState &state)
+{
+    json::object ends;
+    for (const std::pair<const std::string, int> &entry : state.m_ends) {
+        ends[entry.first] = entry.second;
+        std::cout << entry.first << " " << entry.second << "\n";
+    }
+    json::object report;
+    report["ends"] = std::move(ends);
+    report["wrong"] = state.m_wrong;
+    for (const double q : {0.5, 0.95, 0.99}) {
+        const std::string name = std::to_string(static_cast<int>(q * 100.0));
+        report["first_token_p" + name + "_ms"] = state.m_firstToken.quantile(q);
+        report["whole_p" + name + "_ms"] = state.m_whole.quantile(q);
+    }
+    std::cout << "first token p50 " << state.m_firstToken.quantile(0.5) << " ms, p99 " << state.m_firstToken.quantile(0.99) << " ms; whole p50 "
+              << state.m_whole.quantile(0.5) << " ms, p99 " << state.m_whole.quantile(0.99) << " ms\n";
+    if (!state.m_options.m_report.empty()) {
+        std::ofstream(state.m_options.m_report) << json::serialize(report) << "\n";
+    }
+    if (!state.m_options.m_history.empty()) {
+        std::ofstream(state.m_options.m_history) << encodeHistory(state.m_history);
+    }
+}
+
+Result<Done> runLoad(LoadState &state, awaitable<void> (*loop)(LoadState &))
+{
+    Result<Secret> key = readSecret(state.m_options.m_keyFile);
+    if (failed(key)) {
+        return errorOf(key);
+    }
+    state.m_key = valueOf(key);
+    asio::io_context context(1);
+    asio::co_spawn(context, loop(state), asio::detached);
+    context.run();
+    writeReport(state);
+    return Done{};
+}
+}
+
+std::string expectedText(const std::string &request)
+{
+    const std::size_t bar = request.rfind('|');
+    const std::uint64_t tokens = bar == std::string::npos ? 0 : std::strtoull(request.c_str() + bar + 1, nullptr, 10);
+    std::string text;
+    for (std::uint64_t k = 0; k < tokens; ++k) {
+        text += "w" + std::to_string(hash64(request, k) % 1'000) + " ";
+    }
+    return text;
+}
+
+int loadCompletions(const HttpLoadOptions &options)
+{
+    LoadState state{options, {}, std::mt19937_64(options.m_seed), {}, {}, {}, {}, {}, 0, 0};
+    const Result<Done> done = runLoad(state, completionLoop);
+    if (failed(done)) {
+        std::cerr << describe(errorOf(done)) << "\n";
+        return 2;
+    }
+    if (state.m_wrong > 0) {
+        std::cerr << state.m_wrong << " answers were wrong\n";
+    }
+    return state.m_wrong > 0 || state.m_ends["broken"] > 0 ? 1 : 0;
+}
+
+int loadPaid(const HttpLoadOptions &options)
+{
+    LoadState state{options, {}, std::mt19937_64(options.m_seed), {}, {}, {}, {}, {}, 0, 0};
+    const Result<Done> done = runLoad(state, paidLoop);
+    if (failed(done)) {
+        std::cerr << describe(errorOf(done)) << "\n";
+        return 2;
+    }
+    return 0;
+}
+}
--- /dev/null
+++ b/tools/virtualtime.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace knapweedslip {
+/** A clock that jumps from event to event. Events at the same time run in the order in which they were added. */
+class VirtualTime
+{
+public:
+    std::int64_t nowMs() const
+    {
+        return m_nowMs;
+    }
+
+    /** Runs @p event @p delayMs from now. */
+    void after(std::int64_t delayMs, std::function<void()> event)
+    {
+        m_events.push(Event{m_nowMs + delayMs, m_nextNumber++, std::move(event)});
+    }
+
+    /** Runs all events up to @p untilMs. */
+    void run(std::int64_t untilMs)
+    {
+        while (!m_events.empty() && m_events.top().m_atMs <= untilMs) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_nowMs = event.m_atMs;
+            event.m_run();
+        }
+        m_nowMs = untilMs;
+    }
+
+private:
+    struct Event {
+        std::int64_t m_atMs = 0;
+        std::uint64_t m_number = 0;
+        std::function<void()> m_run;
+
+        bool operator<(const Event &other) const
+        {
+            return m_atMs != other.m_atMs ? m_atMs > other.m_atMs : m_number > other.m_number;
+        }
+    };
+
+    std::priority_queue<Event> m_events;
+    std::int64_t m_nowMs = 0;
+    std::uint64_t m_nextNumber = 0;
+};
+}
