Scheduler: priority multiplies shares, the last slots are kept for workspaces below their share

Ruled out: strict priority (the last workspace would starve at 85%). Change: each of the first three steps of the operators' order doubles the share; 10% of the slots go only to lines below theirs.

--- a/daemons/controller.cpp
+++ b/daemons/controller.cpp
@@ -113,6 +113,7 @@
         round.m_availabilityZone = listed.m_availabilityZone;
     }
     std::vector<DomainCapacity> capacities;
+    capacities.reserve(rounds.size());
     for (const std::pair<const std::string, KeeperRound> &entry : rounds) {
         // Zones that are out keep their groups, so that they serve at once when they come back.
         capacities.push_back({entry.first, entry.second.m_availabilityZone, static_cast<int>(entry.second.m_listed.size())});
--- a/kernel/placement.cpp
+++ b/kernel/placement.cpp
@@ -175,7 +175,7 @@
 std::string freeGroupId(const DomainRecord &record, const std::string &model)
 {
     for (int number = 1;; ++number) {
-        const std::string id = record.m_domain + "/" + model + "/" + std::to_string(number);
+        std::string id = record.m_domain + "/" + model + "/" + std::to_string(number);
         const bool taken = std::any_of(record.m_groups.begin(), record.m_groups.end(), [&](const GroupRecord &group) {
             return group.m_id == id;
         });
--- a/kernel/placementrules.cpp
+++ b/kernel/placementrules.cpp
@@ -28,7 +28,7 @@
     if (it == spares.end()) {
         it = spares.begin();
     }
-    const MemberRecord member{it->m_vm, it->m_address, it->m_bootId};
+    MemberRecord member{it->m_vm, it->m_address, it->m_bootId};
     spares.erase(it);
     return member;
 }
--- a/kernel/scheduler.cpp
+++ b/kernel/scheduler.cpp
@@ -31,6 +31,8 @@
 constexpr double ServiceTimeGain = 0.1;
 constexpr std::int64_t MinRetryAfterMs = 1'000;
 constexpr const char *SharedLine = "";
+/** Each step up in the operators' order doubles a workspace's share, for this many steps. */
+constexpr int PrioritySteps = 3;
 }
 
 Result<std::unique_ptr<Scheduler>> Scheduler::create(const SchedulerSettings &settings)
@@ -188,6 +190,7 @@
     UpstreamState &state = m_upstreams[index];
     ++state.m_running;
     ++pool.m_running;
+    ++pool.m_runningByLine[lineOf(request)];
     ++m_counters.m_dispatched;
     m_running[request.m_id] = Running{request, index, nowMs, alone};
     for (const std::uint64_t prefix : request.m_query.m_prefixes) {
@@ -226,10 +229,36 @@
     return m_admission.m_fair ? request.m_workspace : shared;
 }
 
+int Scheduler::lineWeight(const std::string &workspace) const
+{
+    const WorkspacePlan *plan = findWorkspace(m_table->m_plan, workspace);
+    if (plan == nullptr) {
+        return 1;
+    }
+    const int steps = std::max(0, PrioritySteps + 1 - plan->m_priority);
+    return plan->m_weight << std::min(PrioritySteps, steps);
+}
+
 int Scheduler::weightOf(const WorkRequest &request) const
 {
-    const WorkspacePlan *workspace = findWorkspace(m_table->m_plan, request.m_workspace);
-    return workspace == nullptr ? 1 : workspace->m_weight;
+    return lineWeight(request.m_workspace);
+}
+
+bool Scheduler::mustLeaveReserve(const Pool &pool, const WorkRequest &request) const
+{
+    if (!m_admission.m_fair || request.m_resumed || pool.m_capacity - pool.m_running > m_settings.m_reservePart * pool.m_capacity) {
+        return false;
+    }
+    const auto own = pool.m_runningByLine.find(lineOf(request));
+    if (own == pool.m_runningByLine.end()) {
+        return false;
+    }
+    int active = 0;
+    for (const std::pair<const std::string, int> &line : pool.m_runningByLine) {
+        active += lineWeight(line.first);
+    }
+    const double share = pool.m_capacity * weightOf(request) / std::max(1, active);
+    return pool.m_runningByLine.size() > 1 && own->second >= share;
 }
 
 void Scheduler::enqueue(Pool &pool, const WorkRequest &request, std::int64_t nowMs, Actions &actions)
@@ -274,7 +303,7 @@
         return;
     }
     // Nobody overtakes those who wait.
-    if (pool.m_queue.size() == 0 && tryDispatch(pool, request, nowMs, actions)) {
+    if (pool.m_queue.size() == 0 && !mustLeaveReserve(pool, request) && tryDispatch(pool, request, nowMs, actions)) {
         return;
     }
     enqueue(pool, request, nowMs, actions);
@@ -316,6 +345,9 @@
     Pool &pool = m_pools[state.m_info->m_pool];
     --state.m_running;
     --pool.m_running;
+    if (--pool.m_runningByLine[lineOf(running.m_request)] == 0) {
+        pool.m_runningByLine.erase(lineOf(running.m_request));
+    }
     settleStrikes(running, end, nowMs);
     if (end == AttemptEnd::Finished) {
         const double elapsed = static_cast<double>(nowMs - running.m_startedMs);
@@ -423,7 +455,7 @@
     while (pool.m_queue.size() > 0 && !pool.m_available.empty()) {
         const QueuedRequest queued = *pool.m_queue.pop();
         const WorkRequest request = m_waiting[queued.m_id];
-        if (!tryDispatch(pool, request, nowMs, actions)) {
+        if (mustLeaveReserve(pool, request) || !tryDispatch(pool, request, nowMs, actions)) {
             pool.m_queue.push(queued, weightOf(request), true);
             return;
         }
@@ -511,12 +543,18 @@
 
 void Scheduler::tick(std::int64_t nowMs, Actions &actions)
 {
+    for (std::pair<const std::string, Pool> &entry : m_pools) {
+        entry.second.m_capacity = 0.0;
+    }
     for (std::uint32_t index = 0; index < m_upstreams.size(); ++index) {
         UpstreamState &state = m_upstreams[index];
         if (state.m_othersRunning > 0 && nowMs - state.m_reportedAtMs > LoadReportLifeMs) {
             state.m_othersRunning = 0;
         }
         refresh(index, nowMs);
+        if (state.m_availableAt >= 0 || state.m_running > 0) {
+            m_pools[state.m_info->m_pool].m_capacity += limitOf(state, nowMs);
+        }
     }
     for (std::pair<const std::string, Pool> &entry : m_pools) {
         dropLate(entry.second, nowMs, actions);
--- a/kernel/scheduler.h
+++ b/kernel/scheduler.h
@@ -26,6 +26,8 @@
     int m_gateways = 1;
     /** Retries allowed per first attempt. */
     double m_retryRatio = 0.1;
+    /** Part of the slots that only workspaces below their share may take; 0 for none. */
+    double m_reservePart = 0.1;
     /** Strikes and running suspects by themselves; off only for measurements. */
     bool m_isolateSuspects = true;
 };
@@ -173,6 +175,10 @@
         std::int64_t m_setApartSinceMs = 0;
         double m_serviceMs = 200.0;
         int m_running = 0;
+        /** Requests that run, by line. */
+        std::unordered_map<std::string, int> m_runningByLine;
+        /** Requests that the open upstreams bear from this gateway, as of the last tick. */
+        double m_capacity = 0.0;
         std::uint64_t m_turn = 0;
     };
     struct Running {
@@ -201,6 +207,9 @@
     void chooseSetApart(const std::string &name, Pool &pool, std::int64_t nowMs);
     void strikeAll(std::uint32_t index, std::int64_t nowMs);
     void settleStrikes(const Running &running, AttemptEnd end, std::int64_t nowMs);
+    /** The last free slots are kept for lines that run less than their share; this request's line runs its share or more. */
+    bool mustLeaveReserve(const Pool &pool, const WorkRequest &request) const;
+    int lineWeight(const std::string &workspace) const;
     const std::string &lineOf(const WorkRequest &request) const;
     int weightOf(const WorkRequest &request) const;
 
--- a/tools/loadmodel.cpp
+++ b/tools/loadmodel.cpp
@@ -115,6 +115,7 @@
             WorkspacePlan workspace;
             workspace.m_name = load.m_name;
             workspace.m_weight = load.m_weight;
+            workspace.m_priority = load.m_priority;
             workspace.m_maxQueued = 10'000;
             table->m_plan.m_workspaces.push_back(workspace);
         }
--- a/tools/loadmodel.h
+++ b/tools/loadmodel.h
@@ -16,6 +16,7 @@
 struct WorkspaceLoad {
     std::string m_name;
     int m_weight = 1;
+    int m_priority = 9;
     double m_requestsPerSecond = 1.0;
     std::int64_t m_deadlineMs = 10'000;
     /** Different prompts of the workspace; 0: each is new. Prompts are drawn with a Zipf-like skew. */
