Fair queue: a line is charged only for what is dispatched

Cause: the scheduler popped a request, failed to place it and pushed it back, but the pop had raised the line's tag and the virtual time; a line that could not be served for a while no longer took turns with the others by weight. Change: peek before dispatch, pop after it. Test seen to fail first (the line took 4 of 4 turns instead of 2). The load model now also gives gateways the load that engines tell in their answers, as the daemons do.

--- a/autotests/schedulertest.cpp
+++ b/autotests/schedulertest.cpp
@@ -182,6 +182,39 @@
     CHECK(scheduler->counters().m_retriesDenied >= 880);
 }
 
+TEST_CASE("a line whose turn cannot be dispatched is not charged for it", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("a").workspace("b").upstream("u", 1).upstream("v", 1).make(), 0, actions);
+    const auto arriveForU = [&](std::uint64_t id, const std::string &workspace) {
+        WorkRequest request = makeRequest(id, workspace);
+        request.m_query.m_excluded = {"v"};
+        scheduler->arrive(request, 0, actions);
+    };
+    arriveForU(1, "x");
+    for (std::uint64_t id = 100; id < 105; ++id) {
+        arriveForU(id, "a");
+    }
+    // "v" is free, which none of them can use; every tick tries the first in line again.
+    for (std::int64_t now = 50; now < 1'000; now += 50) {
+        scheduler->tick(now, actions);
+    }
+    for (std::uint64_t id = 200; id < 205; ++id) {
+        arriveForU(id, "b");
+    }
+    std::uint64_t running = 1;
+    int ofA = 0;
+    for (int i = 0; i < 4; ++i) {
+        actions.clear();
+        scheduler->finish(running, AttemptEnd::Finished, 1'000, actions);
+        REQUIRE(actions.size() == 1);
+        running = actions.front().m_requestId;
+        ofA += running < 200 ? 1 : 0;
+    }
+    CHECK(ofA == 2);
+}
+
 TEST_CASE("a suspect runs by itself and is refused after it crashed an upstream alone", "[scheduler]")
 {
     const std::unique_ptr<Scheduler> scheduler = makeScheduler();
--- a/kernel/fairqueue.cpp
+++ b/kernel/fairqueue.cpp
@@ -36,6 +36,11 @@
     ++m_size;
 }
 
+const QueuedRequest *FairQueue::peek() const
+{
+    return m_turns.empty() ? nullptr : &m_lines.at(m_turns.begin()->second).m_requests.front();
+}
+
 std::optional<QueuedRequest> FairQueue::pop()
 {
     if (m_turns.empty()) {
--- a/kernel/fairqueue.h
+++ b/kernel/fairqueue.h
@@ -29,7 +29,9 @@
 public:
     /** Adds at the end of its workspace's line, or at the front when @p first. */
     void push(const QueuedRequest &request, int weight, bool first = false);
-    /** Takes the request whose turn it is. */
+    /** The request whose turn it is, left in its place, or null. */
+    const QueuedRequest *peek() const;
+    /** Takes the request whose turn it is, and charges its line for it. */
     std::optional<QueuedRequest> pop();
     /** Takes out @p id wherever it waits. Costs O(length of that workspace's line). */
     bool remove(const std::string &workspace, std::uint64_t id);
--- a/kernel/scheduler.cpp
+++ b/kernel/scheduler.cpp
@@ -453,13 +453,13 @@
 void Scheduler::drainQueue(Pool &pool, std::int64_t nowMs, Actions &actions)
 {
     while (pool.m_queue.size() > 0 && !pool.m_available.empty()) {
-        const QueuedRequest queued = *pool.m_queue.pop();
-        const WorkRequest request = m_waiting[queued.m_id];
+        const std::uint64_t id = pool.m_queue.peek()->m_id;
+        const WorkRequest request = m_waiting[id];
         if (mustLeaveReserve(pool, request) || !tryDispatch(pool, request, nowMs, actions)) {
-            pool.m_queue.push(queued, weightOf(request), true);
             return;
         }
-        m_waiting.erase(queued.m_id);
+        pool.m_queue.pop();
+        m_waiting.erase(id);
     }
 }
 
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -5,8 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Figures of one run: name of the figure to its value. */
 using Figures = std::map<std::string, double>;
 
--- a/tools/experimentsload.cpp
+++ b/tools/experimentsload.cpp
@@ -7,8 +7,7 @@
 
 #include <algorithm>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 double quantileOf(std::vector<double> values, double q)
 {
     if (values.empty()) {
@@ -19,8 +18,7 @@
     return values[place];
 }
 
-namespace
-{
+namespace {
 constexpr int Groups = 12;
 constexpr int GroupLimit = 8;
 /** Requests a second that 12 groups of 8 slots bear with the model's default times: 96 slots / (0.2 + 41 * 0.02) s. */
@@ -305,9 +303,8 @@
             good += static_cast<double>(entry.second.m_good);
         }
     }
-    return {{"groups_lost", static_cast<double>(result.m_crashes)},
-            {"others_good_share", good / offered},
-            {"own_good_share", goodShare(result, "workspace-3")}};
+    return {
+        {"groups_lost", static_cast<double>(result.m_crashes)}, {"others_good_share", good / offered}, {"own_good_share", goodShare(result, "workspace-3")}};
 }
 
 std::vector<std::string> faultVariants()
--- a/tools/httpload.cpp
+++ b/tools/httpload.cpp
@@ -17,12 +17,10 @@
 #include <map>
 #include <random>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 constexpr std::int64_t ConnectTimeoutMs = 2'000;
 constexpr std::int64_t AnswerSlackMs = 5'000;
 constexpr int MaxResends = 16;
@@ -174,7 +172,8 @@
     std::exponential_distribution<double> gap(state.m_options.m_rate / 1'000.0);
     double nextMs = static_cast<double>(steadyMs());
     for (std::uint64_t number = 0; steadyMs() < endMs; ++number) {
-        const std::string name = "p" + std::to_string(state.m_options.m_seed) + "-" + std::to_string(number) + "|" + std::to_string(state.m_options.m_maxTokens);
+        const std::string name =
+            "p" + std::to_string(state.m_options.m_seed) + "-" + std::to_string(number) + "|" + std::to_string(state.m_options.m_maxTokens);
         const std::string target = state.m_options.m_targets[state.m_random() % state.m_options.m_targets.size()];
         ++state.m_open;
         asio::co_spawn(co_await asio::this_coro::executor, oneCompletion(state, target, name), asio::detached);
--- a/tools/httpload.h
+++ b/tools/httpload.h
@@ -4,8 +4,7 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 /** Options of load over HTTP. */
 struct HttpLoadOptions {
     std::vector<std::string> m_targets;
--- a/tools/loadmain.cpp
+++ b/tools/loadmain.cpp
@@ -16,12 +16,10 @@
 #include <sstream>
 #include <thread>
 
-namespace knapweedslip
-{
+namespace knapweedslip {
 namespace json = boost::json;
 
-namespace
-{
+namespace {
 struct ExperimentOptions {
     std::string m_name;
     int m_seeds = 10;
@@ -213,10 +211,9 @@
     using namespace knapweedslip;
     CLI::App app("Load, experiments and checks", "knapweedslip-load");
     app.require_subcommand(1);
-    app.footer(
-        "Examples:\n"
-        "  knapweedslip-load experiment zone-move --seeds 10 --report zone.report.json\n"
-        "  knapweedslip-load completions --target 127.0.1.1:7000 --key-file w.key --model m --rate 50 --seconds 10");
+    app.footer("Examples:\n"
+               "  knapweedslip-load experiment zone-move --seeds 10 --report zone.report.json\n"
+               "  knapweedslip-load completions --target 127.0.1.1:7000 --key-file w.key --model m --rate 50 --seconds 10");
     std::function<int()> run;
     ExperimentOptions experiment;
     CheckOptions check;
--- a/tools/loadmodel.cpp
+++ b/tools/loadmodel.cpp
@@ -373,6 +373,8 @@
             crashEngine(engine, "poison");
             return;
         }
+        // The header of an engine's answer says how many requests it runs.
+        m_gateways[gateway].m_scheduler->reportLoad(engine.m_info.m_id, static_cast<int>(engine.m_running.size()), m_time.nowMs());
         schedule(action.m_requestId, request, engine);
     }
 
