--- a/daemons/attempt.cpp
+++ b/daemons/attempt.cpp
@@ -24,7 +24,8 @@
 awaitable<Result<HttpConnectionPtr>> connectUpstream(GatewayContext &context, const Upstream &upstream, bool fresh, std::int64_t timeoutMs)
 {
     if (!fresh) {
-        HttpConnectionPtr idle = context.m_connections.take(co_await asio::this_coro::executor, upstream.m_address, upstream.m_bootId);
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        HttpConnectionPtr idle = context.m_connections.take(executor, upstream.m_address, upstream.m_bootId);
         if (idle != nullptr) {
             co_return std::move(idle);
         }
--- a/daemons/dispatcher.cpp
+++ b/daemons/dispatcher.cpp
@@ -50,7 +50,8 @@
 
 awaitable<Action> Dispatcher::submit(WorkRequest request)
 {
-    const std::shared_ptr<OneShot<Action>> waiter = std::make_shared<OneShot<Action>>(co_await asio::this_coro::executor);
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    const std::shared_ptr<OneShot<Action>> waiter = std::make_shared<OneShot<Action>>(executor);
     const std::int64_t nowMs = steadyMs();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
--- a/daemons/domainkeeper.cpp
+++ b/daemons/domainkeeper.cpp
@@ -117,7 +117,11 @@
     }
     m_nextTryMs = nowMs + (input.m_preferred ? PreferredTryMs : OtherTryMs);
     const Result<bool> acquired = co_await storeAcquire(m_node.store(), claimKey(m_domain), m_node.settings().m_name, session.m_id);
-    if (failed(acquired) || !co_await readRecord() || !valueOf(acquired)) {
+    if (failed(acquired)) {
+        co_return;
+    }
+    const bool read = co_await readRecord();
+    if (!read || !valueOf(acquired)) {
         co_return;
     }
     DomainRecord next = m_record;
@@ -125,7 +129,8 @@
     next.m_availabilityZone = input.m_availabilityZone;
     ++next.m_fence;
     const std::uint64_t fence = next.m_fence;
-    if (!co_await writeRecord(std::move(next)) || m_record.m_fence != fence || m_record.m_holder != m_node.settings().m_name) {
+    const bool written = co_await writeRecord(std::move(next));
+    if (!written || m_record.m_fence != fence || m_record.m_holder != m_node.settings().m_name) {
         co_return;
     }
     m_claim.m_held = true;
--- a/daemons/intentledger.cpp
+++ b/daemons/intentledger.cpp
@@ -46,7 +46,8 @@
     if (m_pendingCount > MaxPending) {
         co_return Error{ErrorCode::StoreUnavailable, "too many claims wait for the store"};
     }
-    const std::shared_ptr<OneShot<IntentResult>> waiter = std::make_shared<OneShot<IntentResult>>(co_await asio::this_coro::executor);
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    const std::shared_ptr<OneShot<IntentResult>> waiter = std::make_shared<OneShot<IntentResult>>(executor);
     const std::int64_t giveUpMs = steadyMs() + timeoutMs;
     op.m_owner = m_owner;
     asio::post(m_node.context(), [this, pending = Pending{std::move(op), waiter, giveUpMs}]() {
--- a/daemons/modelrelay.cpp
+++ b/daemons/modelrelay.cpp
@@ -246,7 +246,8 @@
     const std::shared_ptr<bool> cut = std::make_shared<bool>(false);
     HttpConnection *raw = connection.get();
     const std::shared_ptr<bool> running = std::make_shared<bool>(true);
-    relay.m_context.m_dispatcher->watchAttempt(attemptId, *upstream, co_await asio::this_coro::executor, [raw, cut, running]() {
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    relay.m_context.m_dispatcher->watchAttempt(attemptId, *upstream, executor, [raw, cut, running]() {
         if (*running) {
             *cut = true;
             raw->m_stream.cancel();
--- a/daemons/servicecall.cpp
+++ b/daemons/servicecall.cpp
@@ -161,7 +161,8 @@
 /** Asks on the control thread, which owns the membership. */
 awaitable<bool> ownerMayLiveSafely(GatewayContext &context, std::string owner)
 {
-    const std::shared_ptr<OneShot<bool>> answer = std::make_shared<OneShot<bool>>(co_await asio::this_coro::executor);
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    const std::shared_ptr<OneShot<bool>> answer = std::make_shared<OneShot<bool>>(executor);
     asio::post(context.m_node->context(), [&context, owner, answer]() {
         answer->set(ownerMayLive(context, owner));
     });
@@ -266,9 +267,12 @@
             co_await answerProblem(state, Error{action.m_error, ""}, std::max(DefaultRetryAfterMs, action.m_retryAfterMs), RunOutcome::NotRun);
             co_return;
         }
-        if (needsClaim && !state.m_claimed && !co_await claim(state, work.m_fingerprint)) {
-            context.m_dispatcher->finish(work.m_id, AttemptEnd::Neutral);
-            co_return;
+        if (needsClaim && !state.m_claimed) {
+            const bool claimed = co_await claim(state, work.m_fingerprint);
+            if (!claimed) {
+                context.m_dispatcher->finish(work.m_id, AttemptEnd::Neutral);
+                co_return;
+            }
         }
         CallResult result = co_await sendOnce(state, *action.m_upstream);
         context.m_dispatcher->finish(work.m_id, result.m_end);
--- a/examples/deployment.sh
+++ b/examples/deployment.sh
@@ -60,6 +60,10 @@
     [ "$(warm_groups)" -ge "$1" ]
 }
 
+has_quorum() {
+    ctl --output json status | grep -q '"quorum":true'
+}
+
 prepare_deployment() { # name zone zone zone
     RUN=$(mktemp -d)
     PREFIX=127.$((RANDOM % 200 + 20))
--- a/net/asio.cpp
+++ b/net/asio.cpp
@@ -38,7 +38,8 @@
 
 awaitable<bool> sleepFor(std::int64_t ms)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(ms));
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, std::chrono::milliseconds(ms));
     const auto [error] = co_await timer.async_wait(UseTuple);
     co_return !error;
 }
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -77,7 +77,8 @@
     if (failed(endpoint)) {
         co_return errorOf(endpoint);
     }
-    HttpConnectionPtr connection = std::make_unique<HttpConnection>(beast::tcp_stream(co_await asio::this_coro::executor));
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    HttpConnectionPtr connection = std::make_unique<HttpConnection>(beast::tcp_stream(executor));
     connection->m_address = address;
     connection->m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
     const auto [error] = co_await connection->m_stream.async_connect(valueOf(endpoint), UseTuple);
@@ -115,7 +116,8 @@
 
 awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs)
 {
-    HttpConnectionPtr connection = pool.take(co_await asio::this_coro::executor, address, {});
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    HttpConnectionPtr connection = pool.take(executor, address, {});
     if (connection != nullptr) {
         const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
         if (!failed(reply)) {
--- a/net/peerlink.cpp
+++ b/net/peerlink.cpp
@@ -64,7 +64,8 @@
     if (failed(endpoint)) {
         co_return errorOf(endpoint);
     }
-    std::unique_ptr<PeerConnection> connection = std::make_unique<PeerConnection>(Tcp::socket(co_await asio::this_coro::executor));
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    std::unique_ptr<PeerConnection> connection = std::make_unique<PeerConnection>(Tcp::socket(executor));
     const SocketDeadline deadline(connection->m_socket, timeoutMs);
     const auto [connectError] = co_await connection->m_socket.async_connect(valueOf(endpoint), UseTuple);
     if (connectError) {
--- a/standins/enginevm.cpp
+++ b/standins/enginevm.cpp
@@ -265,7 +265,8 @@
     const std::string bootId = m_bootId;
     const std::uint64_t generation = m_generation;
     co_await sleepFor(m_options.m_firstTokenMs);
-    if (bootId != m_bootId || !co_await membersAnswer()) {
+    const bool whole = co_await membersAnswer();
+    if (bootId != m_bootId || !whole) {
         exchange.abort();
         co_return;
     }
@@ -297,8 +298,11 @@
         while (m_faults.m_frozen) {
             co_await sleepFor(10);
         }
-        const bool check = (k + 1) % MemberCheckTokens == 0;
-        if (bootId != m_bootId || down() || (check && !co_await membersAnswer())) {
+        bool stands = bootId == m_bootId && !down();
+        if (stands && (k + 1) % MemberCheckTokens == 0) {
+            stands = co_await membersAnswer();
+        }
+        if (!stands) {
             exchange.abort();
             co_return;
         }
--- a/tools/httpload.cpp
+++ b/tools/httpload.cpp
@@ -26,7 +26,15 @@
 constexpr int MaxResends = 16;
 
 struct LoadState {
+    explicit LoadState(const HttpLoadOptions &options)
+        : m_options(options)
+        , m_random(options.m_seed)
+    {
+    }
+
     const HttpLoadOptions &m_options;
+    /** Before the pool, whose connections must end before it. */
+    asio::io_context m_context{1};
     Secret m_key;
     std::mt19937_64 m_random;
     ConnectionPool m_pool;
@@ -96,7 +104,8 @@
 {
     const std::int64_t startedMs = steadyMs();
     note(state, HistoryKind::Invoke, name, {});
-    HttpConnectionPtr connection = state.m_pool.take(co_await asio::this_coro::executor, target, {});
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    HttpConnectionPtr connection = state.m_pool.take(executor, target, {});
     if (connection == nullptr) {
         Result<HttpConnectionPtr> made = co_await httpConnect(target, ConnectTimeoutMs);
         if (failed(made)) {
@@ -176,7 +185,8 @@
             "p" + std::to_string(state.m_options.m_seed) + "-" + std::to_string(number) + "|" + std::to_string(state.m_options.m_maxTokens);
         const std::string target = state.m_options.m_targets[state.m_random() % state.m_options.m_targets.size()];
         ++state.m_open;
-        asio::co_spawn(co_await asio::this_coro::executor, oneCompletion(state, target, name), asio::detached);
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        asio::co_spawn(executor, oneCompletion(state, target, name), asio::detached);
         nextMs += gap(state.m_random);
         const std::int64_t pause = static_cast<std::int64_t>(nextMs) - steadyMs();
         if (pause > 0) {
@@ -202,7 +212,8 @@
         for (int send = 0; send < std::min(MaxResends, state.m_options.m_resends); ++send) {
             ++state.m_open;
             const std::int64_t delayMs = send == 0 ? 0 : static_cast<std::int64_t>(state.m_random() % LongestResendMs);
-            asio::co_spawn(co_await asio::this_coro::executor, resend(state, key, send, delayMs), asio::detached);
+            const asio::any_io_executor executor = co_await asio::this_coro::executor;
+            asio::co_spawn(executor, resend(state, key, send, delayMs), asio::detached);
         }
         co_await sleepFor(std::max<std::int64_t>(1, static_cast<std::int64_t>(gap(state.m_random))));
     }
@@ -240,9 +251,8 @@
         return errorOf(key);
     }
     state.m_key = valueOf(key);
-    asio::io_context context(1);
-    asio::co_spawn(context, loop(state), asio::detached);
-    context.run();
+    asio::co_spawn(state.m_context, loop(state), asio::detached);
+    state.m_context.run();
     writeReport(state);
     return Done{};
 }
@@ -261,7 +271,7 @@
 
 int loadCompletions(const HttpLoadOptions &options)
 {
-    LoadState state{options, {}, std::mt19937_64(options.m_seed), {}, {}, {}, {}, {}, 0, 0};
+    LoadState state(options);
     const Result<Done> done = runLoad(state, completionLoop);
     if (failed(done)) {
         std::cerr << describe(errorOf(done)) << "\n";
@@ -275,7 +285,7 @@
 
 int loadPaid(const HttpLoadOptions &options)
 {
-    LoadState state{options, {}, std::mt19937_64(options.m_seed), {}, {}, {}, {}, {}, 0, 0};
+    LoadState state(options);
     const Result<Done> done = runLoad(state, paidLoop);
     if (failed(done)) {
         std::cerr << describe(errorOf(done)) << "\n";
