Gossip with messages of bounded size; what a daemon may know after a restart

Cause: each round sent every known daemon to three peers, and each change went from everybody to everybody: at the target size a daemon would send far over 7 KB a second. Change: a message names at most 16 other daemons, news goes to log2(n) + 4 peers, those behind first; entries carry their age; only daemons that were sure of their view once since their start count for the quorum; who hears of a newer view stops and asks for it. A daemon counts as dead after 3 s of silence instead of 2 s, since news now takes up to two steps.

--- a/autotests/documentstest.cpp
+++ b/autotests/documentstest.cpp
@@ -65,19 +65,22 @@
         std::int64_t m_confirmedAtMs;
         int m_known;
         int m_reachable;
+        std::uint64_t m_newestIndex;
         Freshness m_freshness;
     };
     const std::vector<Row> rows{
-        {9'000, 8, 1, Freshness::Current},
-        {1'000, 8, 5, Freshness::StoreOutage},
-        {1'000, 8, 4, Freshness::Stale},
-        {1'000, 1, 1, Freshness::StoreOutage},
-        {-1, 8, 8, Freshness::Stale},
+        {9'000, 8, 1, 9, Freshness::Current},
+        {1'000, 8, 5, 7, Freshness::StoreOutage},
+        {1'000, 8, 4, 7, Freshness::Stale},
+        {1'000, 1, 1, 0, Freshness::StoreOutage},
+        {-1, 8, 8, 7, Freshness::Stale},
+        {1'000, 8, 8, 8, Freshness::Stale},
     };
     for (const Row &row : rows) {
         DocumentView view;
         view.m_confirmedAtMs = row.m_confirmedAtMs;
-        CHECK(judgeFreshness(view, Reach{row.m_known, row.m_reachable}, 10'000, 4'000) == row.m_freshness);
+        view.m_index = 7;
+        CHECK(judgeFreshness(view, Reach{row.m_known, row.m_reachable, row.m_newestIndex}, 10'000, 4'000) == row.m_freshness);
     }
 }
 
--- a/autotests/promiseconfigtest.cpp
+++ b/autotests/promiseconfigtest.cpp
@@ -123,8 +123,8 @@
         if (&a == &b || a.m_cutFromPeers || b.m_cutFromPeers) {
             return;
         }
-        mergeMembers(b.m_membership, beat(a.m_membership), m_time.nowMs());
-        mergeMembers(a.m_membership, beat(b.m_membership), m_time.nowMs());
+        mergeMembers(b.m_membership, beat(a.m_membership, m_time.nowMs(), m_random), m_time.nowMs());
+        mergeMembers(a.m_membership, beat(b.m_membership, m_time.nowMs(), m_random), m_time.nowMs());
         take(b, deltaSince(a.m_view, b.m_view.m_index, m_time.nowMs()));
         take(a, deltaSince(b.m_view, a.m_view.m_index, m_time.nowMs()));
     }
@@ -132,7 +132,7 @@
     Reach reach(const Daemon &daemon) const
     {
         const MemberCount count = countMembers(daemon.m_membership, m_time.nowMs());
-        return Reach{count.m_known, count.m_living};
+        return Reach{count.m_known, count.m_living, count.m_newestIndex};
     }
 
     void round(std::size_t i)
@@ -141,10 +141,11 @@
         if (i < 2 || confirmationAgeMs(daemon.m_view, m_time.nowMs()) > 2'000) {
             readStore(daemon);
         }
-        for (int k = 0; k < 3; ++k) {
+        for (int k = 0; k < 1; ++k) {
             gossip(daemon, m_daemons[m_random() % m_daemons.size()]);
         }
         const bool fresh = judgeFreshness(daemon.m_view, reach(daemon), m_time.nowMs(), MaxAgeMs) != Freshness::Stale;
+        daemon.m_membership.m_self.m_synced = daemon.m_membership.m_self.m_synced || fresh;
         if (fresh || m_mechanism == Mechanism::NoFreshness) {
             note(HistoryKind::Dispatched, identity(daemon), daemon.m_view.m_index);
         }
@@ -170,7 +171,7 @@
     void awaitMajority(const std::string &admin, std::uint64_t index, std::int64_t limitMs)
     {
         for (const Daemon &daemon : m_daemons) {
-            if (identity(daemon) == admin && hasQuorum(Reach{static_cast<int>(m_daemons.size()), countHolders(daemon.m_membership, index)})) {
+            if (identity(daemon) == admin && hasQuorum(Reach{static_cast<int>(m_daemons.size()), countHolders(daemon.m_membership, index), index})) {
                 note(HistoryKind::Accepted, {}, index);
                 return;
             }
--- a/kernel/documents.cpp
+++ b/kernel/documents.cpp
@@ -89,7 +89,7 @@
         return Freshness::Current;
     }
     // A view that was never confirmed may be older than anything the others hold.
-    if (view.m_confirmedAtMs >= 0 && hasQuorum(reach)) {
+    if (view.m_confirmedAtMs >= 0 && hasQuorum(reach) && reach.m_newestIndex <= view.m_index) {
         return Freshness::StoreOutage;
     }
     return Freshness::Stale;
--- a/kernel/documents.h
+++ b/kernel/documents.h
@@ -61,8 +61,10 @@
 struct Reach {
     /** Daemons named in the settings, this one included. */
     int m_knownDaemons = 1;
-    /** Daemons heard from lately, this one included. */
-    int m_reachableDaemons = 1;
+    /** Synced daemons heard from lately, this one included if it is synced. */
+    int m_reachableDaemons = 0;
+    /** Highest index that one of them says it holds. */
+    std::uint64_t m_newestIndex = 0;
 };
 
 /** More than half of the known daemons are reachable. */
@@ -71,7 +73,7 @@
 enum class Freshness {
     /** Confirmed lately. */
     Current,
-    /** Not confirmed, but with a quorum: nothing can have been accepted without one of these daemons hearing of it. */
+    /** Not confirmed, but with a quorum, none of which holds more: nothing can have been accepted without one of them holding it. */
     StoreOutage,
     /** Neither: this daemon must take no new work. */
     Stale,
--- a/kernel/membership.cpp
+++ b/kernel/membership.cpp
@@ -1,6 +1,6 @@
 // Problem: every daemon must know who lives, who is ready and who holds which view, with nobody set aside to keep the list.
-// Approach: gossip. Each daemon raises its own heartbeat and passes on the highest it has seen of the others to a few random peers;
-// a daemon whose heartbeat has not risen for a while counts as dead. State and messages grow with the daemons of one region only.
+// Approach: gossip. Each daemon raises its own heartbeat and passes on the highest it has seen of some others to a random peer; a daemon
+// whose heartbeat has not risen for a while counts as dead. A message has a bounded size; news travels through a few peers at a time.
 // All-to-all heartbeats cost messages in the square of the number of daemons, and leases in the store cost it writes.
 
 #include "kernel/membership.h"
@@ -8,6 +8,8 @@
 #include "kernel/hashing.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 namespace knapweedslip {
 void mergeMembers(Membership &membership, const std::vector<Member> &members, std::int64_t nowMs)
@@ -20,19 +22,24 @@
         Member &held = it->second;
         const bool newer = member.m_incarnation > held.m_incarnation || (member.m_incarnation == held.m_incarnation && member.m_heartbeat > held.m_heartbeat);
         if (isNew || newer) {
+            // Whoever was out of touch passes on old news; it must not make a dead daemon look alive.
             held = member;
-            held.m_heardMs = nowMs;
+            held.m_heardMs = nowMs - member.m_ageMs;
         }
     }
 }
 
-std::vector<Member> beat(Membership &membership)
+std::vector<Member> beat(Membership &membership, std::int64_t nowMs, std::mt19937_64 &random)
 {
     ++membership.m_self.m_heartbeat;
     std::vector<Member> members{membership.m_self};
+    std::vector<Member> others;
+    others.reserve(membership.m_members.size());
     for (const std::pair<const std::string, Member> &entry : membership.m_members) {
-        members.push_back(entry.second);
+        others.push_back(entry.second);
+        others.back().m_ageMs = std::max<std::int64_t>(0, nowMs - entry.second.m_heardMs);
     }
+    std::sample(others.begin(), others.end(), std::back_inserter(members), MembersPerMessage, random);
     return members;
 }
 
@@ -64,12 +71,17 @@
 MemberCount countMembers(const Membership &membership, std::int64_t nowMs)
 {
     MemberCount count;
+    count.m_newestIndex = membership.m_self.m_viewIndex;
+    count.m_living = membership.m_self.m_synced ? 1 : 0;
     for (const PeerAddress &peer : membership.m_peers) {
         if (peer.m_name == membership.m_self.m_name) {
             continue;
         }
         ++count.m_known;
-        count.m_living += memberLives(membership, peer.m_name, nowMs) ? 1 : 0;
+        if (memberLives(membership, peer.m_name, nowMs)) {
+            count.m_living += membership.m_members.at(peer.m_name).m_synced ? 1 : 0;
+            count.m_newestIndex = std::max(count.m_newestIndex, membership.m_members.at(peer.m_name).m_viewIndex);
+        }
     }
     return count;
 }
@@ -108,4 +120,18 @@
     peers.resize(std::min(peers.size(), count));
     return peers;
 }
+
+std::vector<PeerAddress> chooseNewsPeers(const Membership &membership, std::mt19937_64 &random)
+{
+    constexpr std::size_t ExtraPeers = 3;
+    std::vector<PeerAddress> peers = choosePeers(membership, membership.m_peers.size(), random);
+    const auto behind = [&membership](const PeerAddress &peer) {
+        const auto it = membership.m_members.find(peer.m_name);
+        return it == membership.m_members.end() || it->second.m_viewIndex < membership.m_self.m_viewIndex;
+    };
+    std::stable_partition(peers.begin(), peers.end(), behind);
+    const std::size_t count = ExtraPeers + static_cast<std::size_t>(std::ceil(std::log2(static_cast<double>(peers.size()) + 1.0)));
+    peers.resize(std::min(peers.size(), count));
+    return peers;
+}
 }
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -29,7 +29,14 @@
     std::uint64_t m_viewIndex = 0;
     bool m_ready = false;
     bool m_leaving = false;
-    /** Local time of the last rise of its heartbeat; not sent. */
+    /**
+     * Since its start it has been sure once that its view was current. Until then it has forgotten what it held before and is no witness
+     * that nothing newer was accepted.
+     */
+    bool m_synced = false;
+    /** How old this news of it is, as sent, in ms. */
+    std::int64_t m_ageMs = 0;
+    /** Local time of the last rise of its heartbeat, less the age of the news; not sent. */
     std::int64_t m_heardMs = -1;
 };
 
@@ -48,13 +55,16 @@
     std::map<std::string, Member> m_members;
 };
 
-inline constexpr std::int64_t MemberSilentMs = 2'000;
+inline constexpr std::int64_t MemberSilentMs = 3'000;
 
 /** Takes over what a peer says about daemons. Lower incarnations and heartbeats are ignored. */
 void mergeMembers(Membership &membership, const std::vector<Member> &members, std::int64_t nowMs);
 
-/** Raises the own heartbeat and returns everything to be sent. */
-std::vector<Member> beat(Membership &membership);
+/** Other daemons named in one message, at most; chosen at random, so that a message's size does not grow with the deployment. */
+inline constexpr std::size_t MembersPerMessage = 16;
+
+/** Raises the own heartbeat and returns the own entry and a sample of the others. */
+std::vector<Member> beat(Membership &membership, std::int64_t nowMs, std::mt19937_64 &random);
 
 /** Heard of within MemberSilentMs. The own daemon always lives. */
 bool memberLives(const Membership &membership, const std::string &name, std::int64_t nowMs);
@@ -62,10 +72,12 @@
 /** Names of living daemons of @p role that are ready and not leaving, in name order. */
 std::vector<std::string> livingMembers(const Membership &membership, Role role, std::int64_t nowMs);
 
-/** Daemons known from the settings and those of them heard lately; both count this one. */
+/** Daemons known from the settings, and those of them that are synced and were heard lately; both count this one. */
 struct MemberCount {
     int m_known = 1;
-    int m_living = 1;
+    int m_living = 0;
+    /** Highest view index that a living one says it holds. */
+    std::uint64_t m_newestIndex = 0;
 };
 
 MemberCount countMembers(const Membership &membership, std::int64_t nowMs);
@@ -81,4 +93,10 @@
 
 /** Up to @p count peers to talk to in this round, chosen at random. */
 std::vector<PeerAddress> choosePeers(const Membership &membership, std::size_t count, std::mt19937_64 &random);
+
+/**
+ * Peers to be told of fresh news at once: a few more than the logarithm of their number, those behind this daemon's view first. Each that
+ * hears it does the same, so that all hear it in a few steps and no daemon talks to all.
+ */
+std::vector<PeerAddress> chooseNewsPeers(const Membership &membership, std::mt19937_64 &random);
 }
--- a/net/node.cpp
+++ b/net/node.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 constexpr std::int64_t GossipIntervalMs = 200;
-constexpr std::size_t GossipFanOut = 3;
+constexpr std::size_t GossipFanOut = 1;
 constexpr std::int64_t PeerTimeoutMs = 1'000;
 constexpr std::int64_t PeerIdleMs = 30'000;
 constexpr std::int64_t ReportLifeMs = 5'000;
@@ -119,7 +119,7 @@
 Reach Node::reach() const
 {
     const MemberCount count = countMembers(m_membership, steadyMs());
-    return Reach{count.m_known, count.m_living};
+    return Reach{count.m_known, count.m_living, count.m_newestIndex};
 }
 
 bool Node::stopping() const
@@ -141,7 +141,7 @@
     message.m_viewIndex = m_view.m_index;
     message.m_confirmationAgeMs = m_view.m_confirmedAtMs < 0 ? -1 : nowMs - m_view.m_confirmedAtMs;
     m_membership.m_self.m_viewIndex = m_view.m_index;
-    message.m_members = beat(m_membership);
+    message.m_members = beat(m_membership, nowMs, m_random);
     for (const std::pair<const ReportKey, HeldReport> &entry : m_reports) {
         message.m_reports.push_back({entry.second.m_report, nowMs - entry.second.m_bornMs});
     }
@@ -179,9 +179,13 @@
 {
     const std::int64_t nowMs = steadyMs();
     mergeMembers(m_membership, message.m_members, nowMs);
+    bool news = false;
     for (const AgedReport &report : message.m_reports) {
-        if (takeReport(report) && m_hooks.m_onReport) {
-            m_hooks.m_onReport(report.m_report);
+        if (takeReport(report)) {
+            news = true;
+            if (m_hooks.m_onReport) {
+                m_hooks.m_onReport(report.m_report);
+            }
         }
     }
     for (const AgedStrike &strike : message.m_strikes) {
@@ -194,6 +198,9 @@
     if (message.m_viewIndex == m_view.m_index) {
         takeDelta(DocumentDelta{m_view.m_index, m_view.m_index, message.m_confirmationAgeMs, {}});
     }
+    if (news) {
+        broadcast();
+    }
 }
 
 void Node::takeDelta(const DocumentDelta &delta)
@@ -219,6 +226,7 @@
         return;
     }
     m_freshness = now;
+    m_membership.m_self.m_synced = m_membership.m_self.m_synced || now != Freshness::Stale;
     m_membership.m_self.m_ready = now != Freshness::Stale && !m_stopping;
     logEvent(LogEvent::FreshnessChanged, {{"freshness", std::string(enumName(FreshnessNames, now))}, {"index", std::to_string(m_view.m_index)}});
     if (m_hooks.m_onFreshness) {
@@ -235,10 +243,8 @@
 
 void Node::broadcast()
 {
-    for (const PeerAddress &peer : m_membership.m_peers) {
-        if (peer.m_name != m_settings.m_name) {
-            asio::co_spawn(context(), talkTo(peer), asio::detached);
-        }
+    for (const PeerAddress &peer : chooseNewsPeers(m_membership, m_random)) {
+        asio::co_spawn(context(), talkTo(peer), asio::detached);
     }
 }
 
@@ -270,11 +276,27 @@
         for (const PeerAddress &peer : choosePeers(m_membership, GossipFanOut, m_random)) {
             asio::co_spawn(context(), talkTo(peer), asio::detached);
         }
+        askThoseAhead();
         updateFreshness();
         co_await sleepFor(GossipIntervalMs);
     }
 }
 
+void Node::askThoseAhead()
+{
+    const std::uint64_t newest = reach().m_newestIndex;
+    if (newest <= m_view.m_index) {
+        return;
+    }
+    for (const PeerAddress &peer : m_membership.m_peers) {
+        const auto it = m_membership.m_members.find(peer.m_name);
+        if (it != m_membership.m_members.end() && it->second.m_viewIndex == newest) {
+            asio::co_spawn(context(), talkTo(peer), asio::detached);
+            return;
+        }
+    }
+}
+
 awaitable<void> Node::talkTo(PeerAddress peer)
 {
     // One exchange with a peer at a time; news that comes meanwhile goes with the next.
--- a/net/node.h
+++ b/net/node.h
@@ -59,11 +59,11 @@
     Freshness freshness() const;
     /** Daemons heard lately over daemons known. */
     Reach reach() const;
-    /** Tells all peers at once, and goes on telling them while the news is young. */
+    /** Tells the peers at once, and goes on telling them while the news is young. */
     void report(const UpstreamReport &report);
-    /** Starts a round with every peer now. */
+    /** Tells some peers now, who tell others. */
     void broadcast();
-    /** As broadcast(), but returns when every living peer has answered or @p timeoutMs is over. */
+    /** Tells every living peer and returns when all have answered or @p timeoutMs is over. */
     awaitable<void> broadcastAndWait(std::int64_t timeoutMs);
     /** Takes over documents that this daemon has just written or read itself. */
     void takeDelta(const DocumentDelta &delta);
@@ -90,6 +90,8 @@
     bool takeReport(const AgedReport &report);
     void forgetOldReports(std::int64_t nowMs);
     void updateFreshness();
+    /** Talks to a daemon that says it holds a newer view. */
+    void askThoseAhead();
     std::string dump() const;
     std::string metrics() const;
 
--- a/net/peercodec.cpp
+++ b/net/peercodec.cpp
@@ -24,6 +24,8 @@
         item->view_index = member.m_viewIndex;
         item->ready = member.m_ready;
         item->leaving = member.m_leaving;
+        item->synced = member.m_synced;
+        item->age_ms = static_cast<std::uint32_t>(member.m_ageMs);
         heartbeat.members.push_back(std::move(item));
     }
     for (const AgedReport &report : message.m_reports) {
@@ -90,6 +92,8 @@
         member.m_viewIndex = item->view_index;
         member.m_ready = item->ready;
         member.m_leaving = item->leaving;
+        member.m_synced = item->synced;
+        member.m_ageMs = item->age_ms;
         message.m_members.push_back(std::move(member));
     }
     for (const std::unique_ptr<wire::ReportT> &item : heartbeat.reports) {
--- a/wire/peer_generated.h
+++ b/wire/peer_generated.h
@@ -257,6 +257,8 @@
   uint64_t view_index = 0;
   bool ready = false;
   bool leaving = false;
+  bool synced = false;
+  uint32_t age_ms = 0;
 };
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -270,7 +272,9 @@
     VT_HEARTBEAT = 12,
     VT_VIEW_INDEX = 14,
     VT_READY = 16,
-    VT_LEAVING = 18
+    VT_LEAVING = 18,
+    VT_SYNCED = 20,
+    VT_AGE_MS = 22
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -296,6 +300,12 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  bool synced() const {
+    return GetField<uint8_t>(VT_SYNCED, 0) != 0;
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -308,6 +318,8 @@
            VerifyField<uint64_t>(verifier, VT_VIEW_INDEX, 8) &&
            VerifyField<uint8_t>(verifier, VT_READY, 1) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SYNCED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -343,6 +355,12 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Member::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_synced(bool synced) {
+    fbb_.AddElement<uint8_t>(Member::VT_SYNCED, static_cast<uint8_t>(synced), 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(Member::VT_AGE_MS, age_ms, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -363,13 +381,17 @@
     uint64_t heartbeat = 0,
     uint64_t view_index = 0,
     bool ready = false,
-    bool leaving = false) {
+    bool leaving = false,
+    bool synced = false,
+    uint32_t age_ms = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_view_index(view_index);
   builder_.add_heartbeat(heartbeat);
   builder_.add_incarnation(incarnation);
+  builder_.add_age_ms(age_ms);
   builder_.add_zone(zone);
   builder_.add_name(name);
+  builder_.add_synced(synced);
   builder_.add_leaving(leaving);
   builder_.add_ready(ready);
   builder_.add_role(role);
@@ -385,7 +407,9 @@
     uint64_t heartbeat = 0,
     uint64_t view_index = 0,
     bool ready = false,
-    bool leaving = false) {
+    bool leaving = false,
+    bool synced = false,
+    uint32_t age_ms = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return knapweedslip::wire::CreateMember(
@@ -397,7 +421,9 @@
       heartbeat,
       view_index,
       ready,
-      leaving);
+      leaving,
+      synced,
+      age_ms);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1078,6 +1104,8 @@
   { auto _e = view_index(); _o->view_index = _e; }
   { auto _e = ready(); _o->ready = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = synced(); _o->synced = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1096,6 +1124,8 @@
   auto _view_index = _o->view_index;
   auto _ready = _o->ready;
   auto _leaving = _o->leaving;
+  auto _synced = _o->synced;
+  auto _age_ms = _o->age_ms;
   return knapweedslip::wire::CreateMember(
       _fbb,
       _name,
@@ -1105,7 +1135,9 @@
       _heartbeat,
       _view_index,
       _ready,
-      _leaving);
+      _leaving,
+      _synced,
+      _age_ms);
 }
 
 inline ReportT *Report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
