--- a/daemons/gateway.cpp
+++ b/daemons/gateway.cpp
@@ -171,7 +171,7 @@
     Node node(threads, settings.m_common, gatewayHooks(context, server));
     context.m_node = &node;
     const std::string incarnation = std::to_string(node.membership().m_self.m_incarnation);
-    context.m_ledger = std::make_unique<IntentLedger>(node, settings.m_common.m_name + "/" + incarnation);
+    context.m_ledger = std::make_unique<IntentLedger>(node, settings.m_common.m_name + "/" + incarnation, settings.m_intentWritesPerSecond);
     HttpServerLimits limits;
     limits.m_maxBodyBytes = static_cast<std::size_t>(settings.m_maxBodyBytes);
     Result<std::shared_ptr<HttpServer>> listening = HttpServer::create(
--- a/daemons/intentledger.cpp
+++ b/daemons/intentledger.cpp
@@ -1,23 +1,29 @@
 // Problem: claims must reach the store before requests go out, with few writes, and through lost answers and outages.
-// Approach: one writer a shard takes everything that waits, reads, applies and writes by compare-and-swap, and starts over after a
-// conflict or an unclear write. A claim nobody waits for any more is released, so that it cannot block its key.
+// Approach: writes take turns at this gateway's part of the store's rate; one writer a shard takes everything that waits, reads, applies and writes by
+// compare-and-swap, and starts over after a conflict or an unclear write. A claim nobody waits for any more is released, so that it cannot block its key.
 // Dropping a claim after an unclear write leaves a key that looks as if its request ran.
 
 #include "daemons/intentledger.h"
 
 #include "net/logging.h"
 
+#include <algorithm>
+
 namespace knapweedslip {
 namespace {
 constexpr std::int64_t RetryPauseMs = 50;
 constexpr std::int64_t ForeverMs = 365LL * 24 * 60 * 60 * 1'000;
 constexpr int MaxTriesPerRound = 8;
 constexpr std::size_t MaxPending = 50'000;
+constexpr double MsPerSecond = 1'000.0;
+/** Turns that may be saved up while little is written. */
+constexpr double BurstTurns = 10.0;
 }
 
-IntentLedger::IntentLedger(Node &node, std::string owner)
+IntentLedger::IntentLedger(Node &node, std::string owner, double writesPerSecond)
     : m_node(node)
     , m_owner(std::move(owner))
+    , m_msPerWrite(MsPerSecond / writesPerSecond)
 {
 }
 
@@ -106,10 +112,21 @@
     }
 }
 
+awaitable<void> IntentLedger::waitForTurn()
+{
+    const double nowMs = static_cast<double>(steadyMs());
+    m_nextTurnMs = std::max(m_nextTurnMs, nowMs - BurstTurns * m_msPerWrite) + m_msPerWrite;
+    const std::int64_t waitMs = static_cast<std::int64_t>(m_nextTurnMs - nowMs);
+    if (waitMs > 0) {
+        co_await sleepFor(waitMs);
+    }
+}
+
 awaitable<void> IntentLedger::runShard(std::size_t shard)
 {
     Batch batch;
     while (true) {
+        co_await waitForTurn();
         batch.insert(batch.end(), m_pending[shard].begin(), m_pending[shard].end());
         m_pending[shard].clear();
         withdraw(batch, steadyMs());
--- a/daemons/intentledger.h
+++ b/daemons/intentledger.h
@@ -17,7 +17,8 @@
 class IntentLedger
 {
 public:
-    IntentLedger(Node &node, std::string owner);
+    /** @param writesPerSecond this gateway's part of the writes that the store takes. */
+    IntentLedger(Node &node, std::string owner, double writesPerSecond);
 
     /**
      * Carries out @p op and returns what it came to. Fails with StoreUnavailable when the store did not answer within @p timeoutMs; a
@@ -43,12 +44,16 @@
 
     void enqueue(Pending pending);
     awaitable<void> runShard(std::size_t shard);
+    /** Waits for this gateway's next turn to write; what arrives meanwhile goes into the same write. */
+    awaitable<void> waitForTurn();
     awaitable<bool> commit(std::size_t shard, Batch &batch);
     static std::vector<IntentOp> opsOf(const Batch &batch);
     void withdraw(Batch &batch, std::int64_t nowMs);
 
     Node &m_node;
     std::string m_owner;
+    double m_msPerWrite;
+    double m_nextTurnMs = 0.0;
     std::array<Batch, IntentShards> m_pending;
     std::array<bool, IntentShards> m_busy{};
     std::atomic<std::size_t> m_pendingCount{0};
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -7,6 +7,9 @@
 
 namespace knapweedslip {
 namespace {
+/** A time limit may be overrun by this part of it. */
+constexpr std::int64_t LimitSlackPart = 4;
+
 http::request<http::string_body> toMessage(const HttpConnection &connection, const HttpRequest &request)
 {
     http::request<http::string_body> message(http::string_to_verb(request.m_method), request.m_target, 11);
@@ -151,6 +154,7 @@
 awaitable<Result<Done>> HttpStream::open(const HttpRequest &request, std::int64_t timeoutMs)
 {
     const http::request<http::string_body> message = toMessage(m_connection, request);
+    m_connection.m_limitMs = steadyMs() + timeoutMs;
     m_connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
     const auto [writeError, written] = co_await http::async_write(m_connection.m_stream, message, UseTuple);
     if (writeError) {
@@ -178,7 +182,11 @@
     while (!m_parser.is_done()) {
         m_parser.get().body().data = m_piece.data();
         m_parser.get().body().size = m_piece.size();
-        m_connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
+        const std::int64_t nowMs = steadyMs();
+        if (m_connection.m_limitMs < nowMs + timeoutMs) {
+            m_connection.m_limitMs = nowMs + timeoutMs + timeoutMs / LimitSlackPart;
+            m_connection.m_stream.expires_after(std::chrono::milliseconds(m_connection.m_limitMs - nowMs));
+        }
         auto [error, size] = co_await http::async_read_some(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
         if (error && error != http::error::need_buffer) {
             co_return toError(error);
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -19,6 +19,8 @@
     std::string m_address;
     /** Identity of the engine process behind it, once asked; a process keeps its connections to itself. */
     std::string m_bootId;
+    /** Until when the stream's own time limit holds; it is moved on only now and then, since each move costs a system call. */
+    std::int64_t m_limitMs = 0;
     /** It was used before and may have been closed by the other side meanwhile. */
     bool m_reused = false;
 };
@@ -64,7 +66,10 @@
     awaitable<Result<Done>> open(const HttpRequest &request, std::int64_t timeoutMs);
     unsigned status() const;
     std::string header(std::string_view name) const;
-    /** The next piece of the body; empty at its proper end. Fails with Timeout or ConnectionLost. */
+    /**
+     * The next piece of the body; empty at its proper end. Fails with Timeout when the other side is silent for @p timeoutMs to 1.25 times
+     * that, or with ConnectionLost.
+     */
     awaitable<Result<std::string>> read(std::int64_t timeoutMs);
     /** The body was read to its end, so the connection may be used again. */
     bool finished() const;
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -64,7 +64,7 @@
     setFields(message, headers);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
-    m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    extendLimit();
     const auto [error, size] = co_await http::async_write_header(m_stream, serializer, UseTuple);
     if (error) {
         m_reusable = false;
@@ -73,9 +73,19 @@
     co_return Done{};
 }
 
+void HttpExchange::extendLimit()
+{
+    // Each move of the limit costs a system call, so it is moved only when half of it is used up.
+    const std::int64_t nowMs = steadyMs();
+    if (m_limitMs < nowMs + WriteTimeoutMs / 2) {
+        m_limitMs = nowMs + WriteTimeoutMs;
+        m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    }
+}
+
 awaitable<Result<Done>> HttpExchange::writeChunk(std::string_view text)
 {
-    m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
+    extendLimit();
     const auto [error, size] = co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(text.data(), text.size())), UseTuple);
     if (error) {
         m_reusable = false;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -32,6 +32,10 @@
     HttpRequest m_request;
     bool m_answered = false;
     bool m_reusable = true;
+    /** Until when the stream's time limit for writing holds. */
+    std::int64_t m_limitMs = 0;
+
+    void extendLimit();
 };
 
 using HttpHandler = std::function<awaitable<void>(HttpExchange &)>;
--- a/net/settings.cpp
+++ b/net/settings.cpp
@@ -112,6 +112,7 @@
     settings.m_upstreamSilenceMs = readInteger(reader, root, "upstream_silence_ms", 1, MaxTimeMs, settings.m_upstreamSilenceMs);
     settings.m_maxBodyBytes = readInteger(reader, root, "max_body_bytes", 1, MaxBodyBytes, settings.m_maxBodyBytes);
     settings.m_retryPercent = static_cast<int>(readInteger(reader, root, "retry_percent", 0, 100, settings.m_retryPercent));
+    settings.m_intentWritesPerSecond = static_cast<int>(readInteger(reader, root, "intent_writes_per_s", 1, MaxTimeMs, settings.m_intentWritesPerSecond));
     return settings;
 }
 
@@ -175,7 +176,8 @@
                                       "max_deadline_ms",
                                       "upstream_silence_ms",
                                       "max_body_bytes",
-                                      "retry_percent"},
+                                      "retry_percent",
+                                      "intent_writes_per_s"},
                                      readGateway);
 }
 
--- a/net/settings.h
+++ b/net/settings.h
@@ -46,6 +46,8 @@
     std::int64_t m_upstreamSilenceMs = 5'000;
     std::int64_t m_maxBodyBytes = 1'048'576;
     int m_retryPercent = 10;
+    /** Writes of the intent ledger by this gateway, a second. */
+    int m_intentWritesPerSecond = 37;
 };
 
 struct ControllerSettings {
