--- a/kernel/placement.cpp
+++ b/kernel/placement.cpp
@@ -194,6 +194,10 @@
             missing -= group.m_model == model.m_name ? 1 : 0;
         }
         const std::size_t size = static_cast<std::size_t>(model.m_groupVms);
+        // Those that hold the weights come first: they need no load.
+        std::stable_partition(spares.begin(), spares.end(), [&model](const VmState &vm) {
+            return vm.m_loaded == model.m_name + "@" + model.m_version;
+        });
         for (; missing > 0 && spares.size() >= size; --missing) {
             GroupRecord group;
             group.m_id = freeGroupId(record, model.m_name);
--- a/kernel/placementrules.cpp
+++ b/kernel/placementrules.cpp
@@ -66,11 +66,20 @@
     return broken;
 }
 
-void fillFromSpares(DomainRecord &record, std::vector<VmState> &spares, const PlacementInput &input)
+bool holdsWeights(const VmState &vm, const GroupRecord &group)
+{
+    return vm.m_loaded == group.m_model + "@" + group.m_version;
+}
+
+/** Completes broken groups from spares, those with fewest missing members first; @p loadedOnly: only from spares that need no load. */
+void fill(DomainRecord &record, std::vector<VmState> &spares, const PlacementInput &input, bool loadedOnly)
 {
     for (GroupRecord *group : brokenGroups(record, *input.m_plan)) {
         const std::size_t missing = missingMembers(*group, *input.m_plan);
-        if (missing > spares.size()) {
+        const std::ptrdiff_t fitting = std::count_if(spares.begin(), spares.end(), [&](const VmState &vm) {
+            return !loadedOnly || holdsWeights(vm, *group);
+        });
+        if (missing > static_cast<std::size_t>(fitting)) {
             continue;
         }
         for (std::size_t i = 0; i < missing; ++i) {
@@ -81,15 +90,20 @@
     }
 }
 
+void fillFromSpares(DomainRecord &record, std::vector<VmState> &spares, const PlacementInput &input)
+{
+    fill(record, spares, input, false);
+}
+
 void moveMember(GroupRecord &from, GroupRecord &to)
 {
     to.m_members.push_back(from.m_members.back());
     from.m_members.pop_back();
 }
 
-void regroup(DomainRecord &record, std::vector<VmState> &spares, const PlacementInput &input)
+/** Completes the broken groups that miss fewest members with members of those that miss most, as long as that makes a whole group. */
+void combine(DomainRecord &record, std::vector<VmState> &spares, const PlacementInput &input)
 {
-    fillFromSpares(record, spares, input);
     std::vector<GroupRecord *> broken = brokenGroups(record, *input.m_plan);
     std::size_t last = broken.size();
     for (std::size_t first = 0; first + 1 < last; ++first) {
@@ -102,10 +116,15 @@
         if (found < missing) {
             break;
         }
-        for (; missing > 0 && !spares.empty(); --missing) {
+        const auto loadedSpare = [&]() {
+            return std::any_of(spares.begin(), spares.end(), [&](const VmState &vm) {
+                return holdsWeights(vm, target);
+            });
+        };
+        for (; missing > 0 && loadedSpare(); --missing) {
             target.m_members.push_back(takeSpare(spares, target));
         }
-        while (missing > 0) {
+        while (missing > 0 && last > first + 1) {
             GroupRecord &donor = *broken[last - 1];
             if (donor.m_members.empty()) {
                 --last;
@@ -115,11 +134,22 @@
             donor.m_generation = ++record.m_lastGeneration;
             --missing;
         }
+        for (; missing > 0; --missing) {
+            target.m_members.push_back(takeSpare(spares, target));
+        }
         target.m_generation = ++record.m_lastGeneration;
         target.m_phase = GroupPhase::Forming;
     }
 }
 
+void regroup(DomainRecord &record, std::vector<VmState> &spares, const PlacementInput &input)
+{
+    // A spare that must load keeps its group down longer than a member that another broken group has loaded.
+    fill(record, spares, input, true);
+    combine(record, spares, input);
+    fill(record, spares, input, false);
+}
+
 const Registration<PlacementRule> Dissolve({"dissolve", "give a broken group up and form it anew (baseline)", dissolve});
 const Registration<PlacementRule> Spare({"spare", "put a spare VM in the lost member's place", fillFromSpares});
 const Registration<PlacementRule> Regroup({"regroup", "as 'spare', then complete broken groups from each other", regroup});
