--- a/autotests/capacitytest.cpp
+++ b/autotests/capacitytest.cpp
@@ -8,7 +8,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 std::string readPage(const std::string &name)
 {
     std::ifstream file(std::string(KNAPWEEDSLIP_SOURCE_DIR) + "/docs/" + name);
--- a/autotests/checkertest.cpp
+++ b/autotests/checkertest.cpp
@@ -4,7 +4,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 std::string expected(const std::string &request)
 {
     return "answer to " + request;
@@ -26,7 +27,8 @@
 
 TEST_CASE("each checker accepts a good history and rejects a planted fault", "[history]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_name;
         Violations (*m_check)(const HistoryEvents &);
         HistoryEvents m_good;
--- a/autotests/documentstest.cpp
+++ b/autotests/documentstest.cpp
@@ -6,7 +6,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 DocumentDelta delta(std::uint64_t since, std::uint64_t index, std::int64_t age, std::vector<Document> documents = {})
 {
     return DocumentDelta{since, index, age, std::move(documents)};
@@ -15,7 +16,8 @@
 
 TEST_CASE("adopt never goes back", "[documents]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_name;
         std::uint64_t m_held;
         DocumentDelta m_delta;
@@ -61,7 +63,8 @@
 
 TEST_CASE("freshness", "[documents]")
 {
-    struct Row {
+    struct Row
+    {
         std::int64_t m_confirmedAtMs;
         int m_known;
         int m_reachable;
--- a/autotests/fixtures.h
+++ b/autotests/fixtures.h
@@ -7,9 +7,11 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip::test {
+namespace knapweedslip::test
+{
 /** Builds a route table without documents. */
-struct TableMaker {
+struct TableMaker
+{
     RouteTable m_table;
 
     TableMaker &workspace(const std::string &name, int weight = 1, int maxQueued = 1'000)
--- a/autotests/intentstest.cpp
+++ b/autotests/intentstest.cpp
@@ -4,7 +4,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 IntentOp op(IntentOpKind kind, std::uint64_t nonce, std::uint64_t fingerprint = 7, const std::string &key = "k")
 {
     IntentOp made;
@@ -21,7 +22,8 @@
 
 TEST_CASE("what an operation comes to after others", "[intents]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_name;
         std::vector<IntentOp> m_ops;
         IntentOutcome m_last;
--- a/autotests/membershiptest.cpp
+++ b/autotests/membershiptest.cpp
@@ -4,7 +4,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 std::vector<Membership> deployment(int count)
 {
     std::vector<Membership> daemons(static_cast<std::size_t>(count));
@@ -99,7 +100,8 @@
     member.m_incarnation = 2;
     member.m_heartbeat = 5;
     mergeMembers(daemon, {member}, 0);
-    struct Row {
+    struct Row
+    {
         std::uint64_t m_incarnation;
         std::uint64_t m_heartbeat;
         bool m_lives;
--- a/autotests/placementtest.cpp
+++ b/autotests/placementtest.cpp
@@ -9,9 +9,11 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 /** Engines that obey orders at once. */
-struct Domain {
+struct Domain
+{
     Plan m_plan;
     PlacementInput m_input;
     PlacementRule m_rule;
@@ -106,7 +108,8 @@
 
 TEST_CASE("after deaths each rule keeps what it can", "[placement]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_rule;
         int m_vms;
         std::vector<int> m_dead;
@@ -224,7 +227,8 @@
 TEST_CASE("a lease counts from when the renewal was sent and ends early", "[placement]")
 {
     const ClaimTimes times{6'000, 2'000, 1'000};
-    struct Row {
+    struct Row
+    {
         Claim m_claim;
         std::uint64_t m_fence;
         std::int64_t m_now;
--- a/autotests/plantest.cpp
+++ b/autotests/plantest.cpp
@@ -5,7 +5,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 const std::string Good = R"(models:
   - {name: m, version: "1", group_vms: 2, groups: 3, group_requests: 8, cold_requests: 1}
 services:
@@ -43,7 +44,8 @@
 
 TEST_CASE("a bad sheet names each fault with its place", "[plan]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_from;
         const char *m_to;
         int m_line;
@@ -105,7 +107,8 @@
     DomainRecord record;
     record.m_domain = "d";
     record.m_availabilityZone = "a";
-    struct Row {
+    struct Row
+    {
         const char *m_name;
         GroupPhase m_phase;
         std::size_t m_members;
--- a/autotests/promiseconfigtest.cpp
+++ b/autotests/promiseconfigtest.cpp
@@ -14,7 +14,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 constexpr std::int64_t RoundMs = 200;
 constexpr std::int64_t MaxAgeMs = 4'000;
 constexpr std::int64_t InForceMs = 5'000;
@@ -29,7 +30,8 @@
     TakesAnything,
 };
 
-struct Daemon {
+struct Daemon
+{
     std::string m_name;
     DocumentView m_view;
     Membership m_membership;
@@ -38,7 +40,8 @@
 };
 
 /** Eight daemons with the kernel's documents and membership; store and links are faulted at random. */
-struct ConfigWorld {
+struct ConfigWorld
+{
     VirtualTime m_time;
     std::mt19937_64 m_random;
     Mechanism m_mechanism;
--- a/autotests/promisegroupstest.cpp
+++ b/autotests/promisegroupstest.cpp
@@ -13,7 +13,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 constexpr std::int64_t RunMs = 40'000;
 constexpr std::int64_t RoundMs = 100;
 constexpr std::int64_t OrderLifeMs = 1'000;
@@ -27,13 +28,15 @@
     NoClaimCheck,
 };
 
-struct Engine {
+struct Engine
+{
     VmState m_state;
     std::uint64_t m_fence = 0;
     bool m_checksFence = true;
 };
 
-struct Controller {
+struct Controller
+{
     std::string m_name;
     std::string m_session;
     std::int64_t m_renewedMs = 0;
@@ -44,7 +47,8 @@
 };
 
 /** Controllers that pause, race and lose their lease, one fabric domain, and engines of both kinds. */
-struct GroupsWorld {
+struct GroupsWorld
+{
     VirtualTime m_time;
     std::mt19937_64 m_random;
     Mechanism m_mechanism;
--- a/autotests/promiseloadtest.cpp
+++ b/autotests/promiseloadtest.cpp
@@ -6,7 +6,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 constexpr std::int64_t RunMs = 20'000;
 constexpr std::int64_t ClosedGraceMs = 2'000;
 constexpr std::int64_t DetectMs = 2'000;
--- a/autotests/promisepaidtest.cpp
+++ b/autotests/promisepaidtest.cpp
@@ -14,7 +14,8 @@
 
 using namespace knapweedslip;
 
-namespace {
+namespace
+{
 constexpr std::int64_t RunMs = 20'000;
 constexpr std::int64_t GiveUpMs = 1'500;
 constexpr std::uint64_t Keys = 6;
@@ -28,13 +29,15 @@
 };
 
 /** Gateways that claim, run and record paid calls against a store that is slow, down, loses answers and applies writes late. */
-struct PaidWorld {
+struct PaidWorld
+{
     VirtualTime m_time;
     std::mt19937_64 m_random;
     Ledger m_ledger;
     standin::KvStore m_store;
     bool m_storeDown = false;
-    struct Gateway {
+    struct Gateway
+    {
         std::uint64_t m_life = 1;
         std::set<std::string> m_known;
     };
@@ -80,7 +83,8 @@
         }
     }
 
-    struct Send {
+    struct Send
+    {
         std::size_t m_gateway = 0;
         std::uint64_t m_life = 0;
         std::string m_name;
--- a/autotests/schedulertest.cpp
+++ b/autotests/schedulertest.cpp
@@ -10,7 +10,8 @@
 using namespace knapweedslip;
 using namespace knapweedslip::test;
 
-namespace {
+namespace
+{
 int dispatches(const Actions &actions)
 {
     return static_cast<int>(std::count_if(actions.begin(), actions.end(), [](const Action &action) {
@@ -44,7 +45,8 @@
 
 TEST_CASE("who takes new work", "[scheduler]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_name;
         GroupPhase m_phase;
         const char *m_holder;
--- a/autotests/streamjointest.cpp
+++ b/autotests/streamjointest.cpp
@@ -10,7 +10,8 @@
 
 TEST_CASE("what becomes of a token event", "[stream]")
 {
-    struct Row {
+    struct Row
+    {
         const char *m_name;
         TokenEvent m_event;
         JoinVerdict m_verdict;
--- a/benchmarks/capacitymodel.cpp
+++ b/benchmarks/capacitymodel.cpp
@@ -9,8 +9,10 @@
 #include <cstdio>
 #include <sstream>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 // The target of letter 1.
 constexpr double Daemons = 410.0;
 constexpr double Engines = 12'000.0;
@@ -51,7 +53,8 @@
     return it == slopes.end() ? 0.0 : it->second;
 }
 
-struct Sizes {
+struct Sizes
+{
     double m_daemons = Daemons / Regions;
     double m_engines = Engines / Regions;
     double m_groups = Engines / GroupVms / Regions;
--- a/benchmarks/capacitymodel.h
+++ b/benchmarks/capacitymodel.h
@@ -6,12 +6,14 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Measured slopes by name; the names and units are listed in slopeTable(). */
 using Slopes = std::map<std::string, double>;
 
 /** One slope: what it is and in which unit. */
-struct SlopeRow {
+struct SlopeRow
+{
     const char *m_name;
     const char *m_unit;
     const char *m_meaning;
@@ -20,7 +22,8 @@
 const std::vector<SlopeRow> &slopeTable();
 
 /** One line of the capacity page. */
-struct CapacityLine {
+struct CapacityLine
+{
     std::string m_role;
     std::string m_what;
     /** Value at the target size. */
--- a/benchmarks/slopemeasures.cpp
+++ b/benchmarks/slopemeasures.cpp
@@ -19,8 +19,10 @@
 #include <cstdio>
 #include <functional>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr int GroupVms = 32;
 constexpr int Repeats = 5;
 
@@ -280,7 +282,8 @@
     report(slopes, "state_bytes_per_vm", fitLine(state));
 }
 
-struct IntentFigures {
+struct IntentFigures
+{
     double m_writesPerCall = 0.0;
     double m_claimP99Ms = 0.0;
 };
--- a/benchmarks/slopemeasures.h
+++ b/benchmarks/slopemeasures.h
@@ -6,9 +6,11 @@
 #include <utility>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Values measured at several sizes and the straight line through them. */
-struct Fit {
+struct Fit
+{
     std::vector<std::pair<double, double>> m_points;
     double m_slope = 0.0;
     double m_base = 0.0;
--- a/benchmarks/slopes.cpp
+++ b/benchmarks/slopes.cpp
@@ -10,8 +10,10 @@
 #include <iostream>
 #include <sstream>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 int measure(const std::vector<std::string> &given)
 {
     Slopes slopes;
--- a/daemons/admin.cpp
+++ b/daemons/admin.cpp
@@ -10,11 +10,14 @@
 #include <charconv>
 #include <map>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
-struct AdminContext {
+namespace
+{
+struct AdminContext
+{
     AdminSettings m_settings;
     Node *m_node = nullptr;
 };
@@ -50,26 +53,16 @@
 /** Groups, VMs in groups and in-service zones of a plan over the groups that exist. */
 json::object effectOf(const Plan &plan, const DocumentView &view)
 {
-    DocumentView changed = view;
     int groups = 0;
     int servingGroups = 0;
     int accelerators = 0;
-    const std::string prefix = DomainKeyPrefix;
-    for (const std::pair<const std::string, Document> &entry : changed.m_documents) {
-        if (entry.first.compare(0, prefix.size(), prefix) != 0) {
-            continue;
-        }
-        const Result<DomainRecord> record = decodeDomainRecord(entry.second.m_value);
-        if (failed(record)) {
-            continue;
-        }
-        for (const GroupRecord &group : valueOf(record).m_groups) {
+    for (const DomainRecord &record : domainRecords(view)) {
+        for (const GroupRecord &group : record.m_groups) {
             if (findModel(plan, group.m_model) == nullptr) {
                 continue;
             }
             ++groups;
-            const bool serves =
-                zoneInService(plan, valueOf(record).m_availabilityZone) && (group.m_phase == GroupPhase::Warm || group.m_phase == GroupPhase::Cold);
+            const bool serves = zoneInService(plan, record.m_availabilityZone) && (group.m_phase == GroupPhase::Warm || group.m_phase == GroupPhase::Cold);
             servingGroups += serves ? 1 : 0;
             accelerators += serves ? static_cast<int>(group.m_members.size()) : 0;
         }
@@ -191,26 +184,18 @@
 json::array groupsOf(const DocumentView &view)
 {
     json::array groups;
-    const std::string prefix = DomainKeyPrefix;
-    for (const std::pair<const std::string, Document> &entry : view.m_documents) {
-        if (entry.first.compare(0, prefix.size(), prefix) != 0) {
-            continue;
-        }
-        const Result<DomainRecord> record = decodeDomainRecord(entry.second.m_value);
-        if (failed(record)) {
-            continue;
-        }
-        for (const GroupRecord &group : valueOf(record).m_groups) {
+    for (const DomainRecord &record : domainRecords(view)) {
+        for (const GroupRecord &group : record.m_groups) {
             json::array vms;
             for (const MemberRecord &member : group.m_members) {
                 vms.push_back(json::string(member.m_vm));
             }
             groups.push_back(json::object{{"id", group.m_id},
                                           {"model", group.m_model},
-                                          {"availability_zone", valueOf(record).m_availabilityZone},
+                                          {"availability_zone", record.m_availabilityZone},
                                           {"phase", enumName(GroupPhaseNames, group.m_phase)},
                                           {"generation", group.m_generation},
-                                          {"controller", valueOf(record).m_holder},
+                                          {"controller", record.m_holder},
                                           {"vms", std::move(vms)}});
         }
     }
--- a/daemons/attempt.cpp
+++ b/daemons/attempt.cpp
@@ -4,23 +4,12 @@
 
 #include "daemons/attempt.h"
 
-#include <boost/json.hpp>
+#include "net/jsonfields.h"
 
 #include <charconv>
 
-namespace knapweedslip {
-namespace json = boost::json;
-
-namespace {
-std::string bootIdOf(const HttpReply &reply)
+namespace knapweedslip
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(reply.m_body, error);
-    const json::value *boot = error || !value.is_object() ? nullptr : value.as_object().if_contains("boot_id");
-    return boot != nullptr && boot->is_string() ? json::value_to<std::string>(*boot) : std::string();
-}
-}
-
 awaitable<Result<HttpConnectionPtr>> connectUpstream(GatewayContext &context, const Upstream &upstream, bool fresh, std::int64_t timeoutMs)
 {
     if (!fresh) {
@@ -40,7 +29,7 @@
     if (failed(reply)) {
         co_return Error{ErrorCode::ConnectFailed, "no status: " + describe(errorOf(reply))};
     }
-    valueOf(made)->m_bootId = bootIdOf(valueOf(reply));
+    valueOf(made)->m_bootId = textField(parseJsonObject(valueOf(reply).m_body), "boot_id");
     if (valueOf(made)->m_bootId != upstream.m_bootId) {
         co_return Error{ErrorCode::ConnectFailed, "another process answers at " + upstream.m_address};
     }
--- a/daemons/attempt.h
+++ b/daemons/attempt.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * A connection to @p upstream whose process is the one in the table: idle connections were checked when they were made, and a process
  * takes its connections with it when it dies, so nothing can reach a process that started since unseen.
--- a/daemons/callerapi.cpp
+++ b/daemons/callerapi.cpp
@@ -10,10 +10,12 @@
 #include <algorithm>
 #include <charconv>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr std::int64_t DefaultMaxTokens = 16;
 constexpr std::int64_t MaxMaxTokens = 100'000;
 constexpr std::size_t PrefixBlockBytes = 256;
--- a/daemons/callerapi.h
+++ b/daemons/callerapi.h
@@ -4,9 +4,11 @@
 
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A caller's completion request after checking. */
-struct CompletionCall {
+struct CompletionCall
+{
     std::string m_workspace;
     std::string m_model;
     std::string m_prompt;
@@ -19,7 +21,8 @@
 };
 
 /** A caller's call of a plain service after checking. */
-struct ServiceCall {
+struct ServiceCall
+{
     std::string m_workspace;
     std::string m_service;
     /** Path and query given to the service. */
--- a/daemons/controller.cpp
+++ b/daemons/controller.cpp
@@ -12,21 +12,25 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr std::int64_t RoundMs = 100;
 constexpr std::int64_t ListIntervalMs = 1'000;
 constexpr std::int64_t SessionPauseMs = 200;
 
-struct Keeper {
+struct Keeper
+{
     std::unique_ptr<DomainKeeper> m_keeper;
     bool m_busy = false;
 };
 
 /** State of the controller's loops, on the control thread. */
-struct ControllerState {
+struct ControllerState
+{
     Node &m_node;
     const ControllerSettings &m_settings;
     PlacementRule m_rule;
--- a/daemons/dispatcher.cpp
+++ b/daemons/dispatcher.cpp
@@ -6,10 +6,12 @@
 
 #include <boost/json.hpp>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 /** Past its deadline a request gets its refusal from the scheduler's tick; this bounds the wait if it does not. */
 constexpr std::int64_t RefusalSlackMs = 1'000;
 }
--- a/daemons/dispatcher.h
+++ b/daemons/dispatcher.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** The scheduler behind a lock, for the threads of one gateway. Actions reach the waiting requests on their own threads. */
 class Dispatcher
 {
@@ -40,7 +41,8 @@
     SchedulerCounters counters();
 
 private:
-    struct Watched {
+    struct Watched
+    {
         std::string m_upstream;
         std::uint64_t m_generation = 0;
         asio::any_io_executor m_executor;
--- a/daemons/domainkeeper.cpp
+++ b/daemons/domainkeeper.cpp
@@ -12,10 +12,12 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr std::int64_t PreferredTryMs = 200;
 constexpr std::int64_t OtherTryMs = 1'500;
 /** The preferred controller must have been there this long before the domain is handed over. */
--- a/daemons/domainkeeper.h
+++ b/daemons/domainkeeper.h
@@ -10,16 +10,19 @@
 #include <set>
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** The lease of this controller in the store, under which it holds domains. */
-struct ControllerSession {
+struct ControllerSession
+{
     std::string m_id;
     std::int64_t m_renewedAtMs = 0;
     bool m_alive = false;
 };
 
 /** Input that all domains share in one round. */
-struct KeeperRound {
+struct KeeperRound
+{
     std::shared_ptr<const Plan> m_plan;
     std::map<std::string, int> m_wanted;
     /** Listed VMs of the domain, or the VMs of the service. */
--- a/daemons/gateway.cpp
+++ b/daemons/gateway.cpp
@@ -12,10 +12,12 @@
 
 #include <iostream>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 HttpReply listModels(const GatewayTable &table)
 {
     json::array models;
--- a/daemons/gatewaycontext.cpp
+++ b/daemons/gatewaycontext.cpp
@@ -5,7 +5,8 @@
 
 #include "net/logging.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 std::shared_ptr<const GatewayTable> makeGatewayTable(std::shared_ptr<const RouteTable> routes)
 {
     std::shared_ptr<GatewayTable> table = std::make_shared<GatewayTable>();
--- a/daemons/gatewaycontext.h
+++ b/daemons/gatewaycontext.h
@@ -11,9 +11,11 @@
 #include <string>
 #include <unordered_map>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** The route table and what callers are recognised by. Immutable. */
-struct GatewayTable {
+struct GatewayTable
+{
     std::shared_ptr<const RouteTable> m_routes;
     /** Workspace by the SHA-256 of its key. */
     std::unordered_map<std::string, std::string> m_workspaceByKey;
@@ -21,7 +23,8 @@
 
 std::shared_ptr<const GatewayTable> makeGatewayTable(std::shared_ptr<const RouteTable> routes);
 
-struct GatewayMetrics {
+struct GatewayMetrics
+{
     LatencyHistogram m_firstToken;
     LatencyHistogram m_requests;
     std::atomic<std::uint64_t> m_answered{0};
@@ -32,7 +35,8 @@
 };
 
 /** Everything the requests of one gateway share. */
-struct GatewayContext {
+struct GatewayContext
+{
     GatewaySettings m_settings;
     Node *m_node = nullptr;
     std::unique_ptr<Dispatcher> m_dispatcher;
--- a/daemons/intentledger.cpp
+++ b/daemons/intentledger.cpp
@@ -9,8 +9,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::int64_t RetryPauseMs = 50;
 constexpr std::int64_t ForeverMs = 365LL * 24 * 60 * 60 * 1'000;
 constexpr int MaxTriesPerRound = 8;
--- a/daemons/intentledger.h
+++ b/daemons/intentledger.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * The intent ledger as one gateway uses it: collects the operations that wait for a shard and writes them together. Works on the control
  * thread; apply() may be called from any thread.
@@ -35,7 +36,8 @@
     std::uint64_t operations() const;
 
 private:
-    struct Pending {
+    struct Pending
+    {
         IntentOp m_op;
         std::shared_ptr<OneShot<IntentResult>> m_waiter;
         std::int64_t m_giveUpMs = 0;
--- a/daemons/modelrelay.cpp
+++ b/daemons/modelrelay.cpp
@@ -14,14 +14,17 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr std::int64_t ConnectTimeoutMs = 1'000;
 constexpr std::int64_t DefaultRetryAfterMs = 1'000;
 
-struct Relay {
+struct Relay
+{
     GatewayContext &m_context;
     HttpExchange &m_exchange;
     CompletionCall m_call;
@@ -32,7 +35,8 @@
     bool m_callerGone = false;
 };
 
-struct AttemptResult {
+struct AttemptResult
+{
     AttemptEnd m_end = AttemptEnd::Neutral;
     bool m_complete = false;
     Error m_error;
@@ -43,7 +47,8 @@
     return AttemptResult{attemptEndOf(error), false, error};
 }
 
-struct ParsedEvent {
+struct ParsedEvent
+{
     TokenEvent m_event;
     std::string m_text;
 };
--- a/daemons/modelrelay.h
+++ b/daemons/modelrelay.h
@@ -2,7 +2,8 @@
 
 #include "daemons/callerapi.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Serves one completion from dispatch to the last byte, over as many attempts as it takes and the budgets allow. */
 awaitable<void> relayCompletion(GatewayContext &context, HttpExchange &exchange, CompletionCall call);
 }
--- a/daemons/planeditor.cpp
+++ b/daemons/planeditor.cpp
@@ -9,15 +9,18 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr int MaxTries = 16;
 constexpr std::int64_t ReadBackMs = 10'000;
 constexpr std::int64_t ReadBackPauseMs = 100;
 constexpr std::int64_t MajorityMs = 4'000;
 constexpr std::int64_t MajorityPollMs = 10;
 
-struct StoredPlan {
+struct StoredPlan
+{
     std::uint64_t m_modifyIndex = 0;
     std::vector<PlanDocument> m_history;
 };
--- a/daemons/planeditor.h
+++ b/daemons/planeditor.h
@@ -8,12 +8,14 @@
 #include <string>
 #include <variant>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A change of the plan: takes the sheet in force and returns the next one or its findings. */
 using SheetEdit = std::function<std::variant<std::string, Findings>(const std::string &sheet)>;
 
 /** Who asks for a change, why, and on what it is based. */
-struct ChangeOrder {
+struct ChangeOrder
+{
     std::string m_author;
     std::string m_reason;
     /** Revision the operator saw; without it the change is applied to whatever is in force. */
@@ -23,7 +25,8 @@
 };
 
 /** What became of a change. */
-struct ChangeResult {
+struct ChangeResult
+{
     PlanDocument m_plan;
     /** Index of the configuration at which it is in force; 0 for a dry run. */
     std::uint64_t m_viewIndex = 0;
@@ -32,7 +35,8 @@
 };
 
 /** Why a change was refused. */
-struct ChangeRefusal {
+struct ChangeRefusal
+{
     Error m_error;
     Findings m_findings;
     /** Revision in force, for a conflict. */
--- a/daemons/prober.cpp
+++ b/daemons/prober.cpp
@@ -5,32 +5,10 @@
 
 #include "daemons/prober.h"
 
-#include <boost/json.hpp>
+#include "net/jsonfields.h"
 
-namespace knapweedslip {
-namespace json = boost::json;
-
-namespace {
-std::string textOf(const json::object &object, const char *key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? json::value_to<std::string>(*value) : std::string();
-}
-
-bool flagOf(const json::object &object, const char *key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_bool() && value->as_bool();
-}
-
-std::int64_t numberOf(const json::object &object, const char *key)
+namespace knapweedslip
 {
-    const json::value *value = object.if_contains(key);
-    boost::system::error_code error;
-    return value != nullptr && value->is_number() ? value->to_number<std::int64_t>(error) : 0;
-}
-}
-
 Prober::Prober(Node &node, const ControllerSettings &settings)
     : m_node(node)
     , m_settings(settings)
@@ -119,22 +97,20 @@
 
 void Prober::takeStatus(Target &target, const std::string &body)
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    if (error || !value.is_object()) {
+    const boost::json::object object = parseJsonObject(body);
+    if (object.empty()) {
         return;
     }
-    const json::object &object = value.as_object();
     VmState &state = target.m_state;
     state.m_alive = true;
-    state.m_bootId = textOf(object, "boot_id");
-    state.m_group = textOf(object, "group");
-    state.m_generation = static_cast<std::uint64_t>(numberOf(object, "generation"));
-    state.m_loaded = textOf(object, "loaded");
-    state.m_loading = flagOf(object, "loading");
-    state.m_cold = flagOf(object, "cold");
-    state.m_leaving = flagOf(object, "leaving");
-    const bool idle = numberOf(object, "running") == 0;
+    state.m_bootId = textField(object, "boot_id");
+    state.m_group = textField(object, "group");
+    state.m_generation = static_cast<std::uint64_t>(numberField(object, "generation"));
+    state.m_loaded = textField(object, "loaded");
+    state.m_loading = flagField(object, "loading");
+    state.m_cold = flagField(object, "cold");
+    state.m_leaving = flagField(object, "leaving");
+    const bool idle = numberField(object, "running") == 0;
     if (!idle) {
         target.m_idleSinceMs = -1;
     } else if (target.m_idleSinceMs < 0) {
--- a/daemons/prober.h
+++ b/daemons/prober.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Asks VMs for their state at a fixed rate and remembers the answers. Works on the control thread. */
 class Prober
 {
@@ -22,7 +23,8 @@
     bool complete(const std::string &domain) const;
 
 private:
-    struct Target {
+    struct Target
+    {
         VmState m_state;
         bool m_asked = false;
         bool m_busy = false;
--- a/daemons/servicecall.cpp
+++ b/daemons/servicecall.cpp
@@ -11,15 +11,18 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::int64_t ConnectTimeoutMs = 1'000;
 constexpr std::int64_t DefaultRetryAfterMs = 1'000;
 constexpr std::int64_t ClaimTimeoutMs = 5'000;
 constexpr std::int64_t JoinPollMs = 200;
 constexpr unsigned FirstServerError = 500;
 
-struct CallState {
+struct CallState
+{
     GatewayContext &m_context;
     HttpExchange &m_exchange;
     ServiceCall m_call;
@@ -29,7 +32,8 @@
     std::int64_t m_startedMs = 0;
 };
 
-struct CallResult {
+struct CallResult
+{
     RunOutcome m_outcome = RunOutcome::NotRun;
     AttemptEnd m_end = AttemptEnd::Neutral;
     Error m_error;
--- a/kernel/admission.h
+++ b/kernel/admission.h
@@ -3,9 +3,11 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** What an admission policy knows about the pool and the workspace of a request. */
-struct AdmissionQuery {
+struct AdmissionQuery
+{
     std::int64_t m_nowMs = 0;
     std::int64_t m_deadlineMs = 0;
     /** Requests that run in the pool from this gateway. */
@@ -22,7 +24,8 @@
 };
 
 /** Whether a request may wait, or when to come back. */
-struct AdmissionVerdict {
+struct AdmissionVerdict
+{
     bool m_admitted = true;
     bool m_deadlineUnreachable = false;
     /** Expected wait, in ms. */
@@ -30,7 +33,8 @@
 };
 
 /** Decides on requests that cannot be dispatched at once. A policy is a plug-in. */
-struct AdmissionPolicy {
+struct AdmissionPolicy
+{
     const char *m_name = nullptr;
     const char *m_help = nullptr;
     AdmissionVerdict (*m_admit)(const AdmissionQuery &query) = nullptr;
--- a/kernel/admissionpolicies.cpp
+++ b/kernel/admissionpolicies.cpp
@@ -9,8 +9,10 @@
 #include <algorithm>
 #include <cmath>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::size_t FifoBound = 256;
 
 double expectedWaitMs(const AdmissionQuery &query, std::size_t ahead, double share)
--- a/kernel/claim.cpp
+++ b/kernel/claim.cpp
@@ -5,7 +5,8 @@
 
 #include "kernel/claim.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 bool claimValid(const Claim &claim, const ClaimTimes &times, std::int64_t nowMs)
 {
     return claim.m_held && nowMs < claim.m_renewedAtMs + times.m_ttlMs - times.m_marginMs;
--- a/kernel/claim.h
+++ b/kernel/claim.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Times of a lease on a fabric domain. */
-struct ClaimTimes {
+struct ClaimTimes
+{
     /** Lifetime of the lease in the store after its last renewal. */
     std::int64_t m_ttlMs = 6'000;
     /** The holder stops this long before the store may give the lease away. */
@@ -14,7 +16,8 @@
 };
 
 /** A controller's own view of its lease. */
-struct Claim {
+struct Claim
+{
     bool m_held = false;
     /** Fencing number: rises with each change of holder. */
     std::uint64_t m_fence = 0;
--- a/kernel/documents.cpp
+++ b/kernel/documents.cpp
@@ -10,8 +10,10 @@
 #include <algorithm>
 #include <limits>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 /** Takes the confirmation only if it is younger than the one held. */
 bool takeConfirmation(DocumentView &view, std::int64_t ageMs, std::int64_t nowMs)
 {
--- a/kernel/documents.h
+++ b/kernel/documents.h
@@ -1,20 +1,25 @@
 #pragma once
 
+#include "kernel/enumnames.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** One value of the platform's store and the store's index of its last write. */
-struct Document {
+struct Document
+{
     std::string m_key;
     std::uint64_t m_modifyIndex = 0;
     std::string m_value;
 };
 
 /** Copy of every configuration document as of one index of the store. */
-struct DocumentView {
+struct DocumentView
+{
     /** Every write up to this index is in the view. */
     std::uint64_t m_index = 0;
     std::map<std::string, Document> m_documents;
@@ -23,7 +28,8 @@
 };
 
 /** Documents newer than a given index, as sent by the store's watch or by a peer. */
-struct DocumentDelta {
+struct DocumentDelta
+{
     std::uint64_t m_sinceIndex = 0;
     std::uint64_t m_index = 0;
     /** How long ago the sender's view was last confirmed, in ms; negative: never. */
@@ -58,7 +64,8 @@
 std::int64_t confirmationAgeMs(const DocumentView &view, std::int64_t nowMs);
 
 /** What a daemon knows about its own connection to the rest. */
-struct Reach {
+struct Reach
+{
     /** Daemons named in the settings, this one included. */
     int m_knownDaemons = 1;
     /** Synced daemons heard from lately, this one included if it is synced. */
@@ -79,6 +86,8 @@
     Stale,
 };
 
+inline constexpr EnumNames<3> FreshnessNames{"current", "store-outage", "stale"};
+
 /**
  * Decides whether this daemon may take new work.
  * The administration API accepts a change only with a quorum, so a set of daemons with a quorum holds one that has heard of it.
--- a/kernel/domainrecord.cpp
+++ b/kernel/domainrecord.cpp
@@ -8,10 +8,12 @@
 
 #include <set>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 json::object encodeGroup(const GroupRecord &group)
 {
     json::array members;
--- a/kernel/domainrecord.h
+++ b/kernel/domainrecord.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 enum class GroupPhase {
     /** Members are being ordered to join; takes no requests. */
     Forming,
@@ -24,7 +25,8 @@
 inline constexpr EnumNames<5> GroupPhaseNames{"forming", "cold", "warm", "draining", "broken"};
 
 /** One member of a serving group; its rank is its place in the list, rank 0 answers requests. */
-struct MemberRecord {
+struct MemberRecord
+{
     std::string m_vm;
     std::string m_address;
     /** Identity of the engine process when it joined. */
@@ -32,7 +34,8 @@
 };
 
 /** A serving group. The generation rises with every change of its members. */
-struct GroupRecord {
+struct GroupRecord
+{
     std::string m_id;
     std::uint64_t m_generation = 0;
     std::string m_model;
@@ -47,7 +50,8 @@
  * Every serving group of one fabric domain, kept as one document in the platform's store.
  * A group never crosses a domain, so a compare-and-swap on this value keeps each VM in at most one group.
  */
-struct DomainRecord {
+struct DomainRecord
+{
     std::string m_domain;
     std::string m_availabilityZone;
     /** Controller that wrote it last. */
--- a/kernel/enumnames.h
+++ b/kernel/enumnames.h
@@ -5,7 +5,8 @@
 #include <optional>
 #include <string_view>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Table of the names of an enum class whose enumerators count up from 0. */
 template<std::size_t Size>
 using EnumNames = std::array<std::string_view, Size>;
--- a/kernel/errors.cpp
+++ b/kernel/errors.cpp
@@ -7,9 +7,12 @@
 #include <array>
 #include <cstddef>
 
-namespace knapweedslip {
-namespace {
-struct ErrorRow {
+namespace knapweedslip
+{
+namespace
+{
+struct ErrorRow
+{
     ErrorCode m_code;
     unsigned m_status;
     std::string_view m_name;
--- a/kernel/errors.h
+++ b/kernel/errors.h
@@ -5,7 +5,8 @@
 #include <utility>
 #include <variant>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * Every error that crosses an interface of this project.
  * errorText() and errorName() give the words of each; no exception crosses an interface.
@@ -49,7 +50,8 @@
  * An error: its code and what exactly it concerns. Has constructors because g++ 12 destroys an aggregate twice when it is made inside an
  * expression that suspends.
  */
-struct Error {
+struct Error
+{
     Error() = default;
     Error(ErrorCode code, std::string detail)
         : m_code(code)
@@ -75,7 +77,8 @@
 using Result = std::variant<T, Error>;
 
 /** The value type of operations that only succeed or fail. */
-struct Done {
+struct Done
+{
 };
 
 template<typename T>
--- a/kernel/fairqueue.cpp
+++ b/kernel/fairqueue.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 void FairQueue::activate(const std::string &workspace, Line &line)
 {
     line.m_tag = std::max(line.m_tag, m_virtualTime);
--- a/kernel/fairqueue.h
+++ b/kernel/fairqueue.h
@@ -9,9 +9,11 @@
 #include <utility>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A request that waits. */
-struct QueuedRequest {
+struct QueuedRequest
+{
     std::uint64_t m_id = 0;
     std::string m_workspace;
     std::int64_t m_arrivalMs = 0;
@@ -43,7 +45,8 @@
     int activeWeight() const;
 
 private:
-    struct Line {
+    struct Line
+    {
         std::deque<QueuedRequest> m_requests;
         /** Virtual time at which the line's next request starts. */
         double m_tag = 0.0;
--- a/kernel/hashing.cpp
+++ b/kernel/hashing.cpp
@@ -7,7 +7,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 std::uint64_t hash64(std::string_view text, std::uint64_t seed)
 {
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
--- a/kernel/hashing.h
+++ b/kernel/hashing.h
@@ -3,7 +3,8 @@
 #include <cstdint>
 #include <string_view>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** 64-bit XXH3 hash of @p text. Equal on every daemon, so it may be sent and stored. */
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
--- a/kernel/intents.cpp
+++ b/kernel/intents.cpp
@@ -11,8 +11,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::uint64_t LowSeed = 1;
 constexpr std::uint64_t HighSeed = 2;
 /** Bytes of one entry besides owner and body, padding and offsets included. */
@@ -68,7 +70,8 @@
     return IntentResult{outcome, intent.owner, intent.status, intent.body_kept, intent.body};
 }
 
-struct OpEffect {
+struct OpEffect
+{
     IntentResult m_result;
     bool m_changed = false;
 };
--- a/kernel/intents.h
+++ b/kernel/intents.h
@@ -7,9 +7,11 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** 128-bit identity of an idempotency key within a workspace. */
-struct IntentKey {
+struct IntentKey
+{
     std::uint64_t m_low = 0;
     std::uint64_t m_high = 0;
 };
@@ -37,7 +39,8 @@
 };
 
 /** One change of the ledger. Doing it twice is the same as doing it once. */
-struct IntentOp {
+struct IntentOp
+{
     IntentOpKind m_kind = IntentOpKind::Begin;
     IntentKey m_key;
     std::uint64_t m_fingerprint = 0;
@@ -65,7 +68,8 @@
     GaveUp,
 };
 
-struct IntentResult {
+struct IntentResult
+{
     IntentOutcome m_outcome = IntentOutcome::Full;
     std::string m_owner;
     std::uint16_t m_status = 0;
@@ -74,7 +78,8 @@
 };
 
 /** Result of applying a batch: the value to be written by compare-and-swap, and what each operation comes to if that write succeeds. */
-struct IntentBatch {
+struct IntentBatch
+{
     wire::IntentShardT m_next;
     bool m_changed = false;
     std::vector<IntentResult> m_results;
--- a/kernel/logevents.cpp
+++ b/kernel/logevents.cpp
@@ -6,7 +6,8 @@
 
 #include <cstddef>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 const std::vector<LogEventRow> &logEventTable()
 {
     static const std::vector<LogEventRow> table{
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -3,7 +3,8 @@
 #include <string_view>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 enum class LogLevel {
     Info,
     Warning,
@@ -44,7 +45,8 @@
     DrainLimitReached,
 };
 
-struct LogEventRow {
+struct LogEventRow
+{
     LogEvent m_event;
     int m_number;
     LogLevel m_level;
--- a/kernel/membership.cpp
+++ b/kernel/membership.cpp
@@ -11,7 +11,8 @@
 #include <cmath>
 #include <iterator>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 void mergeMembers(Membership &membership, const std::vector<Member> &members, std::int64_t nowMs)
 {
     for (const Member &member : members) {
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 enum class Role {
     Gateway,
     Controller,
@@ -18,7 +19,8 @@
 inline constexpr EnumNames<3> RoleNames{"gateway", "controller", "admin"};
 
 /** What is known about one daemon. Its owner raises the heartbeat; everybody else passes it on. */
-struct Member {
+struct Member
+{
     std::string m_name;
     Role m_role = Role::Gateway;
     std::string m_availabilityZone;
@@ -41,7 +43,8 @@
 };
 
 /** A daemon named in the settings. */
-struct PeerAddress {
+struct PeerAddress
+{
     std::string m_name;
     std::string m_address;
     Role m_role = Role::Gateway;
@@ -49,7 +52,8 @@
 };
 
 /** The daemons as this one knows them. */
-struct Membership {
+struct Membership
+{
     Member m_self;
     std::vector<PeerAddress> m_peers;
     std::map<std::string, Member> m_members;
@@ -73,7 +77,8 @@
 std::vector<std::string> livingMembers(const Membership &membership, Role role, std::int64_t nowMs);
 
 /** Daemons known from the settings, and those of them that are synced and were heard lately; both count this one. */
-struct MemberCount {
+struct MemberCount
+{
     int m_known = 1;
     int m_living = 0;
     /** Highest view index that a living one says it holds. */
--- a/kernel/placement.cpp
+++ b/kernel/placement.cpp
@@ -10,8 +10,10 @@
 #include <algorithm>
 #include <set>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 const VmState *findVm(const std::vector<VmState> &vms, const std::string &name)
 {
     const auto it = std::find_if(vms.begin(), vms.end(), [&](const VmState &vm) {
@@ -246,7 +248,8 @@
     return order;
 }
 
-struct GroupOrders {
+struct GroupOrders
+{
     std::vector<Order> m_orders;
     int m_loads = 0;
 };
--- a/kernel/placement.h
+++ b/kernel/placement.h
@@ -8,9 +8,11 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** What a controller knows about one engine VM. */
-struct VmState {
+struct VmState
+{
     std::string m_vm;
     std::string m_address;
     std::string m_availabilityZone;
@@ -41,7 +43,8 @@
 inline constexpr EnumNames<2> OrderKindNames{"join", "release"};
 
 /** An order to an engine: become rank m_rank of a group, or leave whatever group it is in. */
-struct Order {
+struct Order
+{
     OrderKind m_kind = OrderKind::Join;
     std::string m_vm;
     std::string m_address;
@@ -55,7 +58,8 @@
 };
 
 /** Everything one placement decision depends on. */
-struct PlacementInput {
+struct PlacementInput
+{
     DomainRecord m_record;
     std::vector<VmState> m_vms;
     const Plan *m_plan = nullptr;
@@ -67,7 +71,8 @@
     int m_maxLoads = 4;
 };
 
-struct PlacementResult {
+struct PlacementResult
+{
     DomainRecord m_record;
     /** The record differs from the input and must be written before the orders of the next round. */
     bool m_changed = false;
@@ -76,7 +81,8 @@
 };
 
 /** Chooses the VMs of one group. A rule is a plug-in. */
-struct PlacementRule {
+struct PlacementRule
+{
     const char *m_name = nullptr;
     const char *m_help = nullptr;
     /**
@@ -96,7 +102,8 @@
 bool usable(const VmState &vm, const Plan &plan);
 
 /** Capacity of one fabric domain, for sharing out groups. */
-struct DomainCapacity {
+struct DomainCapacity
+{
     std::string m_domain;
     std::string m_availabilityZone;
     int m_vms = 0;
--- a/kernel/placementrules.cpp
+++ b/kernel/placementrules.cpp
@@ -9,8 +9,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 std::size_t missingMembers(const GroupRecord &group, const Plan &plan)
 {
     const ModelPlan *model = findModel(plan, group.m_model);
--- a/kernel/plan.cpp
+++ b/kernel/plan.cpp
@@ -9,8 +9,10 @@
 #include <algorithm>
 #include <set>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::int64_t MaxGroupVms = 256;
 constexpr std::int64_t MaxGroups = 20'000;
 constexpr std::int64_t MaxConcurrentRequests = 100'000;
--- a/kernel/plan.h
+++ b/kernel/plan.h
@@ -8,9 +8,11 @@
 #include <variant>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A model that should serve, and the shape of its serving groups. */
-struct ModelPlan {
+struct ModelPlan
+{
     std::string m_name;
     std::string m_version;
     /** VMs in one serving group; all in one fabric domain. */
@@ -24,14 +26,16 @@
 };
 
 /** One VM of a plain service. */
-struct ServiceUpstream {
+struct ServiceUpstream
+{
     std::string m_vm;
     std::string m_address;
     std::string m_availabilityZone;
 };
 
 /** A plain service beside the model engines. */
-struct ServicePlan {
+struct ServicePlan
+{
     std::string m_name;
     int m_maxRequests = 1;
     int m_coldRequests = 1;
@@ -45,13 +49,15 @@
     Out,
 };
 
-struct ZonePlan {
+struct ZonePlan
+{
     std::string m_name;
     ZoneState m_state = ZoneState::In;
 };
 
 /** A customer of the system. */
-struct WorkspacePlan {
+struct WorkspacePlan
+{
     std::string m_name;
     /** 1 comes first. */
     int m_priority = 1;
@@ -64,7 +70,8 @@
 };
 
 /** The operators' plan. Immutable once parsed; shared by threads. */
-struct Plan {
+struct Plan
+{
     std::vector<ModelPlan> m_models;
     std::vector<ServicePlan> m_services;
     std::vector<ZonePlan> m_zones;
--- a/kernel/registry.h
+++ b/kernel/registry.h
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * Plug-ins of one kind, found by name. A plug-in is a plain struct with m_name and m_help, registered by a static Registration in its
  * own file; the settings choose one by name.
@@ -19,7 +20,8 @@
 }
 
 template<typename Plugin>
-struct Registration {
+struct Registration
+{
     explicit Registration(const Plugin &plugin)
     {
         pluginsOf<Plugin>().push_back(plugin);
--- a/kernel/retrybudget.cpp
+++ b/kernel/retrybudget.cpp
@@ -6,7 +6,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 RetryBudget::RetryBudget(double ratio, double burst)
     : m_ratio(ratio)
     , m_burst(burst)
--- a/kernel/retrybudget.h
+++ b/kernel/retrybudget.h
@@ -3,7 +3,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * Bounds retries to a fraction of first attempts, by workspace. Each first attempt earns a part of a retry; each retry spends a whole
  * one. Memory: one number per workspace.
--- a/kernel/routepolicies.cpp
+++ b/kernel/routepolicies.cpp
@@ -9,8 +9,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr int MaxSamples = 8;
 /** A prefix holder may be this much busier, relative to its limit, than the alternative. */
 constexpr double AffinityLoadSlack = 0.35;
--- a/kernel/routepolicy.h
+++ b/kernel/routepolicy.h
@@ -9,12 +9,14 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Random numbers of one scheduler; seeded by its creator. */
 using Random = std::mt19937_64;
 
 /** Changing state of one upstream as one gateway sees it. */
-struct UpstreamState {
+struct UpstreamState
+{
     std::shared_ptr<const Upstream> m_info;
     /** Requests of this gateway that run there. */
     int m_running = 0;
@@ -41,7 +43,8 @@
 };
 
 /** One request's needs, as a policy sees them. */
-struct RouteQuery {
+struct RouteQuery
+{
     std::string m_workspace;
     /** Hashes of growing prefixes of the prompt, shortest first. */
     std::vector<std::uint64_t> m_prefixes;
@@ -53,7 +56,8 @@
  * Which upstream holds which prompt prefix, as far as this gateway knows. Bounded; the oldest entries are forgotten first.
  * Entries come from own dispatches and from late cache events, and may be wrong.
  */
-struct PrefixMap {
+struct PrefixMap
+{
     static constexpr std::size_t MaxEntries = 65'536;
     std::unordered_map<std::uint64_t, std::uint32_t> m_holders;
     std::deque<std::uint64_t> m_order;
@@ -62,7 +66,8 @@
 void rememberPrefix(PrefixMap &map, std::uint64_t prefix, std::uint32_t upstream);
 
 /** What a route policy may read, and the generator it may draw from. */
-struct RouteContext {
+struct RouteContext
+{
     const std::vector<UpstreamState> *m_upstreams = nullptr;
     /** Indexes of the upstreams of the pool that can take a request now. */
     const std::vector<std::uint32_t> *m_available = nullptr;
@@ -75,13 +80,19 @@
 inline constexpr std::uint32_t NoUpstreamIndex = UINT32_MAX;
 
 /** Chooses one of the available upstreams. A policy is a plug-in; its cost must not grow with the number of upstreams. */
-struct RoutePolicy {
+struct RoutePolicy
+{
     const char *m_name = nullptr;
     const char *m_help = nullptr;
     /** Returns an index into m_upstreams, or NoUpstreamIndex. */
     std::uint32_t (*m_choose)(const RouteContext &context, const RouteQuery &query) = nullptr;
 };
 
+/** The table says warm and news says cold: nobody holds a grant for it. */
+bool turnedCold(const UpstreamState &upstream, std::int64_t nowMs);
+/** New work may go there, as far as its condition goes. */
+bool inCondition(const UpstreamState &upstream, std::int64_t nowMs);
+
 /** Load of @p upstream relative to what it bears; below 1 while there is room. */
 double relativeLoad(const UpstreamState &upstream);
 }
--- a/kernel/routetable.cpp
+++ b/kernel/routetable.cpp
@@ -9,10 +9,12 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 bool drained(const Plan &plan, const std::string &vm)
 {
     return std::find(plan.m_drainedVms.begin(), plan.m_drainedVms.end(), vm) != plan.m_drainedVms.end();
@@ -132,6 +134,19 @@
     }
 }
 
+std::vector<DomainRecord> domainRecords(const DocumentView &view)
+{
+    std::vector<DomainRecord> records;
+    const std::string prefix = DomainKeyPrefix;
+    for (auto it = view.m_documents.lower_bound(prefix); it != view.m_documents.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+        Result<DomainRecord> record = decodeDomainRecord(it->second.m_value);
+        if (!failed(record)) {
+            records.push_back(std::move(valueOf(record)));
+        }
+    }
+    return records;
+}
+
 Result<std::shared_ptr<const RouteTable>> buildRouteTable(const DocumentView &view)
 {
     std::shared_ptr<RouteTable> table = std::make_shared<RouteTable>();
--- a/kernel/routetable.h
+++ b/kernel/routetable.h
@@ -10,7 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 inline constexpr const char *PlanKey = "knapweedslip/config/plan";
 inline constexpr const char *DomainKeyPrefix = "knapweedslip/config/domain/";
 
@@ -22,7 +23,8 @@
 };
 
 /** One place a request can be sent to. Immutable. */
-struct Upstream {
+struct Upstream
+{
     /** Group id, or "service/vm". */
     std::string m_id;
     UpstreamKind m_kind = UpstreamKind::Group;
@@ -43,7 +45,8 @@
 };
 
 /** Everything routing needs, compiled from one document view. Immutable; shared by threads. */
-struct RouteTable {
+struct RouteTable
+{
     /** Index of the document view it was made from. */
     std::uint64_t m_index = 0;
     /** Revision of the plan it was made from. */
@@ -56,7 +59,8 @@
 };
 
 /** The plan as stored: the sheet and who wrote it. */
-struct PlanDocument {
+struct PlanDocument
+{
     std::uint64_t m_revision = 0;
     /** Chosen by the writer; tells whether an unclear write took effect. */
     std::string m_writeId;
@@ -70,6 +74,9 @@
 std::string encodePlanHistory(const std::vector<PlanDocument> &history);
 Result<std::vector<PlanDocument>> decodePlanHistory(const std::string &text);
 
+/** The readable domain records of @p view. */
+std::vector<DomainRecord> domainRecords(const DocumentView &view);
+
 /** Compiles the documents of @p view. Upstreams in zones that are out, drained or not whole are left out. */
 Result<std::shared_ptr<const RouteTable>> buildRouteTable(const DocumentView &view);
 }
--- a/kernel/scheduler.cpp
+++ b/kernel/scheduler.cpp
@@ -7,46 +7,25 @@
 
 #include "kernel/scheduler.h"
 
-#include "kernel/hashing.h"
 #include "kernel/registry.h"
 
 #include <algorithm>
-#include <cmath>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 /** Doubt about an upstream ends after this time unless the table confirms it. */
 constexpr std::int64_t DoubtMs = 3'000;
 /** News that an upstream is cold ends after this time unless repeated. */
 constexpr std::int64_t ColdNewsMs = 5'000;
 /** Engine load reports older than this say nothing. */
 constexpr std::int64_t LoadReportLifeMs = 2'000;
-/** The limit of an upstream that became warm doubles once per step. */
-constexpr std::int64_t RampStepMs = 500;
-constexpr int MaxRampSteps = 20;
-/** How long a peer's request to keep an upstream apart stands unless repeated. */
-constexpr std::int64_t SetApartMs = 2'000;
-/** Peers have heard of it after this time. */
-constexpr std::int64_t SetApartSettleMs = 400;
 constexpr double RetryBurst = 10.0;
 constexpr double LimitDecrease = 0.7;
 constexpr double ServiceTimeGain = 0.1;
 constexpr std::int64_t MinRetryAfterMs = 1'000;
 constexpr const char *SharedLine = "";
-/** Each step up in the operators' order doubles a workspace's share, for this many steps. */
-constexpr int PrioritySteps = 3;
-
-/** The table says warm and news says cold: nobody holds a grant for it. */
-bool turnedCold(const UpstreamState &upstream, std::int64_t nowMs)
-{
-    return upstream.m_info->m_phase == GroupPhase::Warm && nowMs < upstream.m_coldUntilMs;
-}
-
-/** New work may go there, as far as its condition goes. */
-bool inCondition(const UpstreamState &upstream, std::int64_t nowMs)
-{
-    return upstream.m_present && !turnedCold(upstream, nowMs) && !upstream.m_leaving && nowMs >= upstream.m_doubtUntilMs;
-}
 }
 
 Result<std::unique_ptr<Scheduler>> Scheduler::create(const SchedulerSettings &settings)
@@ -72,36 +51,6 @@
 {
 }
 
-void Scheduler::takeEntry(const std::shared_ptr<const Upstream> &entry, std::int64_t nowMs)
-{
-    const auto [it, isNew] = m_byId.try_emplace(entry->m_id, static_cast<std::uint32_t>(m_upstreams.size()));
-    if (isNew) {
-        m_upstreams.emplace_back();
-        m_pools[entry->m_pool].m_members.push_back(it->second);
-    }
-    UpstreamState &state = m_upstreams[it->second];
-    const bool sameGeneration = !isNew && state.m_info->m_generation == entry->m_generation;
-    const bool samePhase = sameGeneration && state.m_info->m_phase == entry->m_phase;
-    const bool justWarmed = !isNew && entry->m_phase == GroupPhase::Warm && (!sameGeneration || state.m_info->m_phase == GroupPhase::Cold);
-    if (!sameGeneration) {
-        state.m_othersRunning = 0;
-    }
-    // News may be ahead of the table when the store was down; only a generation after it makes it void.
-    if (entry->m_generation > state.m_newsGeneration) {
-        state.m_doubtUntilMs = -1;
-        state.m_coldUntilMs = -1;
-        state.m_leaving = false;
-    }
-    if (!samePhase) {
-        state.m_limit = entry->m_limit;
-    }
-    if (justWarmed) {
-        state.m_warmSinceMs = nowMs;
-    }
-    state.m_info = entry;
-    state.m_present = true;
-}
-
 void Scheduler::setTable(std::shared_ptr<const RouteTable> table, std::int64_t nowMs, Actions &actions)
 {
     m_table = std::move(table);
@@ -117,46 +66,6 @@
     tick(nowMs, actions);
 }
 
-double Scheduler::limitOf(const UpstreamState &upstream, std::int64_t nowMs) const
-{
-    const Upstream &info = *upstream.m_info;
-    if (info.m_phase == GroupPhase::Cold) {
-        return info.m_coldHolder == m_settings.m_self ? info.m_coldLimit : 0.0;
-    }
-    const double share = std::max(1.0, static_cast<double>(info.m_limit) / m_settings.m_gateways);
-    const double left = static_cast<double>(info.m_limit) - upstream.m_othersRunning;
-    double limit = std::min(std::max(share, left), upstream.m_limit);
-    if (upstream.m_warmSinceMs >= 0) {
-        const int steps = static_cast<int>(std::min<std::int64_t>(MaxRampSteps, (nowMs - upstream.m_warmSinceMs) / RampStepMs));
-        const double start = std::max(1.0, static_cast<double>(info.m_coldLimit) / m_settings.m_gateways);
-        limit = std::min(limit, std::ldexp(start, steps));
-    }
-    return std::max(1.0, limit);
-}
-
-bool Scheduler::canTake(const UpstreamState &upstream, std::int64_t nowMs) const
-{
-    return inCondition(upstream, nowMs) && nowMs >= upstream.m_setApartUntilMs && upstream.m_running + 1 <= limitOf(upstream, nowMs);
-}
-
-void Scheduler::refresh(std::uint32_t index, std::int64_t nowMs)
-{
-    UpstreamState &state = m_upstreams[index];
-    std::vector<std::uint32_t> &available = m_pools[state.m_info->m_pool].m_available;
-    const bool listed = state.m_availableAt >= 0;
-    const bool open = canTake(state, nowMs);
-    if (open && !listed) {
-        state.m_availableAt = static_cast<int>(available.size());
-        available.push_back(index);
-    } else if (!open && listed) {
-        const std::uint32_t last = available.back();
-        available[static_cast<std::size_t>(state.m_availableAt)] = last;
-        m_upstreams[last].m_availableAt = state.m_availableAt;
-        available.pop_back();
-        state.m_availableAt = -1;
-    }
-}
-
 Scheduler::Pool *Scheduler::poolOf(const std::string &name)
 {
     const auto it = m_pools.find(name);
@@ -245,38 +154,6 @@
     return m_admission.m_fair ? request.m_workspace : shared;
 }
 
-int Scheduler::lineWeight(const std::string &workspace) const
-{
-    const WorkspacePlan *plan = findWorkspace(m_table->m_plan, workspace);
-    if (plan == nullptr) {
-        return 1;
-    }
-    const int steps = std::max(0, PrioritySteps + 1 - plan->m_priority);
-    return plan->m_weight << std::min(PrioritySteps, steps);
-}
-
-int Scheduler::weightOf(const WorkRequest &request) const
-{
-    return lineWeight(request.m_workspace);
-}
-
-bool Scheduler::mustLeaveReserve(const Pool &pool, const WorkRequest &request) const
-{
-    if (!m_admission.m_fair || request.m_resumed || pool.m_capacity - pool.m_running > m_settings.m_reservePart * pool.m_capacity) {
-        return false;
-    }
-    const auto own = pool.m_runningByLine.find(lineOf(request));
-    if (own == pool.m_runningByLine.end()) {
-        return false;
-    }
-    int active = 0;
-    for (const std::pair<const std::string, int> &line : pool.m_runningByLine) {
-        active += lineWeight(line.first);
-    }
-    const double share = pool.m_capacity * weightOf(request) / std::max(1, active);
-    return pool.m_runningByLine.size() > 1 && own->second >= share;
-}
-
 void Scheduler::enqueue(Pool &pool, const WorkRequest &request, std::int64_t nowMs, Actions &actions)
 {
     const WorkspacePlan *workspace = findWorkspace(m_table->m_plan, request.m_workspace);
@@ -338,17 +215,6 @@
     arrive(request, nowMs, actions);
 }
 
-void Scheduler::settleStrikes(const Running &running, AttemptEnd end, std::int64_t nowMs)
-{
-    const bool known = m_strikes.judge(running.m_request.m_fingerprint, nowMs) != Suspicion::None;
-    if (end == AttemptEnd::Finished && known) {
-        m_strikes.clear(running.m_request.m_fingerprint, nowMs);
-    }
-    if (end == AttemptEnd::UpstreamLost) {
-        m_strikes.strike(running.m_request.m_fingerprint, running.m_alone, nowMs);
-    }
-}
-
 void Scheduler::finish(std::uint64_t requestId, AttemptEnd end, std::int64_t nowMs, Actions &actions)
 {
     const auto it = m_running.find(requestId);
@@ -503,63 +369,6 @@
     }
 }
 
-void Scheduler::chooseSetApart(const std::string &name, Pool &pool, std::int64_t nowMs)
-{
-    std::uint64_t best = 0;
-    pool.m_setApart = NoUpstreamIndex;
-    for (const std::uint32_t index : pool.m_members) {
-        const UpstreamState &state = m_upstreams[index];
-        const bool warm = state.m_present && state.m_info->m_phase == GroupPhase::Warm;
-        if (!warm || !inCondition(state, nowMs) || nowMs < state.m_setApartUntilMs) {
-            continue;
-        }
-        // By name of this gateway, so that two gateways rarely choose the same one.
-        const std::uint64_t weight = rendezvousWeight(name + m_settings.m_self, state.m_info->m_id);
-        if (pool.m_setApart == NoUpstreamIndex || weight > best) {
-            pool.m_setApart = index;
-            best = weight;
-        }
-    }
-    pool.m_setApartSinceMs = nowMs;
-}
-
-void Scheduler::runSuspects(Pool &pool, std::int64_t nowMs, Actions &actions)
-{
-    const bool busy = pool.m_setApart != NoUpstreamIndex && m_upstreams[pool.m_setApart].m_running > 0;
-    if (pool.m_suspects.empty() && !busy) {
-        if (pool.m_setApart != NoUpstreamIndex) {
-            m_upstreams[pool.m_setApart].m_setApartUntilMs = -1;
-            refresh(pool.m_setApart, nowMs);
-        }
-        pool.m_setApart = NoUpstreamIndex;
-        return;
-    }
-    // The upstream may have been lost, replaced or turned cold since it was chosen.
-    const bool lost = pool.m_setApart != NoUpstreamIndex
-                      && (!inCondition(m_upstreams[pool.m_setApart], nowMs) || m_upstreams[pool.m_setApart].m_info->m_phase != GroupPhase::Warm);
-    if (pool.m_setApart == NoUpstreamIndex || lost) {
-        if (pool.m_suspects.empty()) {
-            return;
-        }
-        chooseSetApart(m_waiting[pool.m_suspects.front()].m_pool, pool, nowMs);
-    }
-    if (pool.m_setApart == NoUpstreamIndex) {
-        return;
-    }
-    UpstreamState &state = m_upstreams[pool.m_setApart];
-    state.m_setApartUntilMs = nowMs + SetApartMs;
-    refresh(pool.m_setApart, nowMs);
-    const bool settled = nowMs >= pool.m_setApartSinceMs + SetApartSettleMs && state.m_othersRunning == 0;
-    if (pool.m_suspects.empty() || state.m_running > 0 || !settled) {
-        return;
-    }
-    const std::uint64_t id = pool.m_suspects.front();
-    pool.m_suspects.pop_front();
-    const WorkRequest request = m_waiting[id];
-    m_waiting.erase(id);
-    start(pool, pool.m_setApart, request, true, nowMs, actions);
-}
-
 void Scheduler::tick(std::int64_t nowMs, Actions &actions)
 {
     for (std::pair<const std::string, Pool> &entry : m_pools) {
@@ -633,16 +442,4 @@
     const UpstreamState &state = m_upstreams[it->second];
     return inCondition(state, nowMs) && state.m_info->m_generation == generation && limitOf(state, nowMs) >= 1.0;
 }
-
-std::vector<UpstreamReport> Scheduler::setApart() const
-{
-    std::vector<UpstreamReport> reports;
-    for (const std::pair<const std::string, Pool> &entry : m_pools) {
-        if (entry.second.m_setApart != NoUpstreamIndex) {
-            const Upstream &info = *m_upstreams[entry.second.m_setApart].m_info;
-            reports.push_back({info.m_id, info.m_generation, ReportKind::SetApart});
-        }
-    }
-    return reports;
-}
 }
--- a/kernel/scheduler.h
+++ b/kernel/scheduler.h
@@ -14,9 +14,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Choices of one scheduler. */
-struct SchedulerSettings {
+struct SchedulerSettings
+{
     /** Name of this gateway; cold grants are compared with it. */
     std::string m_self;
     std::string m_routePolicy = "prefix-affinity";
@@ -33,7 +35,8 @@
 };
 
 /** A request as the scheduler sees it. */
-struct WorkRequest {
+struct WorkRequest
+{
     std::uint64_t m_id = 0;
     std::string m_workspace;
     /** Model or service. */
@@ -54,7 +57,8 @@
 };
 
 /** What the caller of the scheduler must do now. */
-struct Action {
+struct Action
+{
     ActionKind m_kind = ActionKind::Dispatch;
     std::uint64_t m_requestId = 0;
     /** For Dispatch. */
@@ -93,14 +97,18 @@
     SetApart,
 };
 
-struct UpstreamReport {
+inline constexpr EnumNames<5> ReportKindNames{"doubt", "cold", "leaving", "recovered", "set-apart"};
+
+struct UpstreamReport
+{
     std::string m_upstream;
     std::uint64_t m_generation = 0;
     ReportKind m_kind = ReportKind::Doubt;
 };
 
 /** Counts since creation. */
-struct SchedulerCounters {
+struct SchedulerCounters
+{
     std::uint64_t m_dispatched = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_queued = 0;
@@ -164,7 +172,11 @@
     std::vector<UpstreamReport> setApart() const;
 
 private:
-    struct Pool {
+    /** How long a request to keep an upstream apart stands unless repeated. */
+    static constexpr std::int64_t SetApartMs = 2'000;
+
+    struct Pool
+    {
         std::vector<std::uint32_t> m_members;
         std::vector<std::uint32_t> m_available;
         FairQueue m_queue;
@@ -181,7 +193,8 @@
         double m_capacity = 0.0;
         std::uint64_t m_turn = 0;
     };
-    struct Running {
+    struct Running
+    {
         WorkRequest m_request;
         std::uint32_t m_upstream = 0;
         std::int64_t m_startedMs = 0;
--- /dev/null
+++ b/kernel/schedulerlimits.cpp
@@ -0,0 +1,132 @@
+// Problem: how many requests an upstream may get from this gateway follows from many things: the table, its phase and cold grant, news
+// that is ahead of the table, what the other gateways run there, the ramp after warming, and the shares of workspaces.
+// Approach: each is a rule of its own here; the list of available upstreams is updated whenever one of them changes.
+// Asking for all of this at each choice would cost time in the number of upstreams.
+
+#include "kernel/scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedslip
+{
+namespace
+{
+/** The limit of an upstream that became warm doubles once per step. */
+constexpr std::int64_t RampStepMs = 500;
+constexpr int MaxRampSteps = 20;
+/** Each step up in the operators' order doubles a workspace's share, for this many steps. */
+constexpr int PrioritySteps = 3;
+}
+
+bool turnedCold(const UpstreamState &upstream, std::int64_t nowMs)
+{
+    return upstream.m_info->m_phase == GroupPhase::Warm && nowMs < upstream.m_coldUntilMs;
+}
+
+bool inCondition(const UpstreamState &upstream, std::int64_t nowMs)
+{
+    return upstream.m_present && !turnedCold(upstream, nowMs) && !upstream.m_leaving && nowMs >= upstream.m_doubtUntilMs;
+}
+void Scheduler::takeEntry(const std::shared_ptr<const Upstream> &entry, std::int64_t nowMs)
+{
+    const auto [it, isNew] = m_byId.try_emplace(entry->m_id, static_cast<std::uint32_t>(m_upstreams.size()));
+    if (isNew) {
+        m_upstreams.emplace_back();
+        m_pools[entry->m_pool].m_members.push_back(it->second);
+    }
+    UpstreamState &state = m_upstreams[it->second];
+    const bool sameGeneration = !isNew && state.m_info->m_generation == entry->m_generation;
+    const bool samePhase = sameGeneration && state.m_info->m_phase == entry->m_phase;
+    const bool justWarmed = !isNew && entry->m_phase == GroupPhase::Warm && (!sameGeneration || state.m_info->m_phase == GroupPhase::Cold);
+    if (!sameGeneration) {
+        state.m_othersRunning = 0;
+    }
+    // News may be ahead of the table when the store was down; only a generation after it makes it void.
+    if (entry->m_generation > state.m_newsGeneration) {
+        state.m_doubtUntilMs = -1;
+        state.m_coldUntilMs = -1;
+        state.m_leaving = false;
+    }
+    if (!samePhase) {
+        state.m_limit = entry->m_limit;
+    }
+    if (justWarmed) {
+        state.m_warmSinceMs = nowMs;
+    }
+    state.m_info = entry;
+    state.m_present = true;
+}
+
+double Scheduler::limitOf(const UpstreamState &upstream, std::int64_t nowMs) const
+{
+    const Upstream &info = *upstream.m_info;
+    if (info.m_phase == GroupPhase::Cold) {
+        return info.m_coldHolder == m_settings.m_self ? info.m_coldLimit : 0.0;
+    }
+    const double share = std::max(1.0, static_cast<double>(info.m_limit) / m_settings.m_gateways);
+    const double left = static_cast<double>(info.m_limit) - upstream.m_othersRunning;
+    double limit = std::min(std::max(share, left), upstream.m_limit);
+    if (upstream.m_warmSinceMs >= 0) {
+        const int steps = static_cast<int>(std::min<std::int64_t>(MaxRampSteps, (nowMs - upstream.m_warmSinceMs) / RampStepMs));
+        const double start = std::max(1.0, static_cast<double>(info.m_coldLimit) / m_settings.m_gateways);
+        limit = std::min(limit, std::ldexp(start, steps));
+    }
+    return std::max(1.0, limit);
+}
+
+bool Scheduler::canTake(const UpstreamState &upstream, std::int64_t nowMs) const
+{
+    return inCondition(upstream, nowMs) && nowMs >= upstream.m_setApartUntilMs && upstream.m_running + 1 <= limitOf(upstream, nowMs);
+}
+
+void Scheduler::refresh(std::uint32_t index, std::int64_t nowMs)
+{
+    UpstreamState &state = m_upstreams[index];
+    std::vector<std::uint32_t> &available = m_pools[state.m_info->m_pool].m_available;
+    const bool listed = state.m_availableAt >= 0;
+    const bool open = canTake(state, nowMs);
+    if (open && !listed) {
+        state.m_availableAt = static_cast<int>(available.size());
+        available.push_back(index);
+    } else if (!open && listed) {
+        const std::uint32_t last = available.back();
+        available[static_cast<std::size_t>(state.m_availableAt)] = last;
+        m_upstreams[last].m_availableAt = state.m_availableAt;
+        available.pop_back();
+        state.m_availableAt = -1;
+    }
+}
+
+int Scheduler::lineWeight(const std::string &workspace) const
+{
+    const WorkspacePlan *plan = findWorkspace(m_table->m_plan, workspace);
+    if (plan == nullptr) {
+        return 1;
+    }
+    const int steps = std::max(0, PrioritySteps + 1 - plan->m_priority);
+    return plan->m_weight << std::min(PrioritySteps, steps);
+}
+
+int Scheduler::weightOf(const WorkRequest &request) const
+{
+    return lineWeight(request.m_workspace);
+}
+
+bool Scheduler::mustLeaveReserve(const Pool &pool, const WorkRequest &request) const
+{
+    if (!m_admission.m_fair || request.m_resumed || pool.m_capacity - pool.m_running > m_settings.m_reservePart * pool.m_capacity) {
+        return false;
+    }
+    const auto own = pool.m_runningByLine.find(lineOf(request));
+    if (own == pool.m_runningByLine.end()) {
+        return false;
+    }
+    int active = 0;
+    for (const std::pair<const std::string, int> &line : pool.m_runningByLine) {
+        active += lineWeight(line.first);
+    }
+    const double share = pool.m_capacity * weightOf(request) / std::max(1, active);
+    return pool.m_runningByLine.size() > 1 && own->second >= share;
+}
+}
--- a/kernel/serviceplacement.cpp
+++ b/kernel/serviceplacement.cpp
@@ -8,8 +8,10 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 GroupPhase phaseOf(const VmState &vm, const GroupRecord &group, const Plan &plan)
 {
     if (!usable(vm, plan)) {
--- a/kernel/serviceplacement.h
+++ b/kernel/serviceplacement.h
@@ -2,7 +2,8 @@
 
 #include "kernel/placement.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Name of the record that holds the VMs of service @p name. */
 std::string serviceDomain(const std::string &name);
 
--- a/kernel/sharding.cpp
+++ b/kernel/sharding.cpp
@@ -8,7 +8,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 std::vector<std::string> shardOf(const std::string &workspace, const std::vector<std::string> &upstreams, std::size_t size)
 {
     std::vector<std::string> shard = upstreams;
--- a/kernel/sharding.h
+++ b/kernel/sharding.h
@@ -4,7 +4,8 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * The shard of @p workspace: @p size of @p upstreams, chosen by rendezvous weight. Two workspaces share few upstreams, and a change of
  * one upstream changes at most one place of a shard. After the shuffle sharding page of Grafana Loki.
--- a/kernel/streamjoin.cpp
+++ b/kernel/streamjoin.cpp
@@ -5,7 +5,8 @@
 
 #include "kernel/streamjoin.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 JoinVerdict joinEvent(StreamJoin &join, const TokenEvent &event)
 {
     if (event.m_requestId != join.m_requestId || event.m_generation != join.m_generation) {
--- a/kernel/streamjoin.h
+++ b/kernel/streamjoin.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** One token event of an engine's stream. */
-struct TokenEvent {
+struct TokenEvent
+{
     std::string m_requestId;
     std::uint64_t m_generation = 0;
     /** Place of the token in the answer, from 0. */
@@ -28,7 +30,8 @@
 };
 
 /** What the caller has been given so far, over all attempts of one request. */
-struct StreamJoin {
+struct StreamJoin
+{
     std::string m_requestId;
     /** Generation of the upstream of the current attempt. */
     std::uint64_t m_generation = 0;
--- a/kernel/strikes.cpp
+++ b/kernel/strikes.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 StrikeRecord &StrikeBook::touch(std::uint64_t fingerprint)
 {
     const auto found = m_index.find(fingerprint);
--- a/kernel/strikes.h
+++ b/kernel/strikes.h
@@ -6,7 +6,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 enum class Suspicion {
     /** Nothing known against it. */
     None,
@@ -17,7 +18,8 @@
 };
 
 /** What is known against one request fingerprint. */
-struct StrikeRecord {
+struct StrikeRecord
+{
     std::uint64_t m_fingerprint = 0;
     /** Crashes while it ran by itself. */
     std::uint32_t m_alone = 0;
--- a/kernel/yamlreader.cpp
+++ b/kernel/yamlreader.cpp
@@ -6,7 +6,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 YAML::Node parseYaml(YamlReader &reader, const std::string &text)
 {
     try {
--- a/kernel/yamlreader.h
+++ b/kernel/yamlreader.h
@@ -11,12 +11,14 @@
 #include <string_view>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * Reads typed values out of a YAML tree and collects every finding with its place.
  * A reading function that meets a fault records it and returns the default, so that reading goes on.
  */
-struct YamlReader {
+struct YamlReader
+{
     std::string m_file;
     Findings m_findings;
 };
--- a/net/asio.cpp
+++ b/net/asio.cpp
@@ -8,7 +8,8 @@
 #include <charconv>
 #include <random>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 std::int64_t steadyMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
--- a/net/asio.h
+++ b/net/asio.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 using asio::awaitable;
--- a/net/daemonmain.h
+++ b/net/daemonmain.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <variant>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 inline constexpr int ExitSettings = 2;
 inline constexpr int ExitListen = 4;
 
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -8,7 +8,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 std::string_view headerValue(const HeaderFields &headers, std::string_view name)
 {
     const auto it = std::find_if(headers.begin(), headers.end(), [name](const std::pair<std::string, std::string> &field) {
--- a/net/http.h
+++ b/net/http.h
@@ -11,7 +11,8 @@
 #include <utility>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
@@ -19,7 +20,8 @@
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
 
 /** A request, as sent or received. */
-struct HttpRequest {
+struct HttpRequest
+{
     std::string m_method = "GET";
     /** Path and query. */
     std::string m_target = "/";
@@ -28,7 +30,8 @@
 };
 
 /** An answer with its whole body. */
-struct HttpReply {
+struct HttpReply
+{
     unsigned m_status = 200;
     HeaderFields m_headers;
     std::string m_body;
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -5,8 +5,10 @@
 
 #include "net/httpclient.h"
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 /** A time limit may be overrun by this part of it. */
 constexpr std::int64_t LimitSlackPart = 4;
 
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -6,9 +6,11 @@
 #include <mutex>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A connection to one address, bound to one context. */
-struct HttpConnection {
+struct HttpConnection
+{
     explicit HttpConnection(beast::tcp_stream stream)
         : m_stream(std::move(stream))
     {
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -5,8 +5,10 @@
 
 #include "net/httpserver.h"
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::int64_t WriteTimeoutMs = 30'000;
 
 template<typename Message>
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -6,7 +6,8 @@
 #include <functional>
 #include <memory>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** One request being served on a connection, and the ways to answer it. Used on the connection's own thread only. */
 class HttpExchange
 {
@@ -40,7 +41,8 @@
 
 using HttpHandler = std::function<awaitable<void>(HttpExchange &)>;
 
-struct HttpServerLimits {
+struct HttpServerLimits
+{
     std::size_t m_maxBodyBytes = 4 * 1024 * 1024;
     std::int64_t m_idleTimeoutMs = 60'000;
 };
--- a/net/iothreads.cpp
+++ b/net/iothreads.cpp
@@ -4,7 +4,8 @@
 
 #include "net/iothreads.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 IoThreads::IoThreads(int workers)
 {
     for (int i = 0; i < workers + 1; ++i) {
--- a/net/iothreads.h
+++ b/net/iothreads.h
@@ -6,7 +6,8 @@
 #include <thread>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * Threads of a process, each running one io_context by itself, so that everything bound to a context needs no lock. Context 0 carries
  * control work; requests are spread over the others.
@@ -29,7 +30,8 @@
     void stop();
 
 private:
-    struct Context {
+    struct Context
+    {
         asio::io_context m_context{1};
         asio::executor_work_guard<asio::io_context::executor_type> m_guard{m_context.get_executor()};
     };
--- a/net/keys.cpp
+++ b/net/keys.cpp
@@ -12,8 +12,10 @@
 #include <array>
 #include <fstream>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::size_t MinSecretLength = 16;
 
 const unsigned char *bytesOf(std::string_view text)
--- a/net/keys.h
+++ b/net/keys.h
@@ -5,9 +5,11 @@
 #include <string>
 #include <string_view>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A secret read from a file. Its text never goes into a log, a dump or a message. */
-struct Secret {
+struct Secret
+{
     std::string m_text;
 };
 
--- a/net/logging.cpp
+++ b/net/logging.cpp
@@ -8,8 +8,10 @@
 
 INITIALIZE_EASYLOGGINGPP
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 std::string quoted(const std::string &value)
 {
     const bool plain = !value.empty() && value.find_first_of(" \"\n=") == std::string::npos;
--- a/net/logging.h
+++ b/net/logging.h
@@ -7,7 +7,8 @@
 #include <string_view>
 #include <utility>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** One field of a log line. */
 using LogField = std::pair<std::string_view, std::string>;
 
--- a/net/metrics.cpp
+++ b/net/metrics.cpp
@@ -8,10 +8,12 @@
 
 #include <sstream>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace histogram = boost::histogram;
 
-namespace {
+namespace
+{
 constexpr unsigned BinCount = 120;
 constexpr double LowestMs = 0.05;
 constexpr double HighestMs = 100'000.0;
@@ -23,7 +25,8 @@
 using Storage = histogram::dense_storage<Count>;
 }
 
-struct LatencyHistogram::Bins {
+struct LatencyHistogram::Bins
+{
     histogram::histogram<std::tuple<LogAxis>, Storage> m_histogram = histogram::make_histogram_with(Storage(), LogAxis(BinCount, LowestMs, HighestMs));
     std::atomic<std::uint64_t> m_sumUs{0};
 };
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Latency histogram with logarithmic bins from 0.05 ms to 100 s; may be filled by several threads. */
 class LatencyHistogram
 {
@@ -30,7 +31,8 @@
 };
 
 /** A count that only rises. */
-struct Counter {
+struct Counter
+{
     std::string m_name;
     std::string m_help;
     std::atomic<std::uint64_t> m_value{0};
--- a/net/node.h
+++ b/net/node.h
@@ -15,9 +15,11 @@
 #include <set>
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** What a daemon adds to the node it runs on. All are called on the control thread; any may be empty. */
-struct NodeHooks {
+struct NodeHooks
+{
     /** A newer view of the configuration was adopted. */
     std::function<void(const DocumentView &)> m_onView;
     /** First news of a report from a peer. */
@@ -71,7 +73,8 @@
     asio::io_context &context();
 
 private:
-    struct HeldReport {
+    struct HeldReport
+    {
         UpstreamReport m_report;
         std::int64_t m_bornMs = 0;
     };
--- a/net/oneshot.h
+++ b/net/oneshot.h
@@ -5,7 +5,8 @@
 #include <memory>
 #include <optional>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A value that one coroutine waits for and any thread sets once. Held by shared pointer on both sides. */
 template<typename T>
 class OneShot : public std::enable_shared_from_this<OneShot<T>>
--- a/net/peercodec.cpp
+++ b/net/peercodec.cpp
@@ -6,8 +6,10 @@
 
 #include "wire/peer_generated.h"
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 wire::EnvelopeT toWire(const HeartbeatMessage &message)
 {
     wire::HeartbeatT heartbeat;
--- a/net/peercodec.h
+++ b/net/peercodec.h
@@ -9,21 +9,25 @@
 #include <variant>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A report and its age, so that relayed news dies out. */
-struct AgedReport {
+struct AgedReport
+{
     UpstreamReport m_report;
     std::int64_t m_ageMs = 0;
 };
 
 /** A strike record and its age. */
-struct AgedStrike {
+struct AgedStrike
+{
     StrikeRecord m_record;
     std::int64_t m_ageMs = 0;
 };
 
 /** What a daemon tells a peer in each round, and the answer to it. */
-struct HeartbeatMessage {
+struct HeartbeatMessage
+{
     std::string m_sender;
     std::uint64_t m_viewIndex = 0;
     std::int64_t m_confirmationAgeMs = -1;
@@ -33,7 +37,8 @@
 };
 
 /** Asks for the documents after an index. */
-struct DocumentsRequestMessage {
+struct DocumentsRequestMessage
+{
     std::uint64_t m_since = 0;
 };
 
--- a/net/peerlink.cpp
+++ b/net/peerlink.cpp
@@ -6,8 +6,10 @@
 
 #include <array>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::size_t NonceBytes = 16;
 constexpr std::size_t MacBytes = 32;
 constexpr std::size_t LengthBytes = 4;
--- a/net/peerlink.h
+++ b/net/peerlink.h
@@ -8,9 +8,11 @@
 #include <memory>
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Counts of one daemon's peer traffic. */
-struct PeerTraffic {
+struct PeerTraffic
+{
     std::uint64_t m_sentBytes = 0;
     std::uint64_t m_receivedBytes = 0;
     std::uint64_t m_sentMessages = 0;
@@ -22,7 +24,8 @@
  * listening side opens with 16 random bytes; the HMAC covers them, the direction and the frame's number, so that a frame cannot be
  * replayed on another connection or in another place.
  */
-struct PeerConnection {
+struct PeerConnection
+{
     explicit PeerConnection(Tcp::socket socket)
         : m_socket(std::move(socket))
     {
--- a/net/settings.cpp
+++ b/net/settings.cpp
@@ -15,8 +15,10 @@
 #include <fstream>
 #include <sstream>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr std::int64_t MaxTimeMs = 86'400'000;
 constexpr std::int64_t MaxThreads = 64;
 constexpr std::int64_t MaxBodyBytes = 64 * 1024 * 1024;
--- a/net/settings.h
+++ b/net/settings.h
@@ -9,9 +9,11 @@
 #include <variant>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Settings that every daemon has. */
-struct CommonSettings {
+struct CommonSettings
+{
     std::string m_name;
     Role m_role = Role::Gateway;
     std::string m_availabilityZone;
@@ -36,7 +38,8 @@
     std::int64_t m_drainLimitMs = 120'000;
 };
 
-struct GatewaySettings {
+struct GatewaySettings
+{
     CommonSettings m_common;
     std::string m_routePolicy;
     std::string m_admissionPolicy;
@@ -50,7 +53,8 @@
     int m_intentWritesPerSecond = 37;
 };
 
-struct ControllerSettings {
+struct ControllerSettings
+{
     CommonSettings m_common;
     std::string m_placementRule;
     std::int64_t m_probeIntervalMs = 250;
@@ -62,7 +66,8 @@
     std::int64_t m_orderLifeMs = 1'000;
 };
 
-struct AdminSettings {
+struct AdminSettings
+{
     CommonSettings m_common;
     /** Earlier plans kept in the plan document. */
     int m_keptPlans = 16;
--- a/net/snapshotcell.h
+++ b/net/snapshotcell.h
@@ -5,7 +5,8 @@
 #include <memory>
 #include <mutex>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /**
  * Read-copy-update of one immutable value. A writer publishes a new copy; a reader keeps the copy it took for as long as it needs,
  * also across suspensions of a coroutine. Reading costs one atomic load while nothing has changed.
@@ -22,7 +23,8 @@
     }
 
     /** One per reading thread. */
-    struct Reader {
+    struct Reader
+    {
         std::uint64_t m_version = 0;
         std::shared_ptr<const T> m_value;
     };
--- a/net/storeclient.cpp
+++ b/net/storeclient.cpp
@@ -8,10 +8,12 @@
 
 #include <boost/json.hpp>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 Error storeError(const Error &error)
 {
     return error.m_code == ErrorCode::ConnectFailed ? error : Error{ErrorCode::StoreUnavailable, describe(error)};
--- a/net/storeclient.h
+++ b/net/storeclient.h
@@ -6,16 +6,19 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** The platform's store and VM list, spoken to by Consul's HTTP API. */
-struct StoreClient {
+struct StoreClient
+{
     std::string m_address;
     std::int64_t m_timeoutMs = 2'000;
     ConnectionPool m_pool;
 };
 
 /** Answer to a read of one key. */
-struct StoreValue {
+struct StoreValue
+{
     bool m_found = false;
     std::uint64_t m_modifyIndex = 0;
     std::string m_value;
@@ -52,7 +55,8 @@
 awaitable<Result<Done>> storeRelease(StoreClient &store, std::string key, std::string session);
 
 /** One VM of the platform's list, which lags behind reality. */
-struct ListedVm {
+struct ListedVm
+{
     std::string m_vm;
     std::string m_address;
     std::string m_availabilityZone;
--- a/net/synccall.cpp
+++ b/net/synccall.cpp
@@ -3,7 +3,8 @@
 
 #include "net/synccall.h"
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 Result<HttpReply> syncCall(const std::string &address, const HttpRequest &request, std::int64_t timeoutMs)
 {
     asio::io_context context(1);
--- a/net/synccall.h
+++ b/net/synccall.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** One HTTP exchange for programs that do nothing else meanwhile. */
 Result<HttpReply> syncCall(const std::string &address, const HttpRequest &request, std::int64_t timeoutMs);
 }
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -1,15 +1,13 @@
 // Problem: a deployment has some fifty engine VMs, and a laptop should carry them.
 // Approach: one process serves several VMs, each on a port of its own; tests that kill processes start one VM each.
 
-#include "net/iothreads.h"
 #include "standins/enginevm.h"
+#include "standins/serve.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
-#include <iostream>
-
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 int run(const std::string &ip, int port, const std::string &prefix, int count, const EngineOptions &options)
 {
     IoThreads threads(0);
@@ -19,21 +17,19 @@
     for (int i = 0; i < count; ++i) {
         vms.push_back(std::make_unique<EngineVm>(prefix + std::to_string(i + 1), options, history));
         EngineVm *vm = vms.back().get();
-        Result<std::shared_ptr<HttpServer>> server =
-            HttpServer::create({&threads.control()}, ip + ":" + std::to_string(port + i), [vm](HttpExchange &exchange) {
+        const std::string address = ip + ":" + std::to_string(port + i);
+        const bool listens = listenOn(
+            threads,
+            address,
+            [vm](HttpExchange &exchange) {
                 return vm->serve(exchange);
-            });
-        if (failed(server)) {
-            std::cerr << describe(errorOf(server)) << "\n";
+            },
+            servers);
+        if (!listens) {
             return 2;
         }
-        servers.push_back(valueOf(server));
     }
-    asio::signal_set signals(threads.control(), SIGTERM, SIGINT);
-    signals.async_wait([&threads](const boost::system::error_code &, int) {
-        threads.stop();
-    });
-    threads.run();
+    runUntilSignal(threads);
     return 0;
 }
 }
--- a/standins/enginevm.cpp
+++ b/standins/enginevm.cpp
@@ -5,13 +5,16 @@
 #include "standins/enginevm.h"
 
 #include "kernel/hashing.h"
+#include "net/jsonfields.h"
 
 #include <boost/json.hpp>
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr const char *PoisonMark = "POISON";
 constexpr std::uint64_t DefaultTokens = 16;
 constexpr std::uint64_t MaxTokens = 100'000;
@@ -24,29 +27,10 @@
     return "w" + std::to_string(hash64(prompt, offset) % 1'000) + " ";
 }
 
-std::string textOf(const json::object &object, const char *key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? json::value_to<std::string>(*value) : std::string();
-}
-
-std::int64_t numberOf(const json::object &object, const char *key, std::int64_t fallback)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_number() ? value->to_number<std::int64_t>() : fallback;
-}
-
 std::string quote(const std::string &text)
 {
     return json::serialize(json::value(text));
 }
-
-json::object parseObject(const std::string &body)
-{
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    return error || !value.is_object() ? json::object() : value.as_object();
-}
 }
 
 EngineVm::EngineVm(std::string vm, const EngineOptions &options, History &history)
@@ -118,25 +102,20 @@
 
 void EngineVm::setFaults(const std::string &body)
 {
-    const json::object object = parseObject(body);
-    const auto flag = [&](const char *key, bool &target) {
-        if (const json::value *value = object.if_contains(key)) {
-            target = value->as_bool();
-        }
-    };
-    flag("frozen", m_faults.m_frozen);
-    flag("leaving", m_faults.m_leaving);
-    flag("crossed", m_faults.m_crossed);
-    m_faults.m_slowTokenMs = numberOf(object, "slow_token_ms", m_faults.m_slowTokenMs);
-    m_faults.m_cutAfter = numberOf(object, "cut_after", m_faults.m_cutAfter);
-    m_faults.m_skipAt = numberOf(object, "skip_at", m_faults.m_skipAt);
-    m_faults.m_repeatAt = numberOf(object, "repeat_at", m_faults.m_repeatAt);
+    const json::object object = parseJsonObject(body);
+    m_faults.m_frozen = flagField(object, "frozen", m_faults.m_frozen);
+    m_faults.m_leaving = flagField(object, "leaving", m_faults.m_leaving);
+    m_faults.m_crossed = flagField(object, "crossed", m_faults.m_crossed);
+    m_faults.m_slowTokenMs = numberField(object, "slow_token_ms", m_faults.m_slowTokenMs);
+    m_faults.m_cutAfter = numberField(object, "cut_after", m_faults.m_cutAfter);
+    m_faults.m_skipAt = numberField(object, "skip_at", m_faults.m_skipAt);
+    m_faults.m_repeatAt = numberField(object, "repeat_at", m_faults.m_repeatAt);
     if (object.if_contains("turn_cold") != nullptr) {
-        m_coldUntilMs = steadyMs() + numberOf(object, "turn_cold", 0);
+        m_coldUntilMs = steadyMs() + numberField(object, "turn_cold", 0);
     }
     if (object.if_contains("crash") != nullptr) {
         crash("fault");
-        m_downUntilMs = steadyMs() + numberOf(object, "crash", m_options.m_restartMs);
+        m_downUntilMs = steadyMs() + numberField(object, "crash", m_options.m_restartMs);
     }
 }
 
@@ -170,15 +149,15 @@
 
 awaitable<void> EngineVm::serveOrder(HttpExchange &exchange)
 {
-    const json::object object = parseObject(exchange.request().m_body);
-    const std::uint64_t fence = static_cast<std::uint64_t>(numberOf(object, "fence", 0));
-    const bool otherProcess = textOf(object, "boot_id") != m_bootId;
+    const json::object object = parseJsonObject(exchange.request().m_body);
+    const std::uint64_t fence = static_cast<std::uint64_t>(numberField(object, "fence", 0));
+    const bool otherProcess = textField(object, "boot_id") != m_bootId;
     if (otherProcess || (m_options.m_checkFence && fence < m_fence)) {
         co_await exchange.respond(jsonReply(409, R"({"error":"old order"})"));
         co_return;
     }
     m_fence = fence;
-    if (textOf(object, "kind") == "release") {
+    if (textField(object, "kind") == "release") {
         m_group.clear();
         m_generation = 0;
         m_peers.clear();
@@ -186,16 +165,16 @@
         co_await exchange.respond(jsonReply(200, "{}"));
         co_return;
     }
-    const std::string loaded = textOf(object, "loaded");
+    const std::string loaded = textField(object, "loaded");
     const std::int64_t nowMs = steadyMs();
     if (loaded != m_loaded) {
         m_loadedAtMs = nowMs + m_options.m_loadMs;
     }
     m_coldUntilMs = std::max(nowMs, m_loadedAtMs) + m_options.m_coldMs;
     m_loaded = loaded;
-    m_group = textOf(object, "group");
-    m_generation = static_cast<std::uint64_t>(numberOf(object, "generation", 0));
-    m_rank = static_cast<int>(numberOf(object, "rank", 0));
+    m_group = textField(object, "group");
+    m_generation = static_cast<std::uint64_t>(numberField(object, "generation", 0));
+    m_rank = static_cast<int>(numberField(object, "rank", 0));
     m_peers.clear();
     if (const json::value *peers = object.if_contains("peers")) {
         for (const json::value &peer : peers->as_array()) {
@@ -214,7 +193,7 @@
         HttpRequest request;
         request.m_target = "/control/status";
         const Result<HttpReply> reply = co_await httpCall(m_pool, address, std::move(request), MemberTimeoutMs);
-        if (failed(reply) || numberOf(parseObject(valueOf(reply).m_body), "generation", 0) != static_cast<std::int64_t>(generation)) {
+        if (failed(reply) || numberField(parseJsonObject(valueOf(reply).m_body), "generation", 0) != static_cast<std::int64_t>(generation)) {
             co_return false;
         }
     }
@@ -224,7 +203,7 @@
 awaitable<void> EngineVm::serveCompletion(HttpExchange &exchange)
 {
     const HttpRequest request = exchange.request();
-    const json::object object = parseObject(request.m_body);
+    const json::object object = parseJsonObject(request.m_body);
     const std::string requestId(headerValue(request.m_headers, "X-Request-Id"));
     const std::string generation(headerValue(request.m_headers, "X-Group-Generation"));
     if (m_faults.m_leaving || loading() || m_rank != 0 || generation != std::to_string(m_generation)) {
@@ -246,14 +225,14 @@
         exchange.abort();
         co_return;
     }
-    const std::string prompt = textOf(object, "prompt");
+    const std::string prompt = textField(object, "prompt");
     if (prompt.find(PoisonMark) != std::string::npos) {
         crash("poison");
         exchange.abort();
         co_return;
     }
     const std::string offset(headerValue(request.m_headers, "X-Resume-Offset"));
-    const std::uint64_t count = std::min(MaxTokens, static_cast<std::uint64_t>(numberOf(object, "max_tokens", DefaultTokens)));
+    const std::uint64_t count = std::min(MaxTokens, static_cast<std::uint64_t>(numberField(object, "max_tokens", DefaultTokens)));
     co_await streamTokens(exchange, requestId, prompt, std::strtoull(offset.c_str(), nullptr, 10), count);
     if (bootId == m_bootId) {
         --m_running;
--- a/standins/enginevm.h
+++ b/standins/enginevm.h
@@ -9,9 +9,11 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 /** Behaviour shared by the engine VMs of one process. */
-struct EngineOptions {
+struct EngineOptions
+{
     std::int64_t m_tokenMs = 5;
     std::int64_t m_firstTokenMs = 20;
     std::int64_t m_loadMs = 300;
@@ -26,7 +28,8 @@
 };
 
 /** Faults of one VM, switched on by PUT /standin/faults. */
-struct EngineFaults {
+struct EngineFaults
+{
     bool m_frozen = false;
     bool m_leaving = false;
     std::int64_t m_slowTokenMs = 0;
--- a/standins/history.cpp
+++ b/standins/history.cpp
@@ -5,7 +5,8 @@
 
 #include "net/asio.h"
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 void record(History &history, const std::string &kind, const std::string &fields)
 {
     std::string line = "{\"at_ms\":" + std::to_string(steadyMs()) + ",\"kind\":\"" + kind + "\"";
--- a/standins/history.h
+++ b/standins/history.h
@@ -4,9 +4,11 @@
 #include <deque>
 #include <string>
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 /** Events of a stand-in, oldest first, as JSON lines with the time in ms of the machine's steady clock, which all processes share. */
-struct History {
+struct History
+{
     static constexpr std::size_t MaxEvents = 200'000;
     std::deque<std::string> m_lines;
 };
--- a/standins/kvstore.cpp
+++ b/standins/kvstore.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 std::uint64_t kvPrefixIndex(const KvStore &store, const std::string &prefix)
 {
     std::uint64_t index = 1;
--- a/standins/kvstore.h
+++ b/standins/kvstore.h
@@ -6,21 +6,25 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 /** One key of the stand-in store. */
-struct KvEntry {
+struct KvEntry
+{
     std::string m_value;
     std::uint64_t m_modifyIndex = 0;
     std::string m_session;
 };
 
-struct KvSession {
+struct KvSession
+{
     std::int64_t m_ttlMs = 0;
     std::int64_t m_renewedMs = 0;
 };
 
 /** Key-value state with compare-and-swap and leases, as Consul's pages describe it. Time is passed in. */
-struct KvStore {
+struct KvStore
+{
     std::uint64_t m_index = 1;
     std::map<std::string, KvEntry> m_entries;
     std::map<std::string, KvSession> m_sessions;
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -2,39 +2,42 @@
 // Approach: the calls of Consul's HTTP API that they use, over KvStore, with faults switched on by PUT /standin/faults:
 // {"down":bool, "slow_ms":n, "lose_answers":n, "vm_list_lag_ms":n}.
 
-#include "net/httpserver.h"
-#include "net/iothreads.h"
+#include "net/jsonfields.h"
 #include "net/keys.h"
 #include "standins/kvstore.h"
+#include "standins/serve.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/json.hpp>
 
-#include <csignal>
 #include <deque>
-#include <iostream>
 
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr std::int64_t WatchPollMs = 5;
 constexpr std::int64_t DefaultWaitMs = 300'000;
 constexpr std::int64_t ExpireIntervalMs = 20;
 
-struct Faults {
+struct Faults
+{
     bool m_down = false;
     std::int64_t m_slowMs = 0;
     std::int64_t m_loseAnswers = 0;
     std::int64_t m_listLagMs = 0;
 };
 
-struct ListChange {
+struct ListChange
+{
     std::int64_t m_atMs = 0;
     std::string m_list;
 };
 
-struct Platform {
+struct Platform
+{
     KvStore m_store;
     Faults m_faults;
     std::deque<ListChange> m_listChanges;
@@ -145,23 +148,11 @@
 
 void setFaults(Faults &faults, const std::string &body)
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    if (error || !value.is_object()) {
-        return;
-    }
-    const json::object &object = value.as_object();
-    const auto number = [&](const char *key, std::int64_t &target) {
-        if (const json::value *found = object.if_contains(key)) {
-            target = found->to_number<std::int64_t>();
-        }
-    };
-    if (const json::value *down = object.if_contains("down")) {
-        faults.m_down = down->as_bool();
-    }
-    number("slow_ms", faults.m_slowMs);
-    number("lose_answers", faults.m_loseAnswers);
-    number("vm_list_lag_ms", faults.m_listLagMs);
+    const json::object object = parseJsonObject(body);
+    faults.m_down = flagField(object, "down", faults.m_down);
+    faults.m_slowMs = numberField(object, "slow_ms", faults.m_slowMs);
+    faults.m_loseAnswers = numberField(object, "lose_answers", faults.m_loseAnswers);
+    faults.m_listLagMs = numberField(object, "vm_list_lag_ms", faults.m_listLagMs);
 }
 
 HttpReply counts(const Platform &platform)
@@ -238,19 +229,19 @@
 {
     IoThreads threads(0);
     Platform platform;
-    Result<std::shared_ptr<HttpServer>> server = HttpServer::create({&threads.control()}, listen, [&platform](HttpExchange &exchange) {
-        return serve(platform, exchange);
-    });
-    if (failed(server)) {
-        std::cerr << describe(errorOf(server)) << "\n";
+    std::vector<std::shared_ptr<HttpServer>> servers;
+    const bool listens = listenOn(
+        threads,
+        listen,
+        [&platform](HttpExchange &exchange) {
+            return serve(platform, exchange);
+        },
+        servers);
+    if (!listens) {
         return 2;
     }
     asio::co_spawn(threads.control(), expireLoop(platform), asio::detached);
-    asio::signal_set signals(threads.control(), SIGTERM, SIGINT);
-    signals.async_wait([&threads](const boost::system::error_code &, int) {
-        threads.stop();
-    });
-    threads.run();
+    runUntilSignal(threads);
     return 0;
 }
 }
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -2,21 +2,21 @@
 // Approach: every call is recorded before its answer is sent; faults: {"lose_answers":n, "slow_ms":n, "leaving":bool, "refuse":bool,
 // "crash":ms, "turn_cold":ms}.
 
-#include "net/httpserver.h"
-#include "net/iothreads.h"
+#include "net/jsonfields.h"
 #include "standins/history.h"
+#include "standins/serve.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/json.hpp>
 
-#include <csignal>
-#include <iostream>
-
-namespace knapweedslip::standin {
+namespace knapweedslip::standin
+{
 namespace json = boost::json;
 
-namespace {
-struct Service {
+namespace
+{
+struct Service
+{
     std::string m_vm;
     std::string m_bootId;
     std::int64_t m_workMs = 5;
@@ -38,29 +38,16 @@
 
 void setFaults(Service &service, const std::string &body)
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    if (error || !value.is_object()) {
-        return;
-    }
-    const json::object &object = value.as_object();
-    const auto number = [&](const char *key, std::int64_t fallback) {
-        const json::value *found = object.if_contains(key);
-        return found == nullptr ? fallback : found->to_number<std::int64_t>();
-    };
-    service.m_loseAnswers = number("lose_answers", service.m_loseAnswers);
-    service.m_slowMs = number("slow_ms", service.m_slowMs);
-    if (const json::value *leaving = object.if_contains("leaving")) {
-        service.m_leaving = leaving->as_bool();
-    }
-    if (const json::value *refuse = object.if_contains("refuse")) {
-        service.m_refuse = refuse->as_bool();
-    }
+    const json::object object = parseJsonObject(body);
+    service.m_loseAnswers = numberField(object, "lose_answers", service.m_loseAnswers);
+    service.m_slowMs = numberField(object, "slow_ms", service.m_slowMs);
+    service.m_leaving = flagField(object, "leaving", service.m_leaving);
+    service.m_refuse = flagField(object, "refuse", service.m_refuse);
     if (object.if_contains("turn_cold") != nullptr) {
-        service.m_coldUntilMs = steadyMs() + number("turn_cold", 0);
+        service.m_coldUntilMs = steadyMs() + numberField(object, "turn_cold");
     }
     if (object.if_contains("crash") != nullptr) {
-        service.m_downUntilMs = steadyMs() + number("crash", 0);
+        service.m_downUntilMs = steadyMs() + numberField(object, "crash");
         service.m_bootId = service.m_vm + "-" + toHex(randomId());
         service.m_running = 0;
     }
@@ -137,18 +124,18 @@
     service.m_bootId = service.m_vm + "-" + toHex(randomId());
     service.m_coldUntilMs = steadyMs() + coldMs;
     IoThreads threads(0);
-    Result<std::shared_ptr<HttpServer>> server = HttpServer::create({&threads.control()}, listen, [&service](HttpExchange &exchange) {
-        return serve(service, exchange);
-    });
-    if (failed(server)) {
-        std::cerr << describe(errorOf(server)) << "\n";
+    std::vector<std::shared_ptr<HttpServer>> servers;
+    const bool listens = listenOn(
+        threads,
+        listen,
+        [&service](HttpExchange &exchange) {
+            return serve(service, exchange);
+        },
+        servers);
+    if (!listens) {
         return 2;
     }
-    asio::signal_set signals(threads.control(), SIGTERM, SIGINT);
-    signals.async_wait([&threads](const boost::system::error_code &, int) {
-        threads.stop();
-    });
-    threads.run();
+    runUntilSignal(threads);
     return 0;
 }
 }
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -14,10 +14,12 @@
 #include <iostream>
 #include <sstream>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr int ExitOk = 0;
 constexpr int ExitRefused = 1;
 constexpr int ExitUsage = 2;
@@ -29,7 +31,8 @@
 constexpr unsigned StatusConflict = 412;
 
 /** Values of the command line. */
-struct Options {
+struct Options
+{
     std::string m_admin = "127.0.0.1:7300";
     std::string m_keyFile;
     std::string m_output = "text";
@@ -48,7 +51,8 @@
     std::int64_t m_waitMs = 10'000;
 };
 
-struct Answer {
+struct Answer
+{
     int m_exit = ExitOk;
     json::value m_body;
 };
--- a/tools/ctlformat.cpp
+++ b/tools/ctlformat.cpp
@@ -5,10 +5,12 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 std::string plainText(const json::value &value)
 {
     if (value.is_string()) {
--- a/tools/ctlformat.h
+++ b/tools/ctlformat.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A table for people: one line a row, columns padded. @p keys are the fields shown, in order. */
 std::string formatTable(const boost::json::array &rows, const std::vector<std::string> &keys);
 /** "key: value" lines of the plain fields of an object. */
--- a/tools/experiment.h
+++ b/tools/experiment.h
@@ -5,12 +5,14 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Figures of one run: name of the figure to its value. */
 using Figures = std::map<std::string, double>;
 
 /** A measurement of a policy against its baselines in virtual time. An experiment is a plug-in. */
-struct Experiment {
+struct Experiment
+{
     const char *m_name = nullptr;
     const char *m_help = nullptr;
     /** Names of the variants that are compared, the baseline first. */
--- a/tools/experimentsload.cpp
+++ b/tools/experimentsload.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 double quantileOf(std::vector<double> values, double q)
 {
     if (values.empty()) {
@@ -18,7 +19,8 @@
     return values[place];
 }
 
-namespace {
+namespace
+{
 constexpr int Groups = 12;
 constexpr int GroupLimit = 8;
 /** Requests a second that 12 groups of 8 slots bear with the model's default times: 96 slots / (0.2 + 41 * 0.02) s. */
@@ -69,7 +71,8 @@
     return settings;
 }
 
-struct Totals {
+struct Totals
+{
     double m_offered = 0.0;
     double m_good = 0.0;
     double m_late = 0.0;
--- a/tools/experimentsplacement.cpp
+++ b/tools/experimentsplacement.cpp
@@ -7,8 +7,10 @@
 
 #include <random>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr int GroupVms = 4;
 constexpr int Groups = 4;
 constexpr int Spares = 2;
@@ -21,14 +23,16 @@
 constexpr double MeanDownSeconds = 1'200.0;
 constexpr double RackPart = 0.1;
 
-struct EngineTimes {
+struct EngineTimes
+{
     int m_loadedAt = 0;
     int m_warmAt = 0;
     int m_upAt = 0;
     int m_downAt = 0;
 };
 
-struct DomainRun {
+struct DomainRun
+{
     Plan m_plan;
     PlacementInput m_input;
     std::vector<EngineTimes> m_times;
--- a/tools/historycheck.cpp
+++ b/tools/historycheck.cpp
@@ -11,10 +11,12 @@
 #include <set>
 #include <sstream>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 std::string at(const HistoryEvent &event)
 {
     return " at " + std::to_string(event.m_atMs) + " ms";
@@ -41,7 +43,8 @@
 
 Violations checkOneGroupPerVm(const HistoryEvents &events)
 {
-    struct Record {
+    struct Record
+    {
         std::uint64_t m_index = 0;
         std::map<std::string, std::string> m_groupByVm;
     };
--- a/tools/historycheck.h
+++ b/tools/historycheck.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** What a history records. The meaning of subject, place and number is given for each kind. */
 enum class HistoryKind {
     /** A caller sent request m_subject with idempotency key m_place (or none). */
@@ -41,7 +42,8 @@
 inline constexpr EnumNames<13> HistoryKindNames{
     "invoke", "run", "answer", "token", "vm-lost", "joined", "recorded", "accepted", "adopted", "dispatched", "closed", "opened", "stop-began"};
 
-struct HistoryEvent {
+struct HistoryEvent
+{
     std::int64_t m_atMs = 0;
     HistoryKind m_kind = HistoryKind::Invoke;
     std::string m_subject;
--- a/tools/httpload.cpp
+++ b/tools/httpload.cpp
@@ -17,15 +17,18 @@
 #include <map>
 #include <random>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
+namespace
+{
 constexpr std::int64_t ConnectTimeoutMs = 2'000;
 constexpr std::int64_t AnswerSlackMs = 5'000;
 constexpr int MaxResends = 16;
 
-struct LoadState {
+struct LoadState
+{
     explicit LoadState(const HttpLoadOptions &options)
         : m_options(options)
         , m_random(options.m_seed)
@@ -69,7 +72,8 @@
 }
 
 /** What a stream of events came to. */
-struct StreamEnd {
+struct StreamEnd
+{
     std::string m_text;
     bool m_done = false;
     bool m_error = false;
--- a/tools/httpload.h
+++ b/tools/httpload.h
@@ -4,9 +4,11 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Options of load over HTTP. */
-struct HttpLoadOptions {
+struct HttpLoadOptions
+{
     std::vector<std::string> m_targets;
     std::string m_keyFile;
     std::string m_model;
--- a/tools/loadmain.cpp
+++ b/tools/loadmain.cpp
@@ -16,11 +16,14 @@
 #include <sstream>
 #include <thread>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 namespace json = boost::json;
 
-namespace {
-struct ExperimentOptions {
+namespace
+{
+struct ExperimentOptions
+{
     std::string m_name;
     int m_seeds = 10;
     std::uint64_t m_firstSeed = 1;
@@ -85,7 +88,8 @@
     return 0;
 }
 
-struct CheckOptions {
+struct CheckOptions
+{
     std::vector<std::string> m_files;
     std::int64_t m_graceMs = 2'000;
     std::int64_t m_detectMs = 2'000;
--- a/tools/loadmodel.cpp
+++ b/tools/loadmodel.cpp
@@ -13,8 +13,10 @@
 #include <deque>
 #include <set>
 
-namespace knapweedslip {
-namespace {
+namespace knapweedslip
+{
+namespace
+{
 constexpr const char *Pool = "model";
 constexpr double Skew = 1.1;
 constexpr std::int64_t ImbalanceSampleMs = 1'000;
@@ -23,8 +25,10 @@
 constexpr std::int64_t CrashRetryMs = 100;
 }
 
-struct LoadModel::Impl {
-    struct Engine {
+struct LoadModel::Impl
+{
+    struct Engine
+    {
         ModelUpstream m_info;
         bool m_up = true;
         bool m_cold = false;
@@ -35,12 +39,14 @@
         std::deque<std::uint64_t> m_cache;
         std::int64_t m_crashedMs = -1;
     };
-    struct Gateway {
+    struct Gateway
+    {
         std::string m_name;
         std::unique_ptr<Scheduler> m_scheduler;
         std::uint64_t m_tableIndex = 0;
     };
-    struct Request {
+    struct Request
+    {
         std::size_t m_gateway = 0;
         WorkRequest m_work;
         std::int64_t m_arrivalMs = 0;
--- a/tools/loadmodel.h
+++ b/tools/loadmodel.h
@@ -11,9 +11,11 @@
 #include <string>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** Load of one workspace. */
-struct WorkspaceLoad {
+struct WorkspaceLoad
+{
     std::string m_name;
     int m_weight = 1;
     int m_priority = 9;
@@ -24,7 +26,8 @@
 };
 
 /** One serving group of the model. */
-struct ModelUpstream {
+struct ModelUpstream
+{
     std::string m_id;
     std::string m_zone;
     int m_limit = 8;
@@ -32,7 +35,8 @@
 };
 
 /** What the daemons' surroundings do, kept small: fakes of engines and of the spreading of news, no network and no store. */
-struct LoadModelSettings {
+struct LoadModelSettings
+{
     SchedulerSettings m_scheduler;
     int m_gateways = 4;
     std::vector<ModelUpstream> m_upstreams;
@@ -62,7 +66,8 @@
 };
 
 /** Counts of one workspace. */
-struct WorkspaceResult {
+struct WorkspaceResult
+{
     std::uint64_t m_offered = 0;
     std::uint64_t m_good = 0;
     std::uint64_t m_late = 0;
@@ -71,7 +76,8 @@
     std::vector<double> m_firstTokenMs;
 };
 
-struct LoadModelResult {
+struct LoadModelResult
+{
     std::map<std::string, WorkspaceResult> m_workspaces;
     std::uint64_t m_crashes = 0;
     std::uint64_t m_coldOverloads = 0;
--- a/tools/virtualtime.h
+++ b/tools/virtualtime.h
@@ -5,7 +5,8 @@
 #include <queue>
 #include <vector>
 
-namespace knapweedslip {
+namespace knapweedslip
+{
 /** A clock that jumps from event to event. Events at the same time run in the order in which they were added. */
 class VirtualTime
 {
@@ -34,7 +35,8 @@
     }
 
 private:
-    struct Event {
+    struct Event
+    {
         std::int64_t m_atMs = 0;
         std::uint64_t m_number = 0;
         std::function<void()> m_run;
