Fair queue: a line that cannot be placed does not hold up the others; a flood leaves a quarter of each upstream

Cause: the queue stopped at the first line whose request found no upstream, so newcomers of other workspaces waited behind a flood that had to leave its reserve; and the reserve compared a gateway's own count with a share of all gateways' slots, so it hardly ever applied. Change: up to 8 lines are tried in order of their turns, each keeps its turn; a line well above its share (twice and one more) uses only three quarters of an upstream. Test seen to fail first (the newcomer got no action).

--- a/autotests/schedulertest.cpp
+++ b/autotests/schedulertest.cpp
@@ -225,6 +225,24 @@
     CHECK(scheduler->counters().m_retriesDenied >= 880);
 }
 
+TEST_CASE("a line that cannot be placed does not hold up the others", "[scheduler]")
+{
+    const std::unique_ptr<Scheduler> scheduler = makeScheduler();
+    Actions actions;
+    scheduler->setTable(TableMaker().model("m").workspace("a").workspace("b").upstream("u", 1).upstream("v", 1).make(), 0, actions);
+    WorkRequest first = makeRequest(1, "x");
+    first.m_query.m_excluded = {"v"};
+    scheduler->arrive(first, 0, actions);
+    WorkRequest blocked = makeRequest(2, "a");
+    blocked.m_query.m_excluded = {"v"};
+    scheduler->arrive(blocked, 0, actions);
+    actions.clear();
+    scheduler->arrive(makeRequest(3, "b"), 0, actions);
+    REQUIRE(actions.size() == 1);
+    CHECK(actions.front().m_requestId == 3);
+    CHECK(actions.front().m_upstream->m_id == "v");
+}
+
 TEST_CASE("a line whose turn cannot be dispatched is not charged for it", "[scheduler]")
 {
     const std::unique_ptr<Scheduler> scheduler = makeScheduler();
--- a/kernel/fairqueue.cpp
+++ b/kernel/fairqueue.cpp
@@ -37,17 +37,17 @@
     ++m_size;
 }
 
-const QueuedRequest *FairQueue::peek() const
+std::vector<QueuedRequest> FairQueue::turns(std::size_t most) const
 {
-    return m_turns.empty() ? nullptr : &m_lines.at(m_turns.begin()->second).m_requests.front();
+    std::vector<QueuedRequest> requests;
+    for (auto it = m_turns.begin(); it != m_turns.end() && requests.size() < most; ++it) {
+        requests.push_back(m_lines.at(it->second).m_requests.front());
+    }
+    return requests;
 }
 
-std::optional<QueuedRequest> FairQueue::pop()
+QueuedRequest FairQueue::popFrom(const std::string &workspace)
 {
-    if (m_turns.empty()) {
-        return std::nullopt;
-    }
-    const std::string workspace = m_turns.begin()->second;
     Line &line = m_lines[workspace];
     deactivate(workspace, line);
     m_virtualTime = std::max(m_virtualTime, line.m_tag);
@@ -61,6 +61,15 @@
     return request;
 }
 
+std::optional<QueuedRequest> FairQueue::pop()
+{
+    if (m_turns.empty()) {
+        return std::nullopt;
+    }
+    const std::string workspace = m_turns.begin()->second;
+    return popFrom(workspace);
+}
+
 bool FairQueue::remove(const std::string &workspace, std::uint64_t id)
 {
     const auto line = m_lines.find(workspace);
--- a/kernel/fairqueue.h
+++ b/kernel/fairqueue.h
@@ -31,8 +31,10 @@
 public:
     /** Adds at the end of its workspace's line, or at the front when @p first. */
     void push(const QueuedRequest &request, int weight, bool first = false);
-    /** The request whose turn it is, left in its place, or null. */
-    const QueuedRequest *peek() const;
+    /** The first requests of up to @p most lines, in order of their turns, left in their places. */
+    std::vector<QueuedRequest> turns(std::size_t most) const;
+    /** Takes the first request of @p workspace's line, which must not be empty, and charges the line for it. */
+    QueuedRequest popFrom(const std::string &workspace);
     /** Takes the request whose turn it is, and charges its line for it. */
     std::optional<QueuedRequest> pop();
     /** Takes out @p id wherever it waits. Costs O(length of that workspace's line). */
--- a/kernel/scheduler.cpp
+++ b/kernel/scheduler.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t ColdNewsMs = 5'000;
 /** Engine load reports older than this say nothing. */
 constexpr std::int64_t LoadReportLifeMs = 2'000;
+/** Lines tried in one round of the queue. */
+constexpr std::size_t MaxTurns = 8;
 constexpr double RetryBurst = 10.0;
 constexpr double LimitDecrease = 0.7;
 constexpr double ServiceTimeGain = 0.1;
@@ -137,8 +139,13 @@
     context.m_prefixes = &m_prefixes;
     context.m_random = &m_random;
     context.m_turn = &pool.m_turn;
+    const bool overShare = mustLeaveReserve(pool, request);
     // An entry may have become unable since its last refresh by time alone; each failed try shortens the list.
     for (std::uint32_t index = m_route.m_choose(context, request.m_query); index != NoUpstreamIndex; index = m_route.m_choose(context, request.m_query)) {
+        const bool room = !overShare || relativeLoad(m_upstreams[index]) <= 1.0 - m_settings.m_reservePart;
+        if (!room) {
+            return false;
+        }
         if (canTake(m_upstreams[index], nowMs)) {
             start(pool, index, request, false, nowMs, actions);
             return true;
@@ -196,7 +203,7 @@
         return;
     }
     // Nobody overtakes those who wait.
-    if (pool.m_queue.size() == 0 && !mustLeaveReserve(pool, request) && tryDispatch(pool, request, nowMs, actions)) {
+    if (pool.m_queue.size() == 0 && tryDispatch(pool, request, nowMs, actions)) {
         return;
     }
     enqueue(pool, request, nowMs, actions);
@@ -337,14 +344,19 @@
 
 void Scheduler::drainQueue(Pool &pool, std::int64_t nowMs, Actions &actions)
 {
-    while (pool.m_queue.size() > 0 && !pool.m_available.empty()) {
-        const std::uint64_t id = pool.m_queue.peek()->m_id;
-        const WorkRequest request = m_waiting[id];
-        if (mustLeaveReserve(pool, request) || !tryDispatch(pool, request, nowMs, actions)) {
-            return;
+    bool placed = true;
+    while (placed && pool.m_queue.size() > 0 && !pool.m_available.empty()) {
+        placed = false;
+        // A line that cannot be placed now does not hold up those behind it; it keeps its turn.
+        for (const QueuedRequest &queued : pool.m_queue.turns(MaxTurns)) {
+            const WorkRequest request = m_waiting[queued.m_id];
+            if (tryDispatch(pool, request, nowMs, actions)) {
+                pool.m_queue.popFrom(queued.m_workspace);
+                m_waiting.erase(queued.m_id);
+                placed = true;
+                break;
+            }
         }
-        pool.m_queue.pop();
-        m_waiting.erase(id);
     }
 }
 
@@ -381,7 +393,7 @@
         }
         refresh(index, nowMs);
         if (state.m_availableAt >= 0 || state.m_running > 0) {
-            m_pools[state.m_info->m_pool].m_capacity += limitOf(state, nowMs);
+            m_pools[state.m_info->m_pool].m_capacity += state.m_info->m_limit;
         }
     }
     for (std::pair<const std::string, Pool> &entry : m_pools) {
--- a/kernel/scheduler.h
+++ b/kernel/scheduler.h
@@ -29,7 +29,7 @@
     /** Retries allowed per first attempt. */
     double m_retryRatio = 0.1;
     /** Part of the slots that only workspaces below their share may take; 0 for none. */
-    double m_reservePart = 0.1;
+    double m_reservePart = 0.25;
     /** Strikes and running suspects by themselves; off only for measurements. */
     bool m_isolateSuspects = true;
 };
--- a/kernel/schedulerlimits.cpp
+++ b/kernel/schedulerlimits.cpp
@@ -17,6 +17,8 @@
 constexpr int MaxRampSteps = 20;
 /** Each step up in the operators' order doubles a workspace's share, for this many steps. */
 constexpr int PrioritySteps = 3;
+/** A line is over its share when it runs this many times its share and one more. */
+constexpr double OverSharePart = 2.0;
 }
 
 bool turnedCold(const UpstreamState &upstream, std::int64_t nowMs)
@@ -115,7 +117,7 @@
 
 bool Scheduler::mustLeaveReserve(const Pool &pool, const WorkRequest &request) const
 {
-    if (!m_admission.m_fair || request.m_resumed || pool.m_capacity - pool.m_running > m_settings.m_reservePart * pool.m_capacity) {
+    if (!m_admission.m_fair || request.m_resumed || pool.m_runningByLine.size() < 2) {
         return false;
     }
     const auto own = pool.m_runningByLine.find(lineOf(request));
@@ -126,7 +128,8 @@
     for (const std::pair<const std::string, int> &line : pool.m_runningByLine) {
         active += lineWeight(line.first);
     }
-    const double share = pool.m_capacity * weightOf(request) / std::max(1, active);
-    return pool.m_runningByLine.size() > 1 && own->second >= share;
+    // Counts of one gateway are small, so a line counts as over its share only well above it.
+    const double share = pool.m_capacity / m_settings.m_gateways * weightOf(request) / std::max(1, active);
+    return own->second > OverSharePart * share + 1.0;
 }
 }
