--- a/benchmarks/capacitymodel.cpp
+++ b/benchmarks/capacitymodel.cpp
@@ -68,8 +68,10 @@
     const double tick = TicksPerSecond * sizes.m_groups * slope(slopes, "tick_ns_per_upstream");
     const double adopt = (sizes.m_changes + sizes.m_domainWrites)
                          * (sizes.m_groups * slope(slopes, "table_ns_per_group") + Workspaces * slope(slopes, "table_ns_per_workspace"));
-    const double messages = 2.0 * GossipRoundsPerSecond + 2.0 * sizes.m_newsPeers * (sizes.m_changes + sizes.m_domainWrites);
-    const double gossip = messages * 2.0 * MembersPerMessageSent * slope(slopes, "heartbeat_ns_per_member");
+    const double rounds = 2.0 * GossipRoundsPerSecond;
+    const double news = 2.0 * sizes.m_newsPeers * (sizes.m_changes + sizes.m_domainWrites);
+    const double membersSent = rounds * MembersPerMessageSent + news;
+    const double gossip = 2.0 * membersSent * slope(slopes, "heartbeat_ns_per_member");
     lines.push_back({"gateway",
                      "control, processor",
                      (tick + adopt + gossip) * PercentPerNs,
@@ -79,10 +81,10 @@
     const double state = sizes.m_groups * slope(slopes, "state_bytes_per_group") + Workspaces * slope(slopes, "state_bytes_per_workspace")
                          + Daemons * slope(slopes, "state_bytes_per_member") + slope(slopes, "process_base_mb") * Mega;
     lines.push_back({"gateway", "state", state / Mega, "MB", MemoryBudgetMb, "regional scope; prefix map bounded at 65,536 entries"});
-    const double sent = messages * (slope(slopes, "heartbeat_bytes_base") + MembersPerMessageSent * slope(slopes, "heartbeat_bytes_per_member"));
+    const double sent = (rounds + news) * slope(slopes, "heartbeat_bytes_base") + membersSent * slope(slopes, "heartbeat_bytes_per_member");
     const double documents = sizes.m_changes * Workspaces * slope(slopes, "plan_bytes_per_workspace")
                              + sizes.m_domainWrites * sizes.m_groups * slope(slopes, "document_bytes_per_group");
-    lines.push_back({"gateway", "gossip sent", sent / Kilo, "KB/s", BytesBudgetKb, "16 members a message; news to log2(n) + 4 peers"});
+    lines.push_back({"gateway", "gossip sent", sent / Kilo, "KB/s", BytesBudgetKb, "16 members a round; news without members to log2(n) + 4 peers"});
     lines.push_back({"gateway", "configuration received", documents / Kilo, "KB/s", BytesBudgetKb, "whole plan document on each change"});
     lines.push_back({"gateway",
                      "decisions, processor",
--- a/kernel/fairqueue.cpp
+++ b/kernel/fairqueue.cpp
@@ -51,7 +51,7 @@
     Line &line = m_lines[workspace];
     deactivate(workspace, line);
     m_virtualTime = std::max(m_virtualTime, line.m_tag);
-    const QueuedRequest request = line.m_requests.front();
+    QueuedRequest request = line.m_requests.front();
     line.m_requests.pop_front();
     line.m_tag += request.m_cost / line.m_weight;
     --m_size;
--- a/kernel/membership.cpp
+++ b/kernel/membership.cpp
@@ -30,17 +30,17 @@
     }
 }
 
-std::vector<Member> beat(Membership &membership, std::int64_t nowMs, std::mt19937_64 &random)
+std::vector<Member> beat(Membership &membership, std::int64_t nowMs, std::mt19937_64 &random, std::size_t others)
 {
     ++membership.m_self.m_heartbeat;
     std::vector<Member> members{membership.m_self};
-    std::vector<Member> others;
-    others.reserve(membership.m_members.size());
+    std::vector<Member> known;
+    known.reserve(membership.m_members.size());
     for (const std::pair<const std::string, Member> &entry : membership.m_members) {
-        others.push_back(entry.second);
-        others.back().m_ageMs = std::max<std::int64_t>(0, nowMs - entry.second.m_heardMs);
+        known.push_back(entry.second);
+        known.back().m_ageMs = std::max<std::int64_t>(0, nowMs - entry.second.m_heardMs);
     }
-    std::sample(others.begin(), others.end(), std::back_inserter(members), MembersPerMessage, random);
+    std::sample(known.begin(), known.end(), std::back_inserter(members), others, random);
     return members;
 }
 
--- a/kernel/membership.h
+++ b/kernel/membership.h
@@ -67,8 +67,8 @@
 /** Other daemons named in one message, at most; chosen at random, so that a message's size does not grow with the deployment. */
 inline constexpr std::size_t MembersPerMessage = 16;
 
-/** Raises the own heartbeat and returns the own entry and a sample of the others. */
-std::vector<Member> beat(Membership &membership, std::int64_t nowMs, std::mt19937_64 &random);
+/** Raises the own heartbeat and returns the own entry and a sample of at most @p others of the others. */
+std::vector<Member> beat(Membership &membership, std::int64_t nowMs, std::mt19937_64 &random, std::size_t others = MembersPerMessage);
 
 /** Heard of within MemberSilentMs. The own daemon always lives. */
 bool memberLives(const Membership &membership, const std::string &name, std::int64_t nowMs);
--- a/net/node.cpp
+++ b/net/node.cpp
@@ -127,7 +127,7 @@
     return m_threads.control();
 }
 
-HeartbeatMessage Node::heartbeat()
+HeartbeatMessage Node::heartbeat(bool withMembers)
 {
     const std::int64_t nowMs = steadyMs();
     forgetOldReports(nowMs);
@@ -136,7 +136,7 @@
     message.m_viewIndex = m_view.m_index;
     message.m_confirmationAgeMs = m_view.m_confirmedAtMs < 0 ? -1 : nowMs - m_view.m_confirmedAtMs;
     m_membership.m_self.m_viewIndex = m_view.m_index;
-    message.m_members = beat(m_membership, nowMs, m_random);
+    message.m_members = beat(m_membership, nowMs, m_random, withMembers ? MembersPerMessage : 0);
     for (const std::pair<const ReportKey, HeldReport> &entry : m_reports) {
         message.m_reports.push_back({entry.second.m_report, nowMs - entry.second.m_bornMs});
     }
@@ -239,7 +239,7 @@
 void Node::broadcast()
 {
     for (const PeerAddress &peer : chooseNewsPeers(m_membership, m_random)) {
-        asio::co_spawn(context(), talkTo(peer), asio::detached);
+        asio::co_spawn(context(), talkTo(peer, true), asio::detached);
     }
 }
 
@@ -255,7 +255,7 @@
         asio::co_spawn(
             context(),
             [this, peer, left]() -> awaitable<void> {
-                co_await talkTo(peer);
+                co_await talkTo(peer, true);
                 --*left;
             },
             asio::detached);
@@ -269,7 +269,7 @@
 {
     while (true) {
         for (const PeerAddress &peer : choosePeers(m_membership, GossipFanOut, m_random)) {
-            asio::co_spawn(context(), talkTo(peer), asio::detached);
+            asio::co_spawn(context(), talkTo(peer, false), asio::detached);
         }
         askThoseAhead();
         updateFreshness();
@@ -286,13 +286,13 @@
     for (const PeerAddress &peer : m_membership.m_peers) {
         const auto it = m_membership.m_members.find(peer.m_name);
         if (it != m_membership.m_members.end() && it->second.m_viewIndex == newest) {
-            asio::co_spawn(context(), talkTo(peer), asio::detached);
+            asio::co_spawn(context(), talkTo(peer, false), asio::detached);
             return;
         }
     }
 }
 
-awaitable<void> Node::talkTo(PeerAddress peer)
+awaitable<void> Node::talkTo(PeerAddress peer, bool news)
 {
     // One exchange with a peer at a time; news that comes meanwhile goes with the next.
     if (!m_talking.insert(peer.m_name).second) {
@@ -307,7 +307,7 @@
     }
     if (connection != nullptr) {
         const SocketDeadline deadline(connection->m_socket, PeerTimeoutMs);
-        const Result<Done> done = co_await exchangeWith(*connection);
+        const Result<Done> done = co_await exchangeWith(*connection, news);
         if (!failed(done)) {
             m_connections[peer.m_name] = std::move(connection);
         }
@@ -315,9 +315,9 @@
     m_talking.erase(peer.m_name);
 }
 
-awaitable<Result<Done>> Node::exchangeWith(PeerConnection &connection)
+awaitable<Result<Done>> Node::exchangeWith(PeerConnection &connection, bool news)
 {
-    Result<Done> sent = co_await peerSend(connection, m_settings.m_peerSecret, heartbeat(), m_traffic);
+    Result<Done> sent = co_await peerSend(connection, m_settings.m_peerSecret, heartbeat(!news), m_traffic);
     if (failed(sent)) {
         co_return sent;
     }
@@ -383,12 +383,12 @@
         PeerMessage answer;
         if (const HeartbeatMessage *other = std::get_if<HeartbeatMessage>(&valueOf(message))) {
             takeHeartbeat(*other);
-            answer = heartbeat();
+            answer = heartbeat(other->m_members.size() > 1);
         } else if (const DocumentsRequestMessage *request = std::get_if<DocumentsRequestMessage>(&valueOf(message))) {
             answer = deltaSince(m_view, request->m_since, steadyMs());
         } else {
             takeDelta(std::get<DocumentDelta>(valueOf(message)));
-            answer = heartbeat();
+            answer = heartbeat(false);
         }
         const Result<Done> sent = co_await peerSend(connection, m_settings.m_peerSecret, answer, m_traffic);
         if (failed(sent)) {
--- a/net/node.h
+++ b/net/node.h
@@ -84,11 +84,12 @@
     awaitable<void> watchLoop();
     awaitable<void> acceptLoop();
     awaitable<void> servePeer(Tcp::socket socket);
-    awaitable<void> talkTo(PeerAddress peer);
-    awaitable<Result<Done>> exchangeWith(PeerConnection &connection);
+    /** One exchange with @p peer. A round names a sample of the members; news goes without, to stay small. */
+    awaitable<void> talkTo(PeerAddress peer, bool news);
+    awaitable<Result<Done>> exchangeWith(PeerConnection &connection, bool news);
     awaitable<void> serveStatus(HttpExchange &exchange);
     awaitable<void> stopLoop();
-    HeartbeatMessage heartbeat();
+    HeartbeatMessage heartbeat(bool withMembers);
     void takeHeartbeat(const HeartbeatMessage &message);
     bool takeReport(const AgedReport &report);
     void forgetOldReports(std::int64_t nowMs);
--- a/standins/kvstore.cpp
+++ b/standins/kvstore.cpp
@@ -31,7 +31,7 @@
 
 std::string kvCreateSession(KvStore &store, std::int64_t ttlMs, std::int64_t nowMs)
 {
-    const std::string id = "session-" + std::to_string(store.m_nextSession++);
+    std::string id = "session-" + std::to_string(store.m_nextSession++);
     store.m_sessions[id] = KvSession{ttlMs, nowMs};
     return id;
 }
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -203,7 +203,7 @@
     return ExitOk;
 }
 
-int applySheet(Options options)
+int applySheet(const Options &options)
 {
     const int checked = checkSheet(options);
     if (checked != ExitOk) {
--- a/tools/loadmain.cpp
+++ b/tools/loadmain.cpp
@@ -38,6 +38,7 @@
 {
     std::vector<Figures> runs(static_cast<std::size_t>(options.m_seeds));
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(options.m_threads));
     for (int t = 0; t < options.m_threads; ++t) {
         threads.emplace_back([&, t]() {
             for (int seed = t; seed < options.m_seeds; seed += options.m_threads) {
