Paid calls: an unknown outcome is recorded, so that duplicates are told at once

Cause: after a lost answer the claim stayed 'started' with a living owner, and whoever sent the key again was held until the deadline; the users do not accept answers that are held back. Ruled out: releasing the claim (it may have run). Change: the unknown outcome is recorded like an answer; a duplicate gets 409 outcome-unknown at once. Test seen to fail first (unknown.sh: no answer within 20 s of a 60 s deadline), passes now; a refused call still may be sent again under its key.

--- a/daemons/servicecall.cpp
+++ b/daemons/servicecall.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t ClaimTimeoutMs = 5'000;
 constexpr std::int64_t JoinPollMs = 200;
 constexpr unsigned FirstServerError = 500;
+/** Recorded instead of a status when nobody knows whether the call ran. */
+constexpr std::uint16_t UnknownOutcomeStatus = 0;
 
 struct CallState
 {
@@ -194,7 +196,9 @@
             state.m_claimed = true;
             co_return true;
         case IntentOutcome::Finished:
-            if (intent.m_bodyKept) {
+            if (intent.m_status == UnknownOutcomeStatus) {
+                co_await answerProblem(state, Error{ErrorCode::OutcomeUnknown, "its answer was lost"}, 0, RunOutcome::Unknown);
+            } else if (intent.m_bodyKept) {
                 co_await state.m_exchange.respond(ranReply(state, intent.m_status, intent.m_body, true));
             } else {
                 co_await answerProblem(state, Error{ErrorCode::OutcomeNotKept, "status " + std::to_string(intent.m_status)}, 0, RunOutcome::Ran);
@@ -225,13 +229,18 @@
 
 void settleClaim(CallState &state, const CallResult &result)
 {
-    if (!state.m_claimed || result.m_outcome == RunOutcome::Unknown) {
+    if (!state.m_claimed) {
         return;
     }
     IntentOp op = state.m_claim;
-    op.m_kind = result.m_outcome == RunOutcome::Ran ? IntentOpKind::Finish : IntentOpKind::Release;
-    op.m_status = static_cast<std::uint16_t>(result.m_reply.m_status);
-    op.m_body = result.m_reply.m_body;
+    op.m_kind = result.m_outcome == RunOutcome::NotRun ? IntentOpKind::Release : IntentOpKind::Finish;
+    if (result.m_outcome == RunOutcome::Ran) {
+        op.m_status = static_cast<std::uint16_t>(result.m_reply.m_status);
+        op.m_body = result.m_reply.m_body;
+    } else {
+        // Recorded, so that whoever sends the key again is told at once instead of waiting for an answer that will not come.
+        op.m_status = UnknownOutcomeStatus;
+    }
     state.m_context.m_ledger->applyLater(std::move(op));
 }
 
@@ -287,6 +296,7 @@
         }
         noteFailure(state, *action.m_upstream, result);
         if (!mayRetry(state, result)) {
+            settleClaim(state, result);
             co_await answerProblem(state, Error{ErrorCode::OutcomeUnknown, describe(result.m_error)}, 0, RunOutcome::Unknown);
             co_return;
         }
