Gateway: a time to come back of its own for callers before the first plan

Cause: the tick's period stood in for it. Change: a constant with its meaning; 1 s instead of 50 ms rounded up to 1 s, the same on the wire.

--- a/daemons/gateway.cpp
+++ b/daemons/gateway.cpp
@@ -18,6 +18,9 @@
 
 namespace
 {
+/** When a caller of a gateway that has no plan yet should come back. */
+constexpr std::int64_t NoPlanRetryAfterMs = 1'000;
+
 HttpReply listModels(const GatewayTable &table)
 {
     json::array models;
@@ -32,7 +35,7 @@
     const std::string path(pathOf(exchange.request().m_target));
     const std::shared_ptr<const GatewayTable> table = currentTable(context);
     if (table == nullptr) {
-        co_await exchange.respond(problemWithOutcome(Error{ErrorCode::StaleConfiguration, "no plan yet"}, Scheduler::TickMs, RunOutcome::NotRun));
+        co_await exchange.respond(problemWithOutcome(Error{ErrorCode::StaleConfiguration, "no plan yet"}, NoPlanRetryAfterMs, RunOutcome::NotRun));
         co_return;
     }
     if (path == "/v1/completions" || path == "/v1/chat/completions") {
