--- a/autotests/processes/faults.sh
+++ b/autotests/processes/faults.sh
@@ -58,8 +58,8 @@
 doubled=$(ctl --output json status | grep -o '"vms":\[[^]]*\]' | tr ',[]' '\n\n\n' | grep '^"' | grep -v vms | sort | uniq -d)
 [ -z "$doubled" ] || { echo "FAILED: VMs in two groups: $doubled"; exit 1; }
 for log in "$RUN"/*.log; do
-    if grep -q 'name=plan-adopted' "$log"; then
-        grep 'name=process-started\|name=plan-adopted' "$log" | sed 's/.*process-started.*/0/; s/.*index=\([0-9]*\).*/\1/' |
+    if grep -q '"name":"plan-adopted"' "$log"; then
+        grep '"name":"process-started"\|"name":"plan-adopted"' "$log" | sed 's/.*process-started.*/0/; s/.*"index":"\([0-9]*\)".*/\1/' |
             awk -v log_="$log" '$1 == 0 { last = 0; next } $1 < last { print "FAILED: " log_ " went back to " $1; bad = 1 } { last = $1 } END { exit bad }' || exit 1
     fi
 done
--- a/autotests/processes/isolated.sh
+++ b/autotests/processes/isolated.sh
@@ -28,7 +28,7 @@
 sed -e 's/^name: .*/name: stranger/' -e "s/$PREFIX.1.1:700/$PREFIX.1.9:700/" "$RUN/gateway-1.yaml" >"$RUN/stranger/gateway.yaml"
 start stranger "$BUILD/daemons/knapweedslip-gateway" --settings "$RUN/stranger/gateway.yaml"
 rejected() {
-    grep -q 'name=peer-rejected' "$RUN"/gateway-*.log "$RUN"/controller-*.log "$RUN"/admin-*.log
+    grep -q '"name":"peer-rejected"' "$RUN"/gateway-*.log "$RUN"/controller-*.log "$RUN"/admin-*.log
 }
 wait_until 20 "the stranger is rejected" rejected || exit 1
 ctl dump $PREFIX.1.1:7001 | grep -q stranger && { echo "FAILED: the stranger became a member"; exit 1; }
--- a/autotests/processes/stop.sh
+++ b/autotests/processes/stop.sh
@@ -18,7 +18,7 @@
 for name in gateway-1 controller-1 admin-1; do
     wait "$(pid_of $name)" || { echo "FAILED: $name did not stop as planned"; exit 1; }
 done
-grep -q 'name=domain-released' "$RUN/controller-1.log" || ! grep -q 'name=domain-claimed' "$RUN/controller-1.log" ||
+grep -q '"name":"domain-released' "$RUN/controller-1.log" || ! grep -q '"name":"domain-claimed' "$RUN/controller-1.log" ||
     { echo "FAILED: the controller's domains were not handed over"; exit 1; }
 wait $load
 status=$?
--- /dev/null
+++ b/daemons/entry.cpp
@@ -0,0 +1,242 @@
+// Problem: on the hosting platform every entry VM must take clients' requests, keep up with the store, and be able to lead.
+// Approach: one small process with one thread for everything that decides, since its VM has a part of one processor; a second thread writes
+// the log. Each duty is a coroutine of its own over one shared state.
+// Separate processes for gateway and controller cost memory and a copy of every belief on each of these VMs.
+
+#include "daemons/entrycall.h"
+#include "daemons/entrykeeper.h"
+#include "daemons/entrystore.h"
+#include "net/logging.h"
+#include "platform/names.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr int ExitSettings = 2;
+constexpr int ExitListen = 4;
+/** Interval of the supervision of running requests, in ms: a part of the shortest silence that means anything. */
+constexpr std::int64_t SuperviseMs = 15;
+/** Ready while the configuration is known to be current within this, in ms: the balancer asks once a second and needs two misses. */
+constexpr std::int64_t ReadyProofMs = 3'500;
+/** The settings file is looked at this often, in ms, since it may change without a signal. */
+constexpr std::int64_t SettingsPollMs = 1'000;
+/** After a stop signal requests are taken for this long, in ms: the balancer needs two misses, a second apart, to send clients elsewhere. */
+constexpr std::int64_t StopServeMs = 2'600;
+/** Part of the time until the kill after which a stop waits no longer. */
+constexpr double StopLimitPart = 0.9;
+
+bool isReady(const EntryContext &context)
+{
+    const bool current = context.m_proofMs >= 0 && steadyMs() - context.m_proofMs < ReadyProofMs;
+    return !context.m_stopping && context.m_config != nullptr && current;
+}
+
+awaitable<void> serveReadiness(EntryContext &context, HttpExchange &exchange)
+{
+    HttpReply reply;
+    reply.m_status = pathOf(exchange.request().m_target) != platform::path::Ready ? 404 : isReady(context) ? 200 : 503;
+    co_await exchange.respond(std::move(reply));
+}
+
+std::string metricsText(EntryContext &context)
+{
+    const EntryMetrics &metrics = context.m_metrics;
+    std::string text = metrics.m_firstEvent.expose("knapweedslip_first_event_ms", "Time to the first event of a stream");
+    text += metrics.m_answers.expose("knapweedslip_request_ms", "Time to the end of a request");
+    const auto add = [&text](const char *name, const char *help, std::uint64_t value) {
+        text += exposeCounter(name, help, static_cast<double>(value), false);
+    };
+    add("knapweedslip_requests_total", "Requests of clients", metrics.m_requests);
+    add("knapweedslip_answers_total", "Answers of upstreams passed on", metrics.m_answered);
+    add("knapweedslip_cut_total", "Streams cut before their end", metrics.m_cut);
+    add("knapweedslip_resumed_total", "Streams continued at another group", metrics.m_resumed);
+    add("knapweedslip_resent_total", "Requests sent once more", metrics.m_resent);
+    add("knapweedslip_events_total", "Events passed on", metrics.m_events);
+    add("knapweedslip_silences_total", "Groups found silent", metrics.m_silences);
+    add("knapweedslip_orders_total", "Orders given to engines", metrics.m_orders);
+    add("knapweedslip_probes_total", "Engines asked for a report", metrics.m_probes);
+    add("knapweedslip_store_calls_total", "Calls to the platform's store", context.m_store.m_calls);
+    add("knapweedslip_log_lines_dropped_total", "Log lines dropped", droppedLogLines());
+    for (std::size_t i = 0; i < metrics.m_refused.size(); ++i) {
+        text += "knapweedslip_refused_total{reason=\"" + std::string(RefusalReasonNames.at(i)) + "\"} " + std::to_string(metrics.m_refused.at(i)) + "\n";
+    }
+    const std::int64_t proofAge = context.m_proofMs < 0 ? -1 : steadyMs() - context.m_proofMs;
+    text += exposeCounter("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(proofAge), true);
+    text += exposeCounter("knapweedslip_running", "Requests being served", static_cast<double>(context.m_running.size()), true);
+    return text;
+}
+
+awaitable<void> serveMetrics(EntryContext &context, HttpExchange &exchange)
+{
+    if (pathOf(exchange.request().m_target) == "/metrics") {
+        HttpReply reply;
+        reply.m_headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        reply.m_body = metricsText(context);
+        co_await exchange.respond(std::move(reply));
+    }
+}
+
+awaitable<void> superviseLoop(EntryContext &context)
+{
+    while (true) {
+        superviseCalls(context);
+        co_await sleepFor(SuperviseMs);
+    }
+}
+
+void reloadSettings(EntryContext &context, const std::string &path)
+{
+    std::variant<EntrySettings, Findings> read = readEntrySettings(path);
+    if (const Findings *findings = std::get_if<Findings>(&read)) {
+        logEvent(LogEvent::SettingsRejected, {{"findings", describe(*findings)}});
+        return;
+    }
+    // Addresses hold for the life of the process; bounds and the store's address may change.
+    EntrySettings &settings = std::get<EntrySettings>(read);
+    context.m_settings.m_currency = settings.m_currency;
+    context.m_settings.m_resends = settings.m_resends;
+    context.m_settings.m_coldShare = settings.m_coldShare;
+    context.m_settings.m_stopGraceMs = settings.m_stopGraceMs;
+    context.m_settings.m_addressReuseMs = settings.m_addressReuseMs;
+    context.m_settings.m_storeTimeoutMs = settings.m_storeTimeoutMs;
+    context.m_store.m_address = settings.m_storeAddress;
+    logEvent(LogEvent::SettingsReloaded);
+}
+
+awaitable<void> watchSettings(EntryContext &context, std::string path)
+{
+    std::error_code ignored;
+    std::filesystem::file_time_type seen = std::filesystem::last_write_time(path, ignored);
+    while (true) {
+        co_await sleepFor(SettingsPollMs);
+        const std::filesystem::file_time_type now = std::filesystem::last_write_time(path, ignored);
+        if (now != seen) {
+            seen = now;
+            reloadSettings(context, path);
+        }
+    }
+}
+
+awaitable<void> stopGracefully(EntryContext &context, HttpServer &server)
+{
+    const std::int64_t startedMs = steadyMs();
+    const std::int64_t limitMs = startedMs + static_cast<std::int64_t>(StopLimitPart * static_cast<double>(context.m_settings.m_stopGraceMs));
+    logEvent(LogEvent::ProcessStopping, {{"running", static_cast<std::int64_t>(context.m_running.size())}});
+    context.m_stopping = true;
+    server.closeAfterAnswers();
+    co_await leaveDeployment(context);
+    constexpr std::int64_t PollMs = 20;
+    while (steadyMs() < limitMs && (steadyMs() - startedMs < StopServeMs || server.active() > 0)) {
+        co_await sleepFor(PollMs);
+    }
+    if (server.active() > 0) {
+        logEvent(LogEvent::DrainLimitReached, {{"running", static_cast<std::int64_t>(server.active())}});
+    }
+    logEvent(LogEvent::ProcessStopped, {{"took_ms", steadyMs() - startedMs}});
+    context.m_io.stop();
+}
+
+awaitable<void> handleSignals(EntryContext &context, HttpServer &server, std::string path)
+{
+    asio::signal_set signals(context.m_io, SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        const auto [error, number] = co_await signals.async_wait(UseTuple);
+        if (error) {
+            co_return;
+        }
+        if (number == SIGHUP) {
+            reloadSettings(context, path);
+            continue;
+        }
+        co_await stopGracefully(context, server);
+        co_return;
+    }
+}
+
+awaitable<void> applyLimits(EntryContext &context, HttpServer &server)
+{
+    constexpr std::int64_t PollMs = 500;
+    CallConfigPtr applied;
+    while (true) {
+        if (context.m_config != applied && context.m_config != nullptr) {
+            applied = context.m_config;
+            const IngressLimits &limits = applied->m_limits;
+            server.setLimits({limits.m_maxHeaderBytes, limits.m_maxBodyBytes, limits.m_headerTimeoutMs, limits.m_idleTimeoutMs});
+        }
+        co_await sleepFor(PollMs);
+    }
+}
+
+/** A server whose requests @p serve answers; null when its address cannot be listened on. */
+std::shared_ptr<HttpServer> listenOn(EntryContext &context, const std::string &address, awaitable<void> (*serve)(EntryContext &, HttpExchange &))
+{
+    Result<std::shared_ptr<HttpServer>> server = HttpServer::create({&context.m_io}, address, [&context, serve](HttpExchange &exchange) {
+        return serve(context, exchange);
+    });
+    if (failed(server)) {
+        logEvent(LogEvent::ListenFailed, {{"error", describe(errorOf(server))}});
+        return nullptr;
+    }
+    return valueOf(server);
+}
+
+int runEntry(const EntrySettings &settings, const std::string &path)
+{
+    asio::io_context io(1);
+    EntryContext context(io, settings);
+    const std::shared_ptr<HttpServer> clients = listenOn(context, settings.m_listen, serveClient);
+    const std::shared_ptr<HttpServer> readiness = listenOn(context, settings.m_readinessListen, serveReadiness);
+    if (clients == nullptr || readiness == nullptr) {
+        return ExitListen;
+    }
+    if (!settings.m_metricsListen.empty()) {
+        // Without metrics the daemon still serves; the log says so.
+        listenOn(context, settings.m_metricsListen, serveMetrics);
+    }
+    logEvent(LogEvent::ProcessStarted, {{"availability_zone", settings.m_availabilityZone}, {"listen", settings.m_listen}});
+    asio::co_spawn(io, followStore(context), asio::detached);
+    asio::co_spawn(io, keepPresence(context), asio::detached);
+    asio::co_spawn(io, campaign(context), asio::detached);
+    asio::co_spawn(io, keepReplicas(context), asio::detached);
+    asio::co_spawn(io, superviseLoop(context), asio::detached);
+    asio::co_spawn(io, watchSettings(context, path), asio::detached);
+    asio::co_spawn(io, applyLimits(context, *clients), asio::detached);
+    asio::co_spawn(io, handleSignals(context, *clients, path), asio::detached);
+    io.run();
+    return 0;
+}
+}
+}
+
+int main(int argc, char **argv)
+{
+    using namespace knapweedslip;
+    CLI::App app("Serves clients on a hosting platform's entry VM, and keeps the serving groups when it leads", "knapweedslip-entry");
+    std::string path;
+    bool checkOnly = false;
+    app.add_option("--settings", path, "YAML file with the settings")->envname("KNAPWEEDSLIP_NODE_FILE")->required();
+    app.add_flag("--check-settings", checkOnly, "read the settings, print all findings and exit");
+    app.footer("Exit status: 0 stopped as planned, 2 bad settings, 4 cannot listen");
+    CLI11_PARSE(app, argc, argv);
+    const std::variant<EntrySettings, Findings> settings = readEntrySettings(path);
+    if (const Findings *findings = std::get_if<Findings>(&settings)) {
+        std::cerr << describe(*findings);
+        return ExitSettings;
+    }
+    if (checkOnly) {
+        std::cout << path << ": no findings\n";
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    startLogging(std::get<EntrySettings>(settings).m_name);
+    const int status = runEntry(std::get<EntrySettings>(settings), path);
+    stopLogging();
+    return status;
+}
--- /dev/null
+++ b/daemons/entrycall.cpp
@@ -0,0 +1,256 @@
+// Problem: each request must be admitted by one configuration, end in time, and be explained afterwards.
+// Approach: admission is decided once, on the configuration in force at that moment, which the request keeps; one attempt object holds a
+// connection so that it can be ended from outside; every end goes through one of two functions, which log it.
+// Timers for each wait of each request cost several system calls a request, and still leave the ends in many places.
+
+#include "daemons/entrycall.h"
+
+#include "net/logging.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+/** When a client of a daemon without configuration, or without proof of it, should come back, in ms: other daemons may have one. */
+constexpr std::int64_t NoConfigurationRetryMs = 300;
+
+bool sameRequest(const platform::AnswerHeaders &answer, const std::string &requestId)
+{
+    return answer.m_requestId == requestId;
+}
+
+std::string workspaceName(const EntryCall &call)
+{
+    return call.m_verdict.m_workspace == nullptr ? std::string() : call.m_verdict.m_workspace->m_name;
+}
+}
+
+EntryAttempt::EntryAttempt(EntryCall &call)
+    : m_call(call)
+{
+}
+
+EntryAttempt::~EntryAttempt()
+{
+    m_call.m_running->m_connection = nullptr;
+}
+
+awaitable<AttemptOpen> EntryAttempt::open(AttemptTarget target, std::optional<std::int64_t> lastEventId, std::int64_t freshWithinMs)
+{
+    EntryContext &context = m_call.m_context;
+    m_call.m_running->m_cause = m_call.m_running->m_cause == AbortCause::CallerLeft ? AbortCause::CallerLeft : AbortCause::None;
+    m_connection = context.m_connections.take(context.m_io.get_executor(), target.m_address, target.m_upstream);
+    if (m_connection != nullptr && freshWithinMs > 0 && steadyMs() - m_connection->m_idleSinceMs >= freshWithinMs) {
+        m_connection.reset();
+    }
+    if (m_connection == nullptr) {
+        Result<HttpConnectionPtr> fresh = co_await httpConnect(target.m_address, std::min(ConnectTimeoutMs, std::max<std::int64_t>(1, timeLeftMs(m_call))));
+        if (failed(fresh)) {
+            m_error = describe(errorOf(fresh));
+            co_return AttemptOpen::NotSent;
+        }
+        m_connection = std::move(valueOf(fresh));
+        m_connection->m_bootId = target.m_upstream;
+        m_connection->m_stream.expires_never();
+    }
+    if (m_call.m_exchange.callerLeft() || timeLeftMs(m_call) <= 0) {
+        m_error = "given up before it was sent";
+        co_return AttemptOpen::NotSent;
+    }
+    HttpRequest request;
+    request.m_method = m_call.m_exchange.request().m_method;
+    request.m_target = m_call.m_exchange.request().m_target;
+    request.m_body = m_call.m_exchange.request().m_body;
+    platform::UpstreamHeaders headers;
+    headers.m_upstream = target.m_upstream;
+    headers.m_workspace = workspaceName(m_call);
+    headers.m_timeLeftMs = timeLeftMs(m_call);
+    headers.m_lastEventId = lastEventId;
+    headers.m_priority = std::clamp(m_call.m_verdict.m_priority, 0, 9);
+    request.m_headers = platform::upstreamHeaders(m_call.m_exchange.request().m_headers, headers);
+    ++m_call.m_sends;
+    m_call.m_running->m_connection = m_connection.get();
+    m_stream = std::make_unique<HttpStream>(*m_connection);
+    const Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
+    if (failed(opened)) {
+        m_error = describe(errorOf(opened));
+        co_return AttemptOpen::Lost;
+    }
+    m_status = m_stream->status();
+    m_headers = m_stream->headers();
+    m_answer = platform::decodeAnswer(m_status, m_headers);
+    noteKeepAlive(*m_connection, m_headers);
+    co_return AttemptOpen::Answered;
+}
+
+HttpStream &EntryAttempt::stream()
+{
+    return *m_stream;
+}
+
+unsigned EntryAttempt::status() const
+{
+    return m_status;
+}
+
+const HeaderFields &EntryAttempt::headers() const
+{
+    return m_headers;
+}
+
+const platform::AnswerHeaders &EntryAttempt::answer() const
+{
+    return m_answer;
+}
+
+bool EntryAttempt::genuine() const
+{
+    return m_answer.m_signed && !m_answer.m_encoded && sameRequest(m_answer, m_call.m_caller.m_requestId);
+}
+
+const std::string &EntryAttempt::error() const
+{
+    return m_error;
+}
+
+void EntryAttempt::finish()
+{
+    m_call.m_running->m_connection = nullptr;
+    if (m_stream != nullptr && m_stream->finished()) {
+        m_stream.reset();
+        m_call.m_context.m_connections.give(std::move(m_connection));
+    }
+}
+
+std::int64_t timeLeftMs(const EntryCall &call)
+{
+    return call.m_endMs - steadyMs();
+}
+
+void logCallEnd(const EntryCall &call, const char *outcome, unsigned status, const std::string &detail)
+{
+    logEvent(LogEvent::CallEnded,
+             {{"request", call.m_caller.m_requestId},
+              {"route", call.m_verdict.m_route == nullptr ? std::string() : call.m_verdict.m_route->m_name},
+              {"workspace", workspaceName(call)},
+              {"outcome", std::string(outcome)},
+              {"status", static_cast<std::int64_t>(status)},
+              {"sends", static_cast<std::int64_t>(call.m_sends)},
+              {"took_ms", steadyMs() - call.m_arrivedMs},
+              {"config_version", call.m_config == nullptr ? std::int64_t(-1) : call.m_config->m_version},
+              {"detail", detail}});
+}
+
+void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs)
+{
+    logEvent(LogEvent::CallSent,
+             {{"request", call.m_caller.m_requestId},
+              {"upstream", upstream},
+              {"group", group},
+              {"send", static_cast<std::int64_t>(call.m_sends + 1)},
+              {"expected_ms", expectedMs},
+              {"left_ms", timeLeftMs(call)},
+              {"proof_age_ms", steadyMs() - call.m_context.m_proofMs}});
+}
+
+void logAttemptFailed(const EntryCall &call, const std::string &upstream, const std::string &what)
+{
+    logEvent(LogEvent::AttemptFailed,
+             {{"request", call.m_caller.m_requestId}, {"upstream", upstream}, {"what", what}, {"after_ms", steadyMs() - call.m_arrivedMs}});
+}
+
+awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs)
+{
+    const unsigned status = refusalStatus(reason);
+    ++call.m_context.m_metrics.m_refused.at(static_cast<std::size_t>(reason));
+    logEvent(LogEvent::RequestRefused,
+             {{"request", call.m_caller.m_requestId},
+              {"route", call.m_verdict.m_route == nullptr ? std::string() : call.m_verdict.m_route->m_name},
+              {"workspace", workspaceName(call)},
+              {"reason", std::string(enumName(RefusalReasonNames, reason))},
+              {"status", static_cast<std::int64_t>(status)},
+              {"retry_after_ms", retryAfterMs},
+              {"sends", static_cast<std::int64_t>(call.m_sends)},
+              {"after_ms", steadyMs() - call.m_arrivedMs},
+              {"proof_age_ms", call.m_context.m_proofMs < 0 ? std::int64_t(-1) : steadyMs() - call.m_context.m_proofMs},
+              {"config_version", call.m_config == nullptr ? std::int64_t(-1) : call.m_config->m_version}});
+    HttpReply reply = platform::ownReply(status, call.m_caller.m_requestId, retryAfterMs, std::string(enumName(RefusalReasonNames, reason)));
+    co_await call.m_exchange.respond(std::move(reply));
+}
+
+awaitable<void> serveClient(EntryContext &context, HttpExchange &exchange)
+{
+    EntryCall call(context, exchange);
+    call.m_arrivedMs = steadyMs();
+    call.m_caller = platform::decodeCaller(exchange.request());
+    call.m_config = context.m_config;
+    ++context.m_metrics.m_requests;
+    CallQuery query;
+    query.m_host = call.m_caller.m_host;
+    query.m_path = pathOf(exchange.request().m_target);
+    query.m_key = call.m_caller.m_key;
+    query.m_timeLeftMs = call.m_caller.m_timeLeftMs.value_or(-1);
+    ConfigAge age;
+    age.m_proofAgeMs = context.m_proofMs < 0 ? -1 : call.m_arrivedMs - context.m_proofMs;
+    call.m_verdict = admitCall(call.m_config.get(), age, context.m_settings.m_currency, query);
+    call.m_endMs = call.m_arrivedMs + call.m_verdict.m_timeMs;
+    if (call.m_verdict.m_reason != RefusalReason::None) {
+        const bool denied = call.m_verdict.m_reason == RefusalReason::UnknownRoute || call.m_verdict.m_reason == RefusalReason::UnknownKey;
+        co_await refuseCall(call, call.m_verdict.m_reason, denied ? 0 : NoConfigurationRetryMs);
+        co_return;
+    }
+    context.m_serving = true;
+    std::uniform_real_distribution<double> uniform(0.0, 1.0);
+    call.m_service = chooseService(*call.m_config, *call.m_verdict.m_route, uniform(context.m_random));
+    if (call.m_service == nullptr) {
+        co_await refuseCall(call, RefusalReason::NoUpstream, NoConfigurationRetryMs);
+        co_return;
+    }
+    budgetOf(context, call.m_service->m_name).request(call.m_arrivedMs);
+    call.m_running = std::make_shared<RunningCall>();
+    call.m_running->m_endMs = call.m_endMs;
+    context.m_running.insert(call.m_running);
+    if (call.m_verdict.m_route->m_kind != CallKind::NonIdempotent) {
+        // A call that may run only once is left to finish: its effect is wanted though its answer is not.
+        exchange.whenCallerLeaves([running = call.m_running]() {
+            abortAttempt(*running, AbortCause::CallerLeft);
+        });
+    }
+    if (call.m_service->m_engines) {
+        co_await relayGeneration(call);
+    } else {
+        co_await relayServiceCall(call);
+    }
+    context.m_running.erase(call.m_running);
+    context.m_metrics.m_answers.add(static_cast<double>(steadyMs() - call.m_arrivedMs));
+}
+
+void superviseCalls(EntryContext &context)
+{
+    const std::int64_t nowMs = steadyMs();
+    const std::vector<ReplicaRef> silent = context.m_book.findSilent(nowMs);
+    for (const ReplicaRef &replica : silent) {
+        ++context.m_metrics.m_silences;
+        const BookedReplica *booked = context.m_book.find(replica);
+        logEvent(LogEvent::ReplicaSilent,
+                 {{"group", replica.m_name},
+                  {"epoch", static_cast<std::int64_t>(replica.m_epoch)},
+                  {"silent_ms", booked == nullptr ? std::int64_t(-1) : nowMs - booked->m_progressMs},
+                  {"writing", static_cast<std::int64_t>(booked == nullptr ? 0 : booked->m_own.m_writing)},
+                  {"waiting", static_cast<std::int64_t>(booked == nullptr ? 0 : booked->m_own.m_waiting)},
+                  {"slowness", booked == nullptr ? 0.0 : booked->m_slowness}});
+        context.m_keeper.suspect(replica, nowMs);
+    }
+    for (const std::shared_ptr<RunningCall> &call : context.m_running) {
+        if (nowMs >= call->m_endMs) {
+            abortAttempt(*call, AbortCause::TimeOver);
+        } else if (call->m_tryEndMs > 0 && nowMs >= call->m_tryEndMs) {
+            abortAttempt(*call, AbortCause::TryOver);
+        } else if (call->m_movable && std::find(silent.begin(), silent.end(), call->m_replica) != silent.end()) {
+            abortAttempt(*call, AbortCause::ReplicaSilent);
+        }
+    }
+}
+}
--- /dev/null
+++ b/daemons/entrycontext.cpp
@@ -0,0 +1,121 @@
+// Problem: requests, the store's news and the leader's work share one picture of the deployment.
+// Approach: one plain struct that belongs to one thread, and functions that derive the books from what is believed.
+// Several owners with messages between them would each hold another picture.
+
+#include "daemons/entrycontext.h"
+
+namespace knapweedslip
+{
+void abortAttempt(RunningCall &call, AbortCause cause)
+{
+    if (call.m_cause != AbortCause::None) {
+        return;
+    }
+    call.m_cause = cause;
+    if (call.m_connection != nullptr) {
+        boost::system::error_code ignored;
+        call.m_connection->m_stream.socket().close(ignored);
+    }
+}
+
+EntryContext::EntryContext(asio::io_context &io, EntrySettings settings)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_random(randomId())
+{
+    m_store.m_address = m_settings.m_storeAddress;
+}
+
+bool leads(const EntryContext &context)
+{
+    return context.m_leadership.m_fence != 0 && steadyMs() < context.m_leadership.m_validUntilMs;
+}
+
+int daemonCount(const EntryContext &context)
+{
+    const bool listed = context.m_peers.count(context.m_settings.m_name) > 0;
+    return static_cast<int>(context.m_peers.size()) + (listed ? 0 : 1);
+}
+
+namespace
+{
+bool takesWork(const EntryContext &context, const UpstreamEntry &entry)
+{
+    return !entry.m_leaving && context.m_evacuatedZones.count(entry.m_availabilityZone) == 0;
+}
+
+void refreshReplicas(EntryContext &context, const CallService &service)
+{
+    std::map<std::string, int> sizes;
+    for (const ServedModel &model : service.m_engines->m_models) {
+        sizes[model.m_name] = model.m_size;
+    }
+    std::vector<BookedReplica> replicas;
+    for (const ListedReplica &listed : wholeReplicas(context.m_upstreams, sizes)) {
+        const UpstreamEntry &head = context.m_upstreams.at(listed.m_head);
+        BookedReplica replica;
+        replica.m_ref = listed.m_ref;
+        replica.m_model = replicaModel(listed.m_ref.m_name);
+        replica.m_head = head.m_id;
+        replica.m_address = head.m_address;
+        replica.m_availabilityZone = head.m_availabilityZone;
+        replica.m_usable = listed.m_phase == MemberPhase::Open && takesWork(context, head);
+        replica.m_coldUntilMs = head.m_coldUntilMs;
+        replicas.push_back(std::move(replica));
+    }
+    context.m_book.setService(service);
+    context.m_book.setReplicas(replicas);
+}
+
+void refreshService(EntryContext &context, const CallService &service)
+{
+    std::vector<BookedUpstream> upstreams;
+    for (const std::pair<const std::string, UpstreamEntry> &entry : context.m_upstreams) {
+        if (entry.second.m_service != service.m_name) {
+            continue;
+        }
+        BookedUpstream upstream;
+        upstream.m_id = entry.first;
+        upstream.m_address = entry.second.m_address;
+        upstream.m_availabilityZone = entry.second.m_availabilityZone;
+        upstream.m_slots = entry.second.m_slots;
+        upstream.m_coldUntilMs = entry.second.m_coldUntilMs;
+        upstream.m_usable = takesWork(context, entry.second);
+        upstreams.push_back(std::move(upstream));
+    }
+    context.m_services.setUpstreams(service.m_name, upstreams);
+}
+}
+
+void refreshBooks(EntryContext &context)
+{
+    if (context.m_config == nullptr) {
+        return;
+    }
+    const int daemons = daemonCount(context);
+    for (const std::pair<const std::string, CallService> &entry : context.m_config->m_services) {
+        context.m_budgets[entry.first].setLimits(context.m_settings.m_resends, daemons);
+        if (entry.second.m_engines) {
+            refreshReplicas(context, entry.second);
+        } else {
+            refreshService(context, entry.second);
+        }
+    }
+}
+
+WindowBudget &budgetOf(EntryContext &context, const std::string &service)
+{
+    return context.m_budgets[service];
+}
+
+bool passColdGate(EntryContext &context, const std::string &upstream, std::int64_t coldUntilMs, double coldPerSecond, std::int64_t nowMs)
+{
+    if (coldUntilMs <= nowMs || coldPerSecond <= 0.0) {
+        context.m_coldGates.erase(upstream);
+        return true;
+    }
+    ColdGate &gate = context.m_coldGates[upstream];
+    gate.setLimits(coldPerSecond * context.m_settings.m_coldShare, daemonCount(context));
+    return gate.trySend(nowMs);
+}
+}
--- /dev/null
+++ b/daemons/entrycontext.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "daemons/entrysettings.h"
+#include "kernel/callconfig.h"
+#include "kernel/replicabook.h"
+#include "kernel/replicakeeper.h"
+#include "kernel/servicebook.h"
+#include "net/httpserver.h"
+#include "net/metrics.h"
+#include "platform/storecalls.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace knapweedslip
+{
+/** Why the current attempt of a request was ended from outside. */
+enum class AbortCause {
+    None,
+    CallerLeft,
+    /** The time for the final answer is over. */
+    TimeOver,
+    /** This attempt took too long; another may follow. */
+    TryOver,
+    /** Its serving group shows no work. */
+    ReplicaSilent,
+};
+
+/** A request that is being served, as seen by those who may end its attempt. */
+struct RunningCall
+{
+    /** Connection of the current attempt; null between attempts. */
+    HttpConnection *m_connection = nullptr;
+    AbortCause m_cause = AbortCause::None;
+    std::int64_t m_endMs = 0;
+    /** Limit of the current attempt; 0 when only m_endMs holds. */
+    std::int64_t m_tryEndMs = 0;
+    /** Group of the current attempt. */
+    ReplicaRef m_replica;
+    /** It may go on at another group. */
+    bool m_movable = false;
+};
+
+/** Ends the current attempt; the first cause stands. */
+void abortAttempt(RunningCall &call, AbortCause cause);
+
+/** Another daemon of this deployment. */
+struct EntryPeer
+{
+    std::string m_name;
+    std::string m_address;
+    std::string m_availabilityZone;
+};
+
+struct EntryMetrics
+{
+    LatencyHistogram m_firstEvent;
+    LatencyHistogram m_answers;
+    std::array<std::uint64_t, RefusalReasonNames.size()> m_refused{};
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_cut = 0;
+    std::uint64_t m_resumed = 0;
+    std::uint64_t m_resent = 0;
+    std::uint64_t m_events = 0;
+    std::uint64_t m_orders = 0;
+    std::uint64_t m_probes = 0;
+    std::uint64_t m_silences = 0;
+};
+
+/** What this daemon knows of the leadership over serving groups. */
+struct Leadership
+{
+    /** Fencing token of the term: the store's revision at which it began. 0 when another daemon leads, or none. */
+    std::uint64_t m_fence = 0;
+    std::uint64_t m_lease = 0;
+    /** Until when the lease certainly holds. */
+    std::int64_t m_validUntilMs = 0;
+};
+
+/** State of one entry daemon. Everything here belongs to the thread of m_io. */
+struct EntryContext
+{
+    EntryContext(asio::io_context &io, EntrySettings settings);
+
+    asio::io_context &m_io;
+    EntrySettings m_settings;
+    platform::StoreAccess m_store;
+    /** Connections to upstreams. */
+    ConnectionPool m_connections;
+    std::mt19937_64 m_random;
+
+    CallConfigPtr m_config;
+    /** Everything that the store accepted before this moment is known here; negative: nothing is. */
+    std::int64_t m_proofMs = -1;
+    UpstreamList m_upstreams;
+    std::set<std::string> m_evacuatedZones;
+    std::map<std::string, EntryPeer> m_peers;
+    /** Name of the daemon that leads, as the store says; empty when none does. */
+    std::string m_leader;
+
+    ReplicaBook m_book;
+    ServiceBook m_services;
+    std::map<std::string, WindowBudget> m_budgets;
+    std::map<std::string, ColdGate> m_coldGates;
+    ReplicaKeeper m_keeper;
+    Leadership m_leadership;
+    /** A request of a client has been seen here. */
+    bool m_serving = false;
+
+    std::set<std::shared_ptr<RunningCall>> m_running;
+    EntryMetrics m_metrics;
+    bool m_stopping = false;
+};
+
+/** This daemon leads, and its lease certainly holds. */
+bool leads(const EntryContext &context);
+
+/** Daemons that share the limits, this one included. */
+int daemonCount(const EntryContext &context);
+
+/** Brings the books in line with the lists of upstreams and zones and with the configuration. */
+void refreshBooks(EntryContext &context);
+
+/** The budget of resends to @p service. */
+WindowBudget &budgetOf(EntryContext &context, const std::string &service);
+
+/** True when @p upstream is warm, or cold with room for one more request, which is then counted. */
+bool passColdGate(EntryContext &context, const std::string &upstream, std::int64_t coldUntilMs, double coldPerSecond, std::int64_t nowMs);
+}
--- /dev/null
+++ b/daemons/entrygeneration.cpp
@@ -0,0 +1,305 @@
+// Problem: a stream must reach its client whole and without long pauses though the group that writes it may die at any moment.
+// Approach: whole events are passed on as they come; when the group falls silent or breaks off, the stream goes on at another group after the
+// last event, inside the same answer. A stream that cannot go on is cut without its end, so that it cannot be taken for whole.
+// Ending it politely hides the loss, and leaving the repeat to the client costs a connection and the time to notice.
+
+#include "daemons/entrycall.h"
+
+#include "kernel/eventjoin.h"
+#include "net/logging.h"
+
+namespace knapweedslip
+{
+namespace
+{
+/** Wait between two looks for a group while there is none, in ms. */
+constexpr std::int64_t NoGroupPollMs = 10;
+/** A new request waits for a group for this part of the time in which its first event is on time, before it is refused. */
+constexpr double HoldPart = 0.11;
+/** When a client should come back while no group serves its model, in ms: the time in which a group is formed anew. */
+constexpr std::int64_t NoGroupRetryMs = 700;
+/** A group that cannot be reached, or says that it is not open, is avoided this long, in ms: the list is behind by about as much. */
+constexpr std::int64_t UnreachableMs = 500;
+constexpr unsigned Ok = 200;
+
+enum class TryEnd {
+    Final,
+    /** Nothing ran; another group may be tried freely. */
+    NotRun,
+    /** It ran, or may have; it may go on elsewhere within its attempts. */
+    Broken,
+};
+
+struct GenerationState
+{
+    explicit GenerationState(std::optional<std::int64_t> lastId)
+        : m_join(lastId)
+    {
+    }
+
+    EventJoin m_join;
+    std::set<ReplicaRef> m_tried;
+    /** Attempts that gave at least one event, or may have run otherwise. */
+    int m_runs = 0;
+    bool m_headerSent = false;
+    bool m_refusedFull = false;
+    /** A failure that an engine gave, in case there is nothing better. */
+    HttpReply m_failure;
+    bool m_hasFailure = false;
+};
+
+/** Books an attempt with its group, whatever its end. */
+class Booking
+{
+public:
+    Booking(EntryCall &call, const BookedReplica &replica)
+        : m_book(call.m_context.m_book)
+        , m_running(*call.m_running)
+        , m_number(m_book.begin(replica, call.m_caller.m_promptTokens, steadyMs()))
+    {
+        m_running.m_replica = replica.m_ref;
+    }
+    ~Booking()
+    {
+        m_book.end(m_number);
+        m_running.m_replica = {};
+        m_running.m_movable = false;
+    }
+    Booking(const Booking &) = delete;
+    Booking &operator=(const Booking &) = delete;
+
+    void event(int events)
+    {
+        m_book.event(m_number, events, steadyMs());
+    }
+
+private:
+    ReplicaBook &m_book;
+    RunningCall &m_running;
+    std::uint64_t m_number;
+};
+
+awaitable<Result<Done>> sendHeader(EntryCall &call, const EntryAttempt &attempt, GenerationState &state)
+{
+    state.m_headerSent = true;
+    const HeaderFields headers = endToEndHeaders(attempt.headers());
+    co_return co_await call.m_exchange.beginStream(attempt.status(), headers);
+}
+
+bool mayMove(const EntryCall &call, const GenerationState &state, int runs)
+{
+    const CallRoute &route = *call.m_verdict.m_route;
+    // Without any event so far nothing has run: a request begins to run with its first token.
+    return runs < route.m_maxAttempts && (route.m_resumable || !state.m_headerSent);
+}
+
+awaitable<TryEnd> passFailure(EntryAttempt &attempt, GenerationState &state)
+{
+    HttpReply reply;
+    reply.m_status = attempt.status();
+    reply.m_headers = endToEndHeaders(attempt.headers());
+    while (true) {
+        const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
+        if (failed(piece)) {
+            co_return TryEnd::Broken;
+        }
+        if (valueOf(piece).empty()) {
+            break;
+        }
+        reply.m_body.append(valueOf(piece));
+    }
+    attempt.finish();
+    if (!attempt.genuine()) {
+        co_return TryEnd::Broken;
+    }
+    state.m_failure = std::move(reply);
+    state.m_hasFailure = true;
+    co_return TryEnd::Broken;
+}
+
+/** Passes the events of one attempt on. */
+awaitable<TryEnd> relayEvents(EntryCall &call, EntryAttempt &attempt, GenerationState &state, Booking &booking)
+{
+    bool counted = false;
+    while (true) {
+        const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
+        if (failed(piece)) {
+            co_return TryEnd::Broken;
+        }
+        if (valueOf(piece).empty()) {
+            break;
+        }
+        const EventPiece events = state.m_join.feed(valueOf(piece));
+        if (state.m_join.state() == EventJoinState::Broken) {
+            logAttemptFailed(call, call.m_running->m_replica.m_name, "an event is missing or cannot be read");
+            co_return TryEnd::Broken;
+        }
+        if (events.m_events == 0) {
+            continue;
+        }
+        booking.event(events.m_events);
+        call.m_context.m_metrics.m_events += static_cast<std::uint64_t>(events.m_events);
+        if (!counted) {
+            counted = true;
+            ++state.m_runs;
+            call.m_running->m_movable = mayMove(call, state, state.m_runs);
+            if (state.m_runs == 1) {
+                call.m_context.m_metrics.m_firstEvent.add(static_cast<double>(steadyMs() - call.m_arrivedMs));
+            }
+        }
+        Result<Done> sent = Done{};
+        if (!state.m_headerSent) {
+            sent = co_await sendHeader(call, attempt, state);
+        }
+        if (!failed(sent)) {
+            sent = co_await call.m_exchange.writeChunk(events.m_bytes);
+        }
+        if (failed(sent)) {
+            abortAttempt(*call.m_running, AbortCause::CallerLeft);
+            co_return TryEnd::Broken;
+        }
+    }
+    if (state.m_join.insideEvent()) {
+        logAttemptFailed(call, call.m_running->m_replica.m_name, "the answer ended inside an event");
+        co_return TryEnd::Broken;
+    }
+    attempt.finish();
+    if (!state.m_headerSent) {
+        const Result<Done> sent = co_await sendHeader(call, attempt, state);
+        if (failed(sent)) {
+            co_return TryEnd::Broken;
+        }
+    }
+    const Result<Done> ended = co_await call.m_exchange.endStream();
+    logCallEnd(call, failed(ended) ? "caller-left" : "answered", Ok, {});
+    ++call.m_context.m_metrics.m_answered;
+    co_return TryEnd::Final;
+}
+
+awaitable<TryEnd> tryGroup(EntryCall &call, GenerationState &state, const BookedReplica &chosen)
+{
+    EntryContext &context = call.m_context;
+    const ReplicaRef replica = chosen.m_ref;
+    const std::string head = chosen.m_head;
+    AttemptTarget target{chosen.m_head, chosen.m_address};
+    logCallSent(call, head, replica.m_name, context.m_book.expectedMs(chosen, call.m_caller.m_promptTokens));
+    Booking booking(call, chosen);
+    call.m_running->m_movable = mayMove(call, state, state.m_runs);
+    EntryAttempt attempt(call);
+    state.m_join.restart();
+    const AttemptOpen opened = co_await attempt.open(std::move(target), state.m_join.lastId(), 0);
+    if (opened != AttemptOpen::Answered) {
+        logAttemptFailed(call, head, attempt.error());
+        if (call.m_running->m_cause == AbortCause::None) {
+            context.m_book.avoid(replica, steadyMs(), UnreachableMs);
+        }
+        // A request begins to run with its first token, and none came.
+        co_return TryEnd::NotRun;
+    }
+    if (attempt.answer().m_notRun) {
+        constexpr unsigned Misdirected = 421;
+        if (attempt.status() == Misdirected) {
+            context.m_book.avoid(replica, steadyMs(), UnreachableMs);
+        } else {
+            context.m_book.full(replica, steadyMs());
+        }
+        state.m_refusedFull = true;
+        logAttemptFailed(call, head, "refused with status " + std::to_string(attempt.status()));
+        co_return TryEnd::NotRun;
+    }
+    if (attempt.status() != Ok || !attempt.genuine()) {
+        logAttemptFailed(call, head, "answered with status " + std::to_string(attempt.status()));
+        ++state.m_runs;
+        co_return co_await passFailure(attempt, state);
+    }
+    co_return co_await relayEvents(call, attempt, state, booking);
+}
+
+awaitable<void> giveUp(EntryCall &call, GenerationState &state, RefusalReason reason, std::int64_t retryAfterMs)
+{
+    if (call.m_exchange.callerLeft() || call.m_running->m_cause == AbortCause::CallerLeft) {
+        logEvent(LogEvent::CallerLeft, {{"request", call.m_caller.m_requestId}, {"after_ms", steadyMs() - call.m_arrivedMs}});
+        call.m_exchange.abort();
+    } else if (state.m_headerSent) {
+        ++call.m_context.m_metrics.m_cut;
+        logEvent(LogEvent::StreamBroken,
+                 {{"request", call.m_caller.m_requestId},
+                  {"reason", std::string(enumName(RefusalReasonNames, reason))},
+                  {"last_event", state.m_join.lastId().value_or(-1)},
+                  {"sends", static_cast<std::int64_t>(call.m_sends)},
+                  {"after_ms", steadyMs() - call.m_arrivedMs}});
+        call.m_exchange.abort();
+    } else if (state.m_hasFailure) {
+        const unsigned status = state.m_failure.m_status;
+        co_await call.m_exchange.respond(std::move(state.m_failure));
+        logCallEnd(call, "failed", status, {});
+    } else {
+        co_await refuseCall(call, reason, retryAfterMs);
+    }
+}
+
+/** Waits until a group can take the request, as long as that serves it; null when it is to be given up. */
+awaitable<const BookedReplica *> awaitGroup(EntryCall &call, const GenerationState &state)
+{
+    const std::int64_t holdMs = static_cast<std::int64_t>(HoldPart * static_cast<double>(call.m_verdict.m_route->m_latencyTargetMs));
+    while (true) {
+        const std::int64_t nowMs = steadyMs();
+        std::set<ReplicaRef> excluded;
+        while (true) {
+            const BookedReplica *chosen = call.m_context.m_book.choose(
+                call.m_caller.m_model, call.m_caller.m_promptTokens, call.m_context.m_settings.m_availabilityZone, excluded, nowMs);
+            if (chosen == nullptr || passColdGate(call.m_context, chosen->m_head, chosen->m_coldUntilMs, call.m_service->m_coldPerSecond, nowMs)) {
+                if (chosen != nullptr) {
+                    co_return chosen;
+                }
+                break;
+            }
+            excluded.insert(chosen->m_ref);
+        }
+        const bool over = timeLeftMs(call) <= 0 || call.m_exchange.callerLeft();
+        if (over || (!state.m_headerSent && nowMs - call.m_arrivedMs >= holdMs)) {
+            co_return nullptr;
+        }
+        co_await sleepFor(NoGroupPollMs);
+    }
+}
+}
+
+awaitable<void> relayGeneration(EntryCall &call)
+{
+    GenerationState state(call.m_caller.m_lastEventId);
+    const CallRoute &route = *call.m_verdict.m_route;
+    while (true) {
+        const BookedReplica *chosen = co_await awaitGroup(call, state);
+        if (chosen == nullptr) {
+            const RefusalReason reason = timeLeftMs(call) <= 0 ? RefusalReason::TimeOver : state.m_refusedFull ? RefusalReason::Overloaded : RefusalReason::NoUpstream;
+            co_await giveUp(call, state, reason, NoGroupRetryMs);
+            co_return;
+        }
+        if (call.m_sends > 0 && !budgetOf(call.m_context, call.m_service->m_name).trySpend(steadyMs())) {
+            co_await giveUp(call, state, RefusalReason::AttemptsSpent, NoGroupRetryMs);
+            co_return;
+        }
+        if (call.m_sends > 0 && state.m_headerSent) {
+            ++call.m_context.m_metrics.m_resumed;
+            logEvent(LogEvent::StreamResumed,
+                     {{"request", call.m_caller.m_requestId}, {"group", chosen->m_ref.m_name}, {"last_event", state.m_join.lastId().value_or(-1)}});
+        }
+        const TryEnd end = co_await tryGroup(call, state, *chosen);
+        if (end == TryEnd::Final) {
+            co_return;
+        }
+        const AbortCause cause = call.m_running->m_cause;
+        if (cause == AbortCause::CallerLeft || cause == AbortCause::TimeOver || call.m_exchange.callerLeft()) {
+            co_await giveUp(call, state, RefusalReason::TimeOver, 0);
+            co_return;
+        }
+        const bool resumable = route.m_resumable || !state.m_headerSent;
+        if (end == TryEnd::Broken && (!resumable || state.m_runs >= route.m_maxAttempts)) {
+            co_await giveUp(call, state, RefusalReason::OutcomeUnknown, 0);
+            co_return;
+        }
+        ++call.m_context.m_metrics.m_resent;
+    }
+}
+}
--- /dev/null
+++ b/daemons/entrykeeper.cpp
@@ -0,0 +1,123 @@
+// Problem: orders and probes go to dozens of engines, and any of them may hang.
+// Approach: each runs by itself with a short time limit and reports back; the keeper in the kernel decides what is due.
+// One after the other, a dark engine would hold up the repair of every group.
+
+#include "daemons/entrykeeper.h"
+
+#include "net/logging.h"
+#include "platform/enginecalls.h"
+#include "platform/entrydecoder.h"
+
+namespace knapweedslip
+{
+namespace
+{
+/** Interval of the keeper, in ms: the shortest step of forming a group is an answer within a region. */
+constexpr std::int64_t KeeperTickMs = 20;
+/** Longest wait for the answer to an order, in ms: an engine answers in a few; one that is dark holds up its group this long. */
+constexpr std::int64_t OrderTimeoutMs = 250;
+/** Longest wait for the answer to a probe, in ms. */
+constexpr std::int64_t ProbeTimeoutMs = 110;
+
+awaitable<void> giveOrder(EntryContext &context, EngineOrder order)
+{
+    const std::uint64_t fence = context.m_leadership.m_fence;
+    ++context.m_metrics.m_orders;
+    HttpRequest request = platform::orderRequest(order);
+    const Result<HttpReply> answer = co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs);
+    OrderReply reply = OrderReply::Unanswered;
+    if (!failed(answer)) {
+        reply = platform::orderReply(valueOf(answer).m_status);
+    } else if (errorOf(answer).m_code == ErrorCode::ConnectFailed && errorOf(answer).m_detail.find("refused") != std::string::npos) {
+        reply = OrderReply::NotListening;
+    }
+    logEvent(reply == OrderReply::Done || reply == OrderReply::Begun ? LogEvent::OrderGiven : LogEvent::OrderFailed,
+             {{"engine", order.m_engine},
+              {"order", std::string(enumName(EngineOrderKindNames, order.m_kind))},
+              {"group", order.m_replica.m_name},
+              {"fence", static_cast<std::int64_t>(order.m_fence)},
+              {"reply", std::string(enumName(OrderReplyNames, reply))},
+              {"status", failed(answer) ? std::int64_t(0) : static_cast<std::int64_t>(valueOf(answer).m_status)}});
+    if (context.m_leadership.m_fence != fence || fence == 0) {
+        co_return;
+    }
+    if (reply == OrderReply::Fenced) {
+        // A later leader has given orders here, or this term's epochs are behind: a new term settles both.
+        logEvent(LogEvent::LeadershipLost, {{"fence", static_cast<std::int64_t>(fence)}, {"reason", std::string("an engine has seen a later term")}});
+        const std::uint64_t lease = context.m_leadership.m_lease;
+        context.m_leadership = {};
+        co_await platform::storeEndLease(context.m_store, lease, context.m_settings.m_storeTimeoutMs);
+        co_return;
+    }
+    context.m_keeper.orderAnswered(order, reply, steadyMs());
+}
+
+awaitable<void> probeEngine(EntryContext &context, std::string engine)
+{
+    const auto found = context.m_upstreams.find(engine);
+    if (found == context.m_upstreams.end()) {
+        co_return;
+    }
+    const std::string address = found->second.m_address;
+    ++context.m_metrics.m_probes;
+    HttpRequest request = platform::reportRequest(engine);
+    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs);
+    const std::int64_t nowMs = steadyMs();
+    constexpr unsigned Ok = 200;
+    if (failed(answer) || valueOf(answer).m_status != Ok) {
+        const bool refused = failed(answer) ? errorOf(answer).m_detail.find("refused") != std::string::npos : true;
+        logEvent(LogEvent::EngineSilent,
+                 {{"engine", engine}, {"error", failed(answer) ? describe(errorOf(answer)) : "status " + std::to_string(valueOf(answer).m_status)}});
+        context.m_keeper.probeMissed(engine, refused, nowMs);
+        co_return;
+    }
+    const auto known = context.m_upstreams.find(engine);
+    if (known != context.m_upstreams.end()) {
+        UpstreamEntry entry = known->second;
+        platform::applyReport(entry, valueOf(answer).m_body);
+        context.m_keeper.observe(entry, nowMs);
+    }
+    context.m_keeper.probeAnswered(engine, nowMs);
+}
+
+void feedProgress(EntryContext &context)
+{
+    for (const std::pair<const ReplicaRef, BookedReplica> &entry : context.m_book.replicas()) {
+        if (entry.second.m_progressMs >= 0) {
+            context.m_keeper.progress(entry.first, entry.second.m_progressMs);
+        }
+    }
+}
+
+void logKeeperEvent(const KeeperEvent &event)
+{
+    logEvent(LogEvent::ReplicaChanged,
+             {{"group", event.m_replica.m_name},
+              {"epoch", static_cast<std::int64_t>(event.m_replica.m_epoch)},
+              {"phase", std::string(enumName(KeptPhaseNames, event.m_phase))},
+              {"cause", std::string(enumName(ClosingCauseNames, event.m_cause))},
+              {"engine", event.m_engine}});
+}
+}
+
+awaitable<void> keepReplicas(EntryContext &context)
+{
+    while (!context.m_stopping) {
+        if (leads(context)) {
+            context.m_keeper.setServing(context.m_serving);
+            feedProgress(context);
+            const KeeperActions actions = context.m_keeper.tick(steadyMs());
+            for (const KeeperEvent &event : actions.m_events) {
+                logKeeperEvent(event);
+            }
+            for (const EngineOrder &order : actions.m_orders) {
+                asio::co_spawn(context.m_io, giveOrder(context, order), asio::detached);
+            }
+            for (const std::string &engine : actions.m_probes) {
+                asio::co_spawn(context.m_io, probeEngine(context, engine), asio::detached);
+            }
+        }
+        co_await sleepFor(KeeperTickMs);
+    }
+}
+}
--- /dev/null
+++ b/daemons/entrysettings.cpp
@@ -0,0 +1,86 @@
+// Problem: the hosting platform writes the settings anew at each start and change, and a misread bound breaks a promise.
+// Approach: the platform renders deploy/entry.yaml, which has this project's names; it is read strictly, with all findings at once.
+
+#include "daemons/entrysettings.h"
+
+#include "kernel/yamlreader.h"
+#include "net/asio.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr std::int64_t MaxTimeMs = 3'600'000;
+constexpr double MaxRatio = 1'000'000.0;
+
+std::string readEndpoint(YamlReader &reader, const YAML::Node &node, const std::string &key, bool required)
+{
+    std::string address = required ? readString(reader, node, key) : readString(reader, node, key, std::string());
+    if (!address.empty() && failed(parseEndpoint(address))) {
+        addFinding(reader, node[key], "'" + key + "' must be ip:port");
+    }
+    return address;
+}
+}
+
+std::variant<EntrySettings, Findings> readEntrySettings(const std::string &path)
+{
+    YamlReader reader;
+    reader.m_file = path;
+    std::ifstream file(path);
+    if (!file) {
+        return Findings{{path, 0, 0, "cannot be read"}};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    const YAML::Node root = parseYaml(reader, text.str());
+    EntrySettings settings;
+    const bool known = checkKeys(reader,
+                                 root,
+                                 {"name",
+                                  "availability_zone",
+                                  "listen",
+                                  "readiness_listen",
+                                  "metrics_listen",
+                                  "peer_listen",
+                                  "store_address",
+                                  "store_timeout_ms",
+                                  "lease_ms",
+                                  "max_key_age_ms",
+                                  "max_denial_age_ms",
+                                  "resend_ratio",
+                                  "resend_extra",
+                                  "resend_window_s",
+                                  "cold_share",
+                                  "stop_grace_s",
+                                  "address_reuse_s"});
+    if (!known) {
+        return reader.m_findings;
+    }
+    constexpr double MsPerSecond = 1'000.0;
+    settings.m_name = readString(reader, root, "name");
+    settings.m_availabilityZone = readString(reader, root, "availability_zone");
+    settings.m_listen = readEndpoint(reader, root, "listen", true);
+    settings.m_readinessListen = readEndpoint(reader, root, "readiness_listen", true);
+    settings.m_metricsListen = readEndpoint(reader, root, "metrics_listen", false);
+    settings.m_peerListen = readEndpoint(reader, root, "peer_listen", true);
+    settings.m_storeAddress = readEndpoint(reader, root, "store_address", true);
+    settings.m_storeTimeoutMs = readInteger(reader, root, "store_timeout_ms", 10, MaxTimeMs, settings.m_storeTimeoutMs);
+    settings.m_leaseMs = readInteger(reader, root, "lease_ms", 100, MaxTimeMs, settings.m_leaseMs);
+    settings.m_currency.m_keyMs = readInteger(reader, root, "max_key_age_ms", 100, MaxTimeMs);
+    settings.m_currency.m_denyMs = readInteger(reader, root, "max_denial_age_ms", 10, MaxTimeMs, 1'000);
+    settings.m_resends.m_ratio = readReal(reader, root, "resend_ratio", 0.0, MaxRatio);
+    settings.m_resends.m_extra = readReal(reader, root, "resend_extra", 0.0, MaxRatio);
+    settings.m_resends.m_windowMs = static_cast<std::int64_t>(readReal(reader, root, "resend_window_s", 0.1, MaxRatio, 10.0) * MsPerSecond);
+    settings.m_coldShare = readReal(reader, root, "cold_share", 0.0, MaxRatio, 1.0);
+    settings.m_stopGraceMs = static_cast<std::int64_t>(readReal(reader, root, "stop_grace_s", 0.1, MaxRatio) * MsPerSecond);
+    settings.m_addressReuseMs = static_cast<std::int64_t>(readReal(reader, root, "address_reuse_s", 0.0, MaxRatio, 2.0) * MsPerSecond);
+    if (!reader.m_findings.empty()) {
+        return reader.m_findings;
+    }
+    return settings;
+}
+}
--- a/daemons/modelrelay.cpp
+++ b/daemons/modelrelay.cpp
@@ -175,7 +175,7 @@
         if (leftMs <= 0) {
             co_return AttemptResult{AttemptEnd::Neutral, false, Error{ErrorCode::Timeout, "the deadline has passed"}};
         }
-        const Result<std::string> piece = co_await stream.read(std::min(leftMs, relay.m_context.m_settings.m_upstreamSilenceMs));
+        const Result<std::string_view> piece = co_await stream.read(std::min(leftMs, relay.m_context.m_settings.m_upstreamSilenceMs));
         if (failed(piece)) {
             co_return failedAttempt(errorOf(piece));
         }
@@ -228,7 +228,7 @@
     AttemptResult result = co_await readAnswer(relay, stream);
     if (result.m_complete && !stream.finished()) {
         // The end of the chunked body may come in a piece of its own.
-        const Result<std::string> rest = co_await stream.read(ConnectTimeoutMs);
+        const Result<std::string_view> rest = co_await stream.read(ConnectTimeoutMs);
         reusable = !failed(rest) && valueOf(rest).empty();
     } else {
         reusable = result.m_complete;
--- a/kernel/errors.cpp
+++ b/kernel/errors.cpp
@@ -28,6 +28,7 @@
     ErrorRow{ErrorCode::UnknownModel, 404, "unknown-model", "The model is not in the plan"},
     ErrorRow{ErrorCode::UnknownService, 404, "unknown-service", "The service is not in the plan"},
     ErrorRow{ErrorCode::BodyTooLarge, 413, "body-too-large", "The body is over the limit"},
+    ErrorRow{ErrorCode::HeaderTooLarge, 431, "header-too-large", "The header is over the limit"},
     ErrorRow{ErrorCode::MalformedRequest, 400, "malformed-request", "The request cannot be read"},
     ErrorRow{ErrorCode::NotFound, 404, "not-found", "There is nothing at this address"},
     ErrorRow{ErrorCode::Conflict, 412, "conflict", "The resource has changed since it was read"},
--- a/kernel/errors.h
+++ b/kernel/errors.h
@@ -20,6 +20,7 @@
     UnknownModel,
     UnknownService,
     BodyTooLarge,
+    HeaderTooLarge,
     MalformedRequest,
     NotFound,
     Conflict,
--- /dev/null
+++ b/kernel/eventjoin.cpp
@@ -0,0 +1,109 @@
+// Problem: a stream may be continued by another upstream, and an upstream may stop in the middle of an event; the client must get each
+// event once, whole and in order.
+// Approach: bytes are held until an event is whole; events that the client has are dropped, and a gap ends the attempt.
+// Passing bytes on as they come joins half an event of one attempt with another event.
+
+#include "kernel/eventjoin.h"
+
+#include <charconv>
+
+namespace knapweedslip
+{
+namespace
+{
+/** Length of the event at the start of @p text with its empty line, or 0 when it is not whole. */
+std::size_t eventLength(std::string_view text)
+{
+    std::size_t line = 0;
+    while (line < text.size()) {
+        const std::size_t end = text.find('\n', line);
+        if (end == std::string_view::npos) {
+            return 0;
+        }
+        const bool emptyLine = end == line || (end == line + 1 && text[line] == '\r');
+        if (emptyLine) {
+            return end + 1;
+        }
+        line = end + 1;
+    }
+    return 0;
+}
+}
+
+std::optional<std::int64_t> eventNumber(std::string_view event)
+{
+    constexpr std::string_view Field = "id:";
+    for (std::size_t line = 0; line < event.size();) {
+        const std::size_t end = event.find('\n', line);
+        const std::size_t length = (end == std::string_view::npos ? event.size() : end) - line;
+        std::string_view text = event.substr(line, length);
+        if (text.compare(0, Field.size(), Field) == 0) {
+            text.remove_prefix(Field.size());
+            if (!text.empty() && text.front() == ' ') {
+                text.remove_prefix(1);
+            }
+            std::int64_t number = 0;
+            const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+            return parsed.ec == std::errc() ? std::optional<std::int64_t>(number) : std::nullopt;
+        }
+        if (end == std::string_view::npos) {
+            break;
+        }
+        line = end + 1;
+    }
+    return std::nullopt;
+}
+
+EventJoin::EventJoin(std::optional<std::int64_t> lastId)
+    : m_lastId(lastId)
+{
+}
+
+void EventJoin::restart()
+{
+    m_rest.clear();
+    m_state = EventJoinState::Good;
+}
+
+EventPiece EventJoin::feed(std::string_view bytes)
+{
+    EventPiece piece;
+    if (m_state == EventJoinState::Broken) {
+        return piece;
+    }
+    m_rest.append(bytes);
+    std::string_view left = m_rest;
+    for (std::size_t length = eventLength(left); length > 0; length = eventLength(left)) {
+        const std::string_view event = left.substr(0, length);
+        left.remove_prefix(length);
+        const std::optional<std::int64_t> number = eventNumber(event);
+        if (!number || (m_lastId && *number > *m_lastId + 1)) {
+            m_state = EventJoinState::Broken;
+            break;
+        }
+        if (m_lastId && *number <= *m_lastId) {
+            continue;
+        }
+        m_lastId = number;
+        piece.m_bytes.append(event);
+        ++piece.m_events;
+    }
+    m_rest.erase(0, m_rest.size() - left.size());
+    return piece;
+}
+
+EventJoinState EventJoin::state() const
+{
+    return m_state;
+}
+
+bool EventJoin::insideEvent() const
+{
+    return !m_rest.empty();
+}
+
+std::optional<std::int64_t> EventJoin::lastId() const
+{
+    return m_lastId;
+}
+}
--- /dev/null
+++ b/kernel/replicabook.cpp
@@ -0,0 +1,229 @@
+// Problem: a group whose member died goes on accepting requests and says nothing for seconds; every stream there must leave it at once, and
+// none may leave a group that only reads a long prompt.
+// Approach: all streams of a group advance in the same passes, so the group is judged, not the stream: while anything here should be
+// written and nothing has come for twice the expected pause, it is silent. New work goes where the first event is expected soonest.
+// Time limits for each stream cannot tell a long prompt from a dead group.
+
+#include "kernel/replicabook.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+/** Part of a new observation in the running mean of slowness. */
+constexpr double SlownessGain = 0.1;
+constexpr double MinSlowness = 0.5;
+constexpr double MaxSlowness = 20.0;
+constexpr int MaxDoublings = 4;
+
+ReplicaLoad sum(const ReplicaLoad &a, const ReplicaLoad &b)
+{
+    return {a.m_writing + b.m_writing, a.m_waiting + b.m_waiting, a.m_unreadMs + b.m_unreadMs, a.m_contextTokens + b.m_contextTokens};
+}
+}
+
+ReplicaBook::ReplicaBook(const BookSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void ReplicaBook::setService(const CallService &service)
+{
+    m_service = service;
+}
+
+void ReplicaBook::setReplicas(const std::vector<BookedReplica> &replicas)
+{
+    for (std::pair<const ReplicaRef, BookedReplica> &entry : m_replicas) {
+        entry.second.m_usable = false;
+    }
+    for (const BookedReplica &replica : replicas) {
+        BookedReplica &booked = m_replicas[replica.m_ref];
+        booked.m_ref = replica.m_ref;
+        booked.m_model = replica.m_model;
+        booked.m_head = replica.m_head;
+        booked.m_address = replica.m_address;
+        booked.m_availabilityZone = replica.m_availabilityZone;
+        booked.m_usable = replica.m_usable;
+        booked.m_coldUntilMs = replica.m_coldUntilMs;
+    }
+    for (auto it = m_replicas.begin(); it != m_replicas.end();) {
+        const bool unused = !it->second.m_usable && it->second.m_own.m_writing + it->second.m_own.m_waiting == 0;
+        it = unused ? m_replicas.erase(it) : std::next(it);
+    }
+}
+
+void ReplicaBook::setPeerLoads(const std::map<ReplicaRef, PeerLoad> &loads)
+{
+    for (std::pair<const ReplicaRef, BookedReplica> &entry : m_replicas) {
+        const auto found = loads.find(entry.first);
+        entry.second.m_peers = found == loads.end() ? ReplicaLoad() : found->second.m_load;
+    }
+}
+
+double ReplicaBook::paceOf(const BookedReplica &replica) const
+{
+    const ServedModel *model = findModel(m_service, replica.m_model);
+    return (model == nullptr ? 1.0 : model->m_pace) * replica.m_slowness;
+}
+
+double ReplicaBook::expectedMs(const BookedReplica &replica, std::int64_t promptTokens) const
+{
+    return m_service.m_engines ? firstEventMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers), promptTokens, paceOf(replica)) : 0.0;
+}
+
+const BookedReplica *ReplicaBook::choose(const std::string &model,
+                                         std::int64_t promptTokens,
+                                         const std::string &ownZone,
+                                         const std::set<ReplicaRef> &excluded,
+                                         std::int64_t nowMs) const
+{
+    const BookedReplica *best = nullptr;
+    double bestMs = 0.0;
+    for (const std::pair<const ReplicaRef, BookedReplica> &entry : m_replicas) {
+        const BookedReplica &replica = entry.second;
+        if (!replica.m_usable || replica.m_model != model || replica.m_avoidUntilMs > nowMs || excluded.count(entry.first) > 0) {
+            continue;
+        }
+        const double ms = expectedMs(replica, promptTokens) + (replica.m_availabilityZone == ownZone ? 0.0 : m_settings.m_crossZoneMs);
+        if (best == nullptr || ms < bestMs) {
+            best = &replica;
+            bestMs = ms;
+        }
+    }
+    return best;
+}
+
+std::uint64_t ReplicaBook::begin(const BookedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs)
+{
+    BookedReplica &booked = m_replicas[replica.m_ref];
+    BookedStream stream;
+    stream.m_replica = booked.m_ref;
+    stream.m_promptTokens = promptTokens;
+    stream.m_sentMs = nowMs;
+    stream.m_expectedMs = nowMs + static_cast<std::int64_t>(expectedMs(booked, promptTokens));
+    ++booked.m_own.m_waiting;
+    if (m_service.m_engines) {
+        booked.m_own.m_unreadMs += readMs(*m_service.m_engines, promptTokens);
+    }
+    booked.m_own.m_contextTokens += promptTokens;
+    const std::uint64_t number = m_nextStream++;
+    m_streams.emplace(number, std::move(stream));
+    return number;
+}
+
+void ReplicaBook::event(std::uint64_t stream, int events, std::int64_t nowMs)
+{
+    const auto found = m_streams.find(stream);
+    if (found == m_streams.end()) {
+        return;
+    }
+    BookedStream &booked = found->second;
+    BookedReplica &replica = m_replicas[booked.m_replica];
+    replica.m_progressMs = nowMs;
+    replica.m_doubts = 0;
+    replica.m_avoidUntilMs = std::min(replica.m_avoidUntilMs, nowMs);
+    if (!booked.m_writing) {
+        booked.m_writing = true;
+        --replica.m_own.m_waiting;
+        ++replica.m_own.m_writing;
+        if (m_service.m_engines) {
+            replica.m_own.m_unreadMs = std::max(0.0, replica.m_own.m_unreadMs - readMs(*m_service.m_engines, booked.m_promptTokens));
+        }
+    } else if (m_service.m_engines && events > 0) {
+        const ServedModel *model = findModel(m_service, replica.m_model);
+        const double expected = eventPauseMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers), model == nullptr ? 1.0 : model->m_pace);
+        const double ratio = static_cast<double>(nowMs - booked.m_lastEventMs) / events / std::max(expected, 1.0);
+        const double slowness = replica.m_slowness + SlownessGain * (ratio - replica.m_slowness);
+        replica.m_slowness = std::clamp(slowness, MinSlowness, MaxSlowness);
+    }
+    booked.m_lastEventMs = nowMs;
+}
+
+void ReplicaBook::end(std::uint64_t stream)
+{
+    const auto found = m_streams.find(stream);
+    if (found == m_streams.end()) {
+        return;
+    }
+    const BookedStream &booked = found->second;
+    BookedReplica &replica = m_replicas[booked.m_replica];
+    if (booked.m_writing) {
+        --replica.m_own.m_writing;
+    } else {
+        --replica.m_own.m_waiting;
+        if (m_service.m_engines) {
+            replica.m_own.m_unreadMs = std::max(0.0, replica.m_own.m_unreadMs - readMs(*m_service.m_engines, booked.m_promptTokens));
+        }
+    }
+    replica.m_own.m_contextTokens -= booked.m_promptTokens;
+    m_streams.erase(found);
+}
+
+std::vector<ReplicaRef> ReplicaBook::findSilent(std::int64_t nowMs)
+{
+    struct Oldest
+    {
+        std::int64_t m_writingSinceMs = -1;
+        std::int64_t m_expectedMs = -1;
+    };
+    std::map<ReplicaRef, Oldest> oldest;
+    for (const std::pair<const std::uint64_t, BookedStream> &entry : m_streams) {
+        const BookedStream &stream = entry.second;
+        Oldest &group = oldest[stream.m_replica];
+        if (stream.m_writing) {
+            group.m_writingSinceMs = std::max(group.m_writingSinceMs, stream.m_lastEventMs);
+        } else {
+            group.m_expectedMs = group.m_expectedMs < 0 ? stream.m_expectedMs : std::min(group.m_expectedMs, stream.m_expectedMs);
+        }
+    }
+    std::vector<ReplicaRef> silent;
+    for (const std::pair<const ReplicaRef, Oldest> &entry : oldest) {
+        BookedReplica &replica = m_replicas[entry.first];
+        const double pause = m_service.m_engines ? eventPauseMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers), paceOf(replica)) : 0.0;
+        const std::int64_t limit = std::max(m_settings.m_minSilenceMs, static_cast<std::int64_t>(pause * m_settings.m_silenceFactor));
+        const std::int64_t lastWork = std::max(replica.m_progressMs, entry.second.m_writingSinceMs);
+        const bool writersSilent = entry.second.m_writingSinceMs >= 0 && nowMs - lastWork > limit;
+        const bool firstLate = entry.second.m_writingSinceMs < 0 && entry.second.m_expectedMs >= 0
+            && nowMs - std::max(entry.second.m_expectedMs, replica.m_progressMs) > m_settings.m_firstSlackMs;
+        if (writersSilent || firstLate) {
+            const int doublings = std::min(replica.m_doubts, MaxDoublings);
+            ++replica.m_doubts;
+            replica.m_avoidUntilMs = nowMs + (m_settings.m_avoidMs << doublings);
+            silent.push_back(entry.first);
+        }
+    }
+    return silent;
+}
+
+void ReplicaBook::avoid(const ReplicaRef &replica, std::int64_t nowMs, std::int64_t forMs)
+{
+    const auto found = m_replicas.find(replica);
+    if (found != m_replicas.end()) {
+        found->second.m_avoidUntilMs = std::max(found->second.m_avoidUntilMs, nowMs + forMs);
+    }
+}
+
+void ReplicaBook::full(const ReplicaRef &replica, std::int64_t nowMs)
+{
+    avoid(replica, nowMs, m_settings.m_fullMs);
+}
+
+const std::map<ReplicaRef, BookedReplica> &ReplicaBook::replicas() const
+{
+    return m_replicas;
+}
+
+const BookedReplica *ReplicaBook::find(const ReplicaRef &replica) const
+{
+    const auto found = m_replicas.find(replica);
+    return found == m_replicas.end() ? nullptr : &found->second;
+}
+
+const std::unordered_map<std::uint64_t, BookedStream> &ReplicaBook::streams() const
+{
+    return m_streams;
+}
+}
--- /dev/null
+++ b/kernel/replicakeeper.cpp
@@ -0,0 +1,648 @@
+// Problem: serving groups break whenever one VM dies, orders are lost, late or refused, and no engine may ever serve in two groups.
+// Approach: one keeper (the leader's) compares what the engines say with what should be, and repeats the orders that are due until they are
+// confirmed. Spares are kept as groups of one member, so that they have joined their model before and can join again at once.
+// A plan that is written down and carried out step by step has to be mended after each fault; a comparison mends itself.
+
+#include "kernel/replicakeeper.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+/** Epochs of one term: the term's fencing token times this, and on. A term lasts minutes and makes a few groups a second. */
+constexpr std::uint64_t EpochsPerTerm = 100'000;
+/** A new leader asks every engine and believes the answers after this: the reports' lag (200 ms, operators' configuration) and a round trip. */
+constexpr std::int64_t AdoptAfterMs = 350;
+/** What an engine says of its group is older than the keeper's orders for this long: the lag of reports and of the list. */
+constexpr std::int64_t BeliefLagMs = 1'500;
+/** Before clients come, groups wait until no engine has appeared for this long, so that domains are shared out together. */
+constexpr std::int64_t FirstSettleMs = 700;
+/** Between two probes of an engine that is held to be dead. */
+constexpr std::int64_t DeadProbeMs = 500;
+/** Between two probes of the members of a suspected group: a probe is given up after about this. */
+constexpr std::int64_t SuspectProbeMs = 120;
+/** A loading engine is asked this often before clients come. */
+constexpr std::int64_t FirstLoadPollMs = 100;
+/** An order that takes long is repeated after this part of its time. */
+constexpr double ExpectedPart = 0.97;
+
+bool contains(const std::vector<std::string> &list, const std::string &value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+}
+
+ReplicaKeeper::ReplicaKeeper(const KeeperSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void ReplicaKeeper::beginTerm(std::uint64_t fence, const CallService &service, std::int64_t nowMs)
+{
+    m_service = service;
+    m_fence = fence;
+    m_nextEpoch = fence * EpochsPerTerm;
+    m_adopted = false;
+    m_termSinceMs = nowMs;
+    m_replicas.clear();
+    for (std::pair<const std::string, Engine> &entry : m_engines) {
+        entry.second.m_orderPending = false;
+        entry.second.m_nextOrderMs = 0;
+        entry.second.m_answeredMs = -1;
+        entry.second.m_probedMs = -1;
+        entry.second.m_misses = 0;
+        entry.second.m_dead = false;
+    }
+}
+
+void ReplicaKeeper::setService(const CallService &service)
+{
+    m_service = service;
+}
+
+void ReplicaKeeper::setServing(bool serving)
+{
+    m_serving = serving;
+}
+
+void ReplicaKeeper::observe(const UpstreamEntry &entry, std::int64_t nowMs)
+{
+    const auto found = m_engines.find(entry.m_id);
+    const bool known = found != m_engines.end();
+    const bool reborn = known && found->second.m_entry.m_bornMs != entry.m_bornMs;
+    Engine &engine = m_engines[entry.m_id];
+    if (!known || reborn) {
+        engine = Engine();
+        engine.m_appearedMs = nowMs;
+    }
+    if (reborn) {
+        for (std::pair<const ReplicaRef, KeptReplica> &replica : m_replicas) {
+            if (contains(replica.second.m_members, entry.m_id)) {
+                replica.second.m_left.insert(entry.m_id);
+            }
+        }
+    }
+    engine.m_entry = entry;
+    if (engine.m_model.empty() && !entry.m_stagedModels.empty() && findModel(m_service, entry.m_stagedModels.back()) != nullptr) {
+        engine.m_model = entry.m_stagedModels.back();
+    }
+    const bool joined = entry.m_phase == MemberPhase::Ready || entry.m_phase == MemberPhase::Open || entry.m_phase == MemberPhase::Closing;
+    if (engine.m_warmModel.empty() && joined) {
+        engine.m_warmModel = replicaModel(entry.m_replica.m_name);
+    }
+}
+
+void ReplicaKeeper::forget(const std::string &engine)
+{
+    m_engines.erase(engine);
+}
+
+void ReplicaKeeper::probeAnswered(const std::string &engine, std::int64_t nowMs)
+{
+    if (Engine *found = find(engine)) {
+        found->m_answeredMs = nowMs;
+        found->m_misses = 0;
+        found->m_dead = false;
+    }
+}
+
+void ReplicaKeeper::probeMissed(const std::string &engine, bool refused, std::int64_t nowMs)
+{
+    Engine *found = find(engine);
+    if (found == nullptr || nowMs - found->m_answeredMs < SuspectProbeMs) {
+        return;
+    }
+    ++found->m_misses;
+    // The next one is due at once: one lost packet must not delay the verdict by an interval.
+    found->m_probedMs = -1;
+    if (refused || found->m_misses >= m_settings.m_missesForDeath) {
+        found->m_dead = true;
+        found->m_probedMs = nowMs;
+    }
+}
+
+void ReplicaKeeper::orderAnswered(const EngineOrder &order, OrderReply reply, std::int64_t nowMs)
+{
+    Engine *engine = find(order.m_engine);
+    if (engine == nullptr) {
+        return;
+    }
+    engine->m_orderPending = false;
+    engine->m_nextOrderMs = nowMs + m_settings.m_retryMs;
+    const auto found = m_replicas.find(order.m_replica);
+    KeptReplica *replica = found == m_replicas.end() ? nullptr : &found->second;
+    if (reply == OrderReply::Unanswered) {
+        engine->m_nextOrderMs = nowMs + m_settings.m_unansweredRetryMs;
+        engine->m_probedMs = -1;
+        return;
+    }
+    if (reply == OrderReply::NotListening || reply == OrderReply::WrongEngine) {
+        engine->m_dead = true;
+        engine->m_probedMs = nowMs;
+        return;
+    }
+    engine->m_answeredMs = nowMs;
+    engine->m_misses = 0;
+    engine->m_dead = false;
+    const ServedModel *model = findModel(m_service, order.m_model);
+    switch (order.m_kind) {
+    case EngineOrderKind::Stage:
+    case EngineOrderKind::Join:
+        if (reply == OrderReply::Done) {
+            engine->m_loading = false;
+            if (!contains(engine->m_entry.m_stagedModels, order.m_model)) {
+                engine->m_entry.m_stagedModels = {order.m_model};
+            }
+        }
+        if (reply == OrderReply::Begun && model != nullptr) {
+            const bool load = needsLoad(*engine, order.m_model);
+            std::int64_t wait = load ? model->m_loadMs : model->m_warmUpMs;
+            if (order.m_kind == EngineOrderKind::Join && !load && engine->m_warmModel == order.m_model) {
+                wait = m_settings.m_warmJoinMs;
+            }
+            wait = static_cast<std::int64_t>(static_cast<double>(wait) * ExpectedPart);
+            engine->m_nextOrderMs = nowMs + (load && !m_serving ? FirstLoadPollMs : wait);
+        }
+        if (order.m_kind == EngineOrderKind::Join && reply == OrderReply::Done) {
+            engine->m_warmModel = order.m_model;
+            if (replica != nullptr) {
+                replica->m_ready.insert(order.m_engine);
+            }
+        }
+        break;
+    case EngineOrderKind::Open:
+        if (reply == OrderReply::Begun) {
+            engine->m_nextOrderMs = nowMs + (m_service.m_engines ? m_service.m_engines->m_openMs : 0);
+        } else if (reply == OrderReply::Done && replica != nullptr && replica->m_phase == KeptPhase::Opening) {
+            replica->m_phase = KeptPhase::Open;
+            replica->m_phaseSinceMs = nowMs;
+            replica->m_progressMs = nowMs;
+        }
+        break;
+    case EngineOrderKind::Close:
+        if (replica != nullptr && (reply == OrderReply::Done || reply == OrderReply::Unfit)) {
+            // Closed, or never open: no member serves in it any more.
+            replica->m_left.insert(replica->m_members.begin(), replica->m_members.end());
+        }
+        break;
+    case EngineOrderKind::Leave:
+        if (replica != nullptr && (reply == OrderReply::Done || reply == OrderReply::Begun || reply == OrderReply::Unfit)) {
+            replica->m_left.insert(order.m_engine);
+        }
+        break;
+    }
+}
+
+void ReplicaKeeper::suspect(const ReplicaRef &replica, std::int64_t nowMs)
+{
+    const auto found = m_replicas.find(replica);
+    if (found == m_replicas.end() || found->second.m_phase != KeptPhase::Open || nowMs - found->second.m_phaseSinceMs < m_settings.m_progressProofMs) {
+        return;
+    }
+    // Progress seen since the last doubt ends it: the doubt is counted from this moment.
+    if (found->second.m_suspectedMs < found->second.m_progressMs) {
+        found->second.m_suspectedMs = nowMs;
+    }
+}
+
+void ReplicaKeeper::progress(const ReplicaRef &replica, std::int64_t atMs)
+{
+    const auto found = m_replicas.find(replica);
+    if (found != m_replicas.end()) {
+        found->second.m_progressMs = std::max(found->second.m_progressMs, atMs);
+    }
+}
+
+KeeperActions ReplicaKeeper::tick(std::int64_t nowMs)
+{
+    KeeperActions actions;
+    if (!m_service.m_engines) {
+        return actions;
+    }
+    if (!m_adopted) {
+        if (nowMs - m_termSinceMs >= AdoptAfterMs) {
+            adopt(nowMs);
+        } else {
+            probe(nowMs, actions);
+            return actions;
+        }
+    }
+    for (std::pair<const ReplicaRef, KeptReplica> &entry : m_replicas) {
+        judgeReplica(entry.second, nowMs, actions);
+    }
+    for (auto it = m_replicas.begin(); it != m_replicas.end();) {
+        const bool over = it->second.m_phase == KeptPhase::Closing && driveClose(it->second, nowMs, actions);
+        it = over ? m_replicas.erase(it) : std::next(it);
+    }
+    assignModels(nowMs);
+    formGroups(nowMs, actions);
+    for (std::pair<const ReplicaRef, KeptReplica> &entry : m_replicas) {
+        drive(entry.second, nowMs, actions);
+    }
+    stageEmpty(nowMs, actions);
+    probe(nowMs, actions);
+    return actions;
+}
+
+const std::map<ReplicaRef, KeptReplica> &ReplicaKeeper::replicas() const
+{
+    return m_replicas;
+}
+
+std::uint64_t ReplicaKeeper::fence() const
+{
+    return m_fence;
+}
+
+void ReplicaKeeper::adopt(std::int64_t nowMs)
+{
+    m_adopted = true;
+    std::map<ReplicaRef, std::map<int, std::string>> byRef;
+    for (const std::pair<const std::string, Engine> &entry : m_engines) {
+        const UpstreamEntry &said = entry.second.m_entry;
+        if (!said.m_replica.empty() && said.m_rank >= 0) {
+            byRef[said.m_replica][said.m_rank] = entry.first;
+        }
+    }
+    for (const std::pair<const ReplicaRef, std::map<int, std::string>> &entry : byRef) {
+        KeptReplica replica;
+        replica.m_ref = entry.first;
+        replica.m_model = replicaModel(entry.first.m_name);
+        replica.m_phaseSinceMs = nowMs;
+        replica.m_progressMs = nowMs;
+        const ServedModel *model = findModel(m_service, replica.m_model);
+        const bool hasHead = entry.second.begin()->first == 0;
+        const MemberPhase headPhase = hasHead ? m_engines[entry.second.begin()->second].m_entry.m_phase : MemberPhase::None;
+        if (!hasHead) {
+            // The head is not known: an empty id stands for it and counts as dead.
+            replica.m_members.emplace_back();
+        }
+        for (const std::pair<const int, std::string> &member : entry.second) {
+            replica.m_members.push_back(member.second);
+        }
+        const bool whole = model != nullptr && hasHead && static_cast<int>(entry.second.size()) == model->m_size
+            && entry.second.rbegin()->first == model->m_size - 1;
+        if (whole && headPhase == MemberPhase::Open) {
+            replica.m_phase = KeptPhase::Open;
+            replica.m_ready.insert(replica.m_members.begin(), replica.m_members.end());
+        } else if (whole && (headPhase == MemberPhase::Ready || headPhase == MemberPhase::Joining)) {
+            replica.m_phase = KeptPhase::Joining;
+        } else if (hasHead && entry.second.size() == 1 && (headPhase == MemberPhase::Ready || headPhase == MemberPhase::Joining)) {
+            replica.m_phase = KeptPhase::Joining;
+            replica.m_spare = true;
+        } else {
+            replica.m_phase = KeptPhase::Closing;
+            replica.m_cause = ClosingCause::Incomplete;
+            replica.m_preempt = true;
+        }
+        m_replicas.emplace(replica.m_ref, std::move(replica));
+    }
+}
+
+void ReplicaKeeper::judgeReplica(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions)
+{
+    if (replica.m_phase == KeptPhase::Closing) {
+        return;
+    }
+    const bool works = nowMs - replica.m_progressMs < m_settings.m_progressProofMs && replica.m_phase == KeptPhase::Open;
+    for (const std::string &member : replica.m_members) {
+        const Engine *engine = find(member);
+        const bool gone = engine == nullptr || replica.m_left.count(member) > 0;
+        if (gone || (engine->m_dead && !works)) {
+            actions.m_events.push_back({replica.m_ref, replica.m_phase, ClosingCause::MemberLost, member});
+            startClosing(replica, ClosingCause::MemberLost, true, nowMs, actions);
+            return;
+        }
+        if (engine->m_entry.m_leaving) {
+            startClosing(replica, ClosingCause::MemberLeaving, false, nowMs, actions);
+            return;
+        }
+        const bool elsewhere = !(engine->m_entry.m_replica == replica.m_ref) && replica.m_phase == KeptPhase::Open
+            && nowMs - replica.m_phaseSinceMs > BeliefLagMs && engine->m_entry.m_replica.m_epoch > 0;
+        if (elsewhere) {
+            startClosing(replica, ClosingCause::MemberElsewhere, true, nowMs, actions);
+            return;
+        }
+        if (member == replica.m_members.front() && engine->m_entry.m_phase == MemberPhase::Broken && engine->m_entry.m_replica == replica.m_ref) {
+            startClosing(replica, ClosingCause::Stalled, true, nowMs, actions);
+            return;
+        }
+    }
+    const bool suspected = replica.m_phase == KeptPhase::Open && replica.m_suspectedMs > replica.m_progressMs;
+    if (suspected && nowMs - replica.m_suspectedMs > m_settings.m_stalledMs) {
+        startClosing(replica, ClosingCause::Stalled, true, nowMs, actions);
+    }
+}
+
+void ReplicaKeeper::startClosing(KeptReplica &replica, ClosingCause cause, bool preempt, std::int64_t nowMs, KeeperActions &actions)
+{
+    replica.m_cause = cause;
+    replica.m_preempt = preempt;
+    if (replica.m_phase == KeptPhase::Joining) {
+        // Never opened: its members are free at once.
+        replica.m_left.insert(replica.m_members.begin(), replica.m_members.end());
+    }
+    setPhase(replica, KeptPhase::Closing, nowMs, actions);
+}
+
+void ReplicaKeeper::setPhase(KeptReplica &replica, KeptPhase phase, std::int64_t nowMs, KeeperActions &actions)
+{
+    replica.m_phase = phase;
+    replica.m_phaseSinceMs = nowMs;
+    actions.m_events.push_back({replica.m_ref, phase, replica.m_cause, {}});
+}
+
+bool ReplicaKeeper::driveClose(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions)
+{
+    const std::string &head = replica.m_members.front();
+    Engine *headEngine = find(head);
+    const bool headGone = headEngine == nullptr || headEngine->m_dead || (replica.m_left.count(head) > 0 && replica.m_left.size() < replica.m_members.size());
+    bool over = true;
+    for (const std::string &member : replica.m_members) {
+        Engine *engine = find(member);
+        if (engine == nullptr || engine->m_dead || replica.m_left.count(member) > 0) {
+            continue;
+        }
+        over = false;
+        EngineOrder order;
+        order.m_engine = member;
+        order.m_replica = replica.m_ref;
+        order.m_model = replica.m_model;
+        if (headGone) {
+            order.m_kind = EngineOrderKind::Leave;
+        } else if (member == head) {
+            order.m_kind = EngineOrderKind::Close;
+            order.m_preempt = replica.m_preempt || nowMs - replica.m_phaseSinceMs > m_settings.m_closeWaitMs;
+        } else {
+            continue;
+        }
+        sendOrder(*engine, std::move(order), nowMs, actions);
+    }
+    return over;
+}
+
+void ReplicaKeeper::drive(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions)
+{
+    if (replica.m_phase == KeptPhase::Joining) {
+        driveJoin(replica, nowMs, actions);
+        if (!replica.m_spare && replica.m_ready.size() == replica.m_members.size()) {
+            setPhase(replica, KeptPhase::Opening, nowMs, actions);
+        }
+    }
+    if (replica.m_phase == KeptPhase::Opening) {
+        if (Engine *head = find(replica.m_members.front())) {
+            EngineOrder order;
+            order.m_kind = EngineOrderKind::Open;
+            order.m_engine = replica.m_members.front();
+            order.m_replica = replica.m_ref;
+            order.m_model = replica.m_model;
+            sendOrder(*head, std::move(order), nowMs, actions);
+        }
+    }
+}
+
+void ReplicaKeeper::driveJoin(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions)
+{
+    for (const std::string &member : replica.m_members) {
+        Engine *engine = find(member);
+        if (engine == nullptr || replica.m_ready.count(member) > 0) {
+            continue;
+        }
+        const bool load = needsLoad(*engine, replica.m_model);
+        if (load && !engine->m_loading && !mayLoad(nowMs)) {
+            continue;
+        }
+        EngineOrder order;
+        order.m_kind = EngineOrderKind::Join;
+        order.m_engine = member;
+        order.m_replica = replica.m_ref;
+        order.m_model = replica.m_model;
+        order.m_members = replica.m_members;
+        if (sendOrder(*engine, std::move(order), nowMs, actions) && load && !engine->m_loading) {
+            engine->m_loading = true;
+            m_loads.push_back(nowMs);
+        }
+    }
+}
+
+void ReplicaKeeper::assignModels(std::int64_t nowMs)
+{
+    std::map<std::string, LayoutDomain> domains;
+    bool empty = false;
+    std::int64_t lastAppearedMs = 0;
+    for (const std::pair<const std::string, Engine> &entry : m_engines) {
+        const Engine &engine = entry.second;
+        if (!usable(engine)) {
+            continue;
+        }
+        LayoutDomain &domain = domains[engine.m_entry.m_domain];
+        domain.m_domain = engine.m_entry.m_domain;
+        domain.m_availabilityZone = engine.m_entry.m_availabilityZone;
+        if (engine.m_model.empty()) {
+            ++domain.m_empty;
+            empty = true;
+            lastAppearedMs = std::max(lastAppearedMs, engine.m_appearedMs);
+        } else {
+            ++domain.m_kept[engine.m_model];
+        }
+    }
+    const std::int64_t settleMs = m_serving ? m_settings.m_settleMs : FirstSettleMs;
+    if (!empty || nowMs - lastAppearedMs < settleMs) {
+        return;
+    }
+    std::vector<LayoutDomain> list;
+    for (std::pair<const std::string, LayoutDomain> &entry : domains) {
+        list.push_back(std::move(entry.second));
+    }
+    LayoutPlan plan = planLayout(m_service.m_engines->m_models, list, {});
+    for (std::pair<const std::string, Engine> &entry : m_engines) {
+        Engine &engine = entry.second;
+        if (!usable(engine) || !engine.m_model.empty()) {
+            continue;
+        }
+        for (std::pair<const std::string, int> &wanted : plan[engine.m_entry.m_domain]) {
+            if (wanted.second > 0) {
+                --wanted.second;
+                engine.m_model = wanted.first;
+                break;
+            }
+        }
+    }
+}
+
+void ReplicaKeeper::formGroups(std::int64_t nowMs, KeeperActions &actions)
+{
+    struct Place
+    {
+        std::string m_domain;
+        std::string m_model;
+        bool operator<(const Place &other) const
+        {
+            return std::tie(m_domain, m_model) < std::tie(other.m_domain, other.m_model);
+        }
+    };
+    std::map<Place, std::vector<std::string>> free;
+    for (const std::pair<const std::string, Engine> &entry : m_engines) {
+        const KeptReplica *replica = replicaOf(entry.first);
+        const bool available = replica == nullptr || (replica->m_spare && replica->m_phase == KeptPhase::Joining);
+        if (usable(entry.second) && !entry.second.m_model.empty() && available) {
+            free[{entry.second.m_entry.m_domain, entry.second.m_model}].push_back(entry.first);
+        }
+    }
+    for (std::pair<const Place, std::vector<std::string>> &entry : free) {
+        const ServedModel *model = findModel(m_service, entry.first.m_model);
+        if (model == nullptr) {
+            continue;
+        }
+        // Engines that can join at once come first, then those with the weights.
+        std::stable_sort(entry.second.begin(), entry.second.end(), [this, model](const std::string &left, const std::string &right) {
+            const Engine &a = m_engines[left];
+            const Engine &b = m_engines[right];
+            const auto cost = [this, model](const Engine &engine) {
+                return (needsLoad(engine, model->m_name) ? 2 : 0) + (engine.m_warmModel == model->m_name ? 0 : 1);
+            };
+            return cost(a) < cost(b);
+        });
+        const std::size_t size = static_cast<std::size_t>(std::max(model->m_size, 1));
+        while (entry.second.size() >= size) {
+            std::vector<std::string> members(entry.second.begin(), entry.second.begin() + static_cast<std::ptrdiff_t>(size));
+            const bool load = m_serving && std::any_of(members.begin(), members.end(), [this, model](const std::string &member) {
+                return needsLoad(m_engines[member], model->m_name);
+            });
+            if (load) {
+                // Engines without weights are staged first; the others stay spares meanwhile.
+                break;
+            }
+            entry.second.erase(entry.second.begin(), entry.second.begin() + static_cast<std::ptrdiff_t>(size));
+            createReplica(*model, std::move(members), false, nowMs, actions);
+        }
+        for (const std::string &engine : entry.second) {
+            if (replicaOf(engine) == nullptr && size > 1 && (!m_serving || !needsLoad(m_engines[engine], model->m_name))) {
+                createReplica(*model, {engine}, true, nowMs, actions);
+            }
+        }
+    }
+}
+
+void ReplicaKeeper::createReplica(const ServedModel &model, std::vector<std::string> members, bool spare, std::int64_t nowMs, KeeperActions &actions)
+{
+    for (const std::string &member : members) {
+        // A spare's own group was never opened, so nothing has to be closed.
+        for (auto it = m_replicas.begin(); it != m_replicas.end();) {
+            const bool old = it->second.m_spare && contains(it->second.m_members, member);
+            it = old ? m_replicas.erase(it) : std::next(it);
+        }
+        m_engines[member].m_nextOrderMs = 0;
+    }
+    KeptReplica replica;
+    ++m_nextEpoch;
+    replica.m_ref = {replicaName(model.m_name, m_nextEpoch), m_nextEpoch};
+    replica.m_model = model.m_name;
+    replica.m_members = std::move(members);
+    replica.m_spare = spare;
+    KeptReplica &kept = m_replicas.emplace(replica.m_ref, std::move(replica)).first->second;
+    setPhase(kept, KeptPhase::Joining, nowMs, actions);
+}
+
+void ReplicaKeeper::stageEmpty(std::int64_t nowMs, KeeperActions &actions)
+{
+    if (!m_serving) {
+        return;
+    }
+    for (std::pair<const std::string, Engine> &entry : m_engines) {
+        Engine &engine = entry.second;
+        const bool wanted = usable(engine) && !engine.m_model.empty() && needsLoad(engine, engine.m_model) && replicaOf(entry.first) == nullptr;
+        if (!wanted || (!engine.m_loading && !mayLoad(nowMs))) {
+            continue;
+        }
+        EngineOrder order;
+        order.m_kind = EngineOrderKind::Stage;
+        order.m_engine = entry.first;
+        order.m_model = engine.m_model;
+        if (sendOrder(engine, std::move(order), nowMs, actions) && !engine.m_loading) {
+            engine.m_loading = true;
+            m_loads.push_back(nowMs);
+        }
+    }
+}
+
+void ReplicaKeeper::probe(std::int64_t nowMs, KeeperActions &actions)
+{
+    for (std::pair<const std::string, Engine> &entry : m_engines) {
+        Engine &engine = entry.second;
+        const KeptReplica *replica = replicaOf(entry.first);
+        std::int64_t interval = m_settings.m_spareProbeMs;
+        if (replica != nullptr && replica->m_phase == KeptPhase::Open) {
+            const bool works = nowMs - replica->m_progressMs < m_settings.m_progressProofMs;
+            const bool suspected = replica->m_suspectedMs > replica->m_progressMs;
+            interval = suspected ? SuspectProbeMs : m_settings.m_idleProbeMs;
+            if (works && !suspected && engine.m_misses == 0) {
+                continue;
+            }
+        }
+        if (engine.m_dead) {
+            interval = DeadProbeMs;
+        }
+        if (engine.m_probedMs < 0 || nowMs - std::max(engine.m_probedMs, engine.m_answeredMs) >= interval) {
+            engine.m_probedMs = nowMs;
+            actions.m_probes.push_back(entry.first);
+        }
+    }
+}
+
+bool ReplicaKeeper::sendOrder(Engine &engine, EngineOrder order, std::int64_t nowMs, KeeperActions &actions)
+{
+    if (engine.m_orderPending || engine.m_dead || nowMs < engine.m_nextOrderMs) {
+        return false;
+    }
+    engine.m_orderPending = true;
+    order.m_address = engine.m_entry.m_address;
+    order.m_fence = m_fence;
+    actions.m_orders.push_back(std::move(order));
+    return true;
+}
+
+bool ReplicaKeeper::usable(const Engine &engine) const
+{
+    return !engine.m_dead && !engine.m_entry.m_leaving && engine.m_entry.m_service == m_service.m_name;
+}
+
+bool ReplicaKeeper::needsLoad(const Engine &engine, const std::string &model) const
+{
+    return !contains(engine.m_entry.m_stagedModels, model) && engine.m_warmModel != model;
+}
+
+bool ReplicaKeeper::mayLoad(std::int64_t nowMs) const
+{
+    if (!m_serving) {
+        return true;
+    }
+    while (!m_loads.empty() && nowMs - m_loads.front() > m_settings.m_loadWindowMs) {
+        m_loads.pop_front();
+    }
+    constexpr double MsPerSecond = 1'000.0;
+    const double ceiling = m_service.m_engines->m_loadsPerSecond * static_cast<double>(m_settings.m_loadWindowMs) / MsPerSecond;
+    const std::ptrdiff_t loading = std::count_if(m_engines.begin(), m_engines.end(), [](const std::pair<const std::string, Engine> &entry) {
+        return entry.second.m_loading;
+    });
+    return static_cast<double>(m_loads.size()) < ceiling && loading < m_service.m_engines->m_loadsAtOnce;
+}
+
+const KeptReplica *ReplicaKeeper::replicaOf(const std::string &engine) const
+{
+    for (const std::pair<const ReplicaRef, KeptReplica> &entry : m_replicas) {
+        if (contains(entry.second.m_members, engine)) {
+            return &entry.second;
+        }
+    }
+    return nullptr;
+}
+
+ReplicaKeeper::Engine *ReplicaKeeper::find(const std::string &engine)
+{
+    const auto found = m_engines.find(engine);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+}
--- /dev/null
+++ b/kernel/steptime.cpp
@@ -0,0 +1,50 @@
+// Problem: where a request goes, and whether it can be in time, must be decided before it is sent.
+// Approach: the engines publish how their passes take time; the functions here work out the first event and the pauses from what runs.
+// Counting requests alone treats a prompt of 30 tokens like one of 5,000.
+
+#include "kernel/steptime.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+constexpr double TokensPerThousand = 1'000.0;
+constexpr double PairsPerMillion = 1'000'000.0;
+/** A token attends to half of the prompt on average. */
+constexpr double MeanEarlierTokens = 0.5;
+/** A request arrives in the middle of a pass on average. */
+constexpr double PassLeft = 0.5;
+}
+
+double readMs(const StepModel &engines, std::int64_t tokens)
+{
+    const double count = static_cast<double>(tokens);
+    const double pairs = count * count * MeanEarlierTokens;
+    return count / std::max(engines.m_readTokensPerMs, 1e-9) + pairs / PairsPerMillion * engines.m_readMsPerMillionPairs;
+}
+
+double passMs(const StepModel &engines, const ReplicaLoad &load)
+{
+    const double context = static_cast<double>(load.m_contextTokens) / TokensPerThousand;
+    const double step = engines.m_stepMs + load.m_writing * engines.m_stepMsPerRequest + context * engines.m_stepMsPerThousandTokens;
+    return step * engines.m_stride;
+}
+
+double firstEventMs(const StepModel &engines, const ReplicaLoad &load, std::int64_t promptTokens, double pace)
+{
+    const double pass = passMs(engines, load);
+    const double waitForPass = load.m_writing > 0 ? pass * PassLeft : 0.0;
+    const int excess = load.m_writing + load.m_waiting + 1 - engines.m_slots;
+    // Beyond the slots a request waits for one to end: each slot ends after the passes of a usual answer.
+    const double answerPasses = static_cast<double>(engines.m_usualAnswerTokens) / std::max(engines.m_stride, 1);
+    const double waitForSlot = excess > 0 ? excess * answerPasses * pass / std::max(engines.m_slots, 1) : 0.0;
+    return pace * (waitForPass + waitForSlot + load.m_unreadMs + readMs(engines, promptTokens) + pass);
+}
+
+double eventPauseMs(const StepModel &engines, const ReplicaLoad &load, double pace)
+{
+    return pace * (passMs(engines, load) + load.m_unreadMs);
+}
+}
--- a/kernel/yamlreader.cpp
+++ b/kernel/yamlreader.cpp
@@ -4,6 +4,8 @@
 
 #include "kernel/yamlreader.h"
 
+#include <sstream>
+
 #include <algorithm>
 
 namespace knapweedslip
@@ -39,6 +41,49 @@
     return true;
 }
 
+namespace
+{
+std::string numberText(std::int64_t number)
+{
+    return std::to_string(number);
+}
+
+std::string numberText(double number)
+{
+    std::ostringstream text;
+    text << number;
+    return text.str();
+}
+
+template<typename Number>
+Number readNumber(YamlReader &reader,
+                  const YAML::Node &node,
+                  const std::string &key,
+                  Number minimum,
+                  Number maximum,
+                  const std::optional<Number> &fallback,
+                  const char *wanted)
+{
+    const YAML::Node value = node[key];
+    if (!value.IsDefined()) {
+        if (!fallback) {
+            addFinding(reader, node, "key '" + key + "' is missing");
+        }
+        return fallback.value_or(minimum);
+    }
+    Number number = 0;
+    if (!value.IsScalar() || !YAML::convert<Number>::decode(value, number)) {
+        addFinding(reader, value, "'" + key + "' must be " + wanted);
+        return fallback.value_or(minimum);
+    }
+    if (number < minimum || number > maximum) {
+        addFinding(reader, value, "'" + key + "' must be from " + numberText(minimum) + " to " + numberText(maximum));
+        return fallback.value_or(minimum);
+    }
+    return number;
+}
+}
+
 std::string readString(YamlReader &reader, const YAML::Node &node, const std::string &key, const std::optional<std::string> &fallback)
 {
     const YAML::Node value = node[key];
@@ -58,23 +103,12 @@
 std::int64_t readInteger(
     YamlReader &reader, const YAML::Node &node, const std::string &key, std::int64_t minimum, std::int64_t maximum, std::optional<std::int64_t> fallback)
 {
-    const YAML::Node value = node[key];
-    if (!value.IsDefined()) {
-        if (!fallback) {
-            addFinding(reader, node, "key '" + key + "' is missing");
-        }
-        return fallback.value_or(minimum);
-    }
-    std::int64_t number = 0;
-    if (!value.IsScalar() || !YAML::convert<std::int64_t>::decode(value, number)) {
-        addFinding(reader, value, "'" + key + "' must be a whole number");
-        return fallback.value_or(minimum);
-    }
-    if (number < minimum || number > maximum) {
-        addFinding(reader, value, "'" + key + "' must be from " + std::to_string(minimum) + " to " + std::to_string(maximum));
-        return fallback.value_or(minimum);
-    }
-    return number;
+    return readNumber<std::int64_t>(reader, node, key, minimum, maximum, fallback, "a whole number");
+}
+
+double readReal(YamlReader &reader, const YAML::Node &node, const std::string &key, double minimum, double maximum, std::optional<double> fallback)
+{
+    return readNumber<double>(reader, node, key, minimum, maximum, fallback, "a number");
 }
 
 bool readBool(YamlReader &reader, const YAML::Node &node, const std::string &key, bool fallback)
--- a/kernel/yamlreader.h
+++ b/kernel/yamlreader.h
@@ -42,6 +42,9 @@
                          std::int64_t maximum,
                          std::optional<std::int64_t> fallback = std::nullopt);
 
+/** Reads a number in [@p minimum, @p maximum]. */
+double readReal(YamlReader &reader, const YAML::Node &node, const std::string &key, double minimum, double maximum, std::optional<double> fallback = std::nullopt);
+
 bool readBool(YamlReader &reader, const YAML::Node &node, const std::string &key, bool fallback);
 
 std::vector<std::string> readStrings(YamlReader &reader, const YAML::Node &node, const std::string &key);
--- a/net/asio.cpp
+++ b/net/asio.cpp
@@ -6,13 +6,19 @@
 
 #include <array>
 #include <charconv>
+#include <ctime>
 #include <random>
 
 namespace knapweedslip
 {
 std::int64_t steadyMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    // Unlike std::chrono::steady_clock it counts the time for which the VM was suspended: leases run on meanwhile.
+    constexpr std::int64_t MsPerSecond = 1'000;
+    constexpr std::int64_t NsPerMs = 1'000'000;
+    std::timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time.tv_sec * MsPerSecond + time.tv_nsec / NsPerMs;
 }
 
 std::int64_t unixSeconds()
--- a/net/asio.h
+++ b/net/asio.h
@@ -18,7 +18,7 @@
 /** Completion token of every asynchronous call here: the error code comes as a value, no exception is thrown. */
 inline constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/** Milliseconds of the steady clock. */
+/** Milliseconds of a clock that only goes forward, also while the VM is suspended. */
 std::int64_t steadyMs();
 /** Seconds since 1970. */
 std::int64_t unixSeconds();
--- a/net/daemonmain.h
+++ b/net/daemonmain.h
@@ -53,6 +53,8 @@
     }
     const Settings &good = std::get<Settings>(settings);
     startLogging(good.m_common.m_name);
-    return run(good);
+    const int status = run(good);
+    stopLogging();
+    return status;
 }
 }
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -7,9 +7,61 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace knapweedslip
 {
+namespace
+{
+bool equalNames(std::string_view a, std::string_view b)
+{
+    return beast::iequals(beast::string_view(a.data(), a.size()), beast::string_view(b.data(), b.size()));
+}
+
+/** "a, b" names @p name. */
+bool listNames(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const std::size_t comma = list.find(',');
+        std::string_view item = list.substr(0, comma);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (equalNames(item, name)) {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return false;
+}
+}
+
+HeaderFields endToEndHeaders(const HeaderFields &headers)
+{
+    static constexpr std::array<std::string_view, 10> OfOneConnection{"Connection",
+                                                                      "Keep-Alive",
+                                                                      "Proxy-Connection",
+                                                                      "Proxy-Authenticate",
+                                                                      "Proxy-Authorization",
+                                                                      "TE",
+                                                                      "Trailer",
+                                                                      "Transfer-Encoding",
+                                                                      "Upgrade",
+                                                                      "Content-Length"};
+    HeaderFields kept;
+    for (const std::pair<std::string, std::string> &field : headers) {
+        const bool ofOne = std::any_of(OfOneConnection.begin(), OfOneConnection.end(), [&field](std::string_view name) {
+            return equalNames(field.first, name);
+        });
+        const bool named = std::any_of(headers.begin(), headers.end(), [&field](const std::pair<std::string, std::string> &other) {
+            return equalNames(other.first, "Connection") && listNames(other.second, field.first);
+        });
+        if (!ofOne && !named && !equalNames(field.first, "Expect")) {
+            kept.push_back(field);
+        }
+    }
+    return kept;
+}
+
 std::string_view headerValue(const HeaderFields &headers, std::string_view name)
 {
     const auto it = std::find_if(headers.begin(), headers.end(), [name](const std::pair<std::string, std::string> &field) {
--- a/net/http.h
+++ b/net/http.h
@@ -45,6 +45,9 @@
 /** Value of query parameter @p name, or empty. */
 std::string queryValue(std::string_view target, std::string_view name);
 
+/** The fields that are meant for the other end: without those that concern one connection, or are named by "Connection". */
+HeaderFields endToEndHeaders(const HeaderFields &headers);
+
 /** A JSON answer. */
 HttpReply jsonReply(unsigned status, const std::string &body);
 /** A problem document (RFC 9457) for @p error; @p retryAfterMs above 0 adds Retry-After in whole seconds. */
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -5,12 +5,28 @@
 
 #include "net/httpclient.h"
 
+#include <charconv>
+#include <sys/socket.h>
+
 namespace knapweedslip
 {
 namespace
 {
 /** A time limit may be overrun by this part of it. */
 constexpr std::int64_t LimitSlackPart = 4;
+/** Bodies up to this size fit the smallest socket buffers, so that writing them never waits for the other side to read. */
+constexpr std::size_t ShortBodyBytes = 8 * 1024;
+
+/** Nothing has happened on an idle connection: it is neither closed nor holds bytes that nobody asked for. */
+bool isQuiet(HttpConnection &connection)
+{
+    if (connection.m_buffer.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t got = ::recv(connection.m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
 
 http::request<http::string_body> toMessage(const HttpConnection &connection, const HttpRequest &request)
 {
@@ -18,9 +34,11 @@
     if (message.method() == http::verb::unknown) {
         message.method_string(request.m_method);
     }
-    message.set(http::field::host, connection.m_address);
+    if (headerValue(request.m_headers, "Host").empty()) {
+        message.set(http::field::host, connection.m_address);
+    }
     for (const std::pair<std::string, std::string> &field : request.m_headers) {
-        message.set(field.first, field.second);
+        message.insert(field.first, field.second);
     }
     message.body() = request.m_body;
     message.prepare_payload();
@@ -54,19 +72,38 @@
         return nullptr;
     }
     std::vector<HttpConnectionPtr> &idle = it->second;
+    const std::int64_t nowMs = steadyMs();
     while (!idle.empty()) {
         HttpConnectionPtr connection = std::move(idle.back());
         idle.pop_back();
-        if (bootId.empty() || connection->m_bootId == bootId) {
+        const bool kept = connection->m_keepAliveMs == 0 || nowMs - connection->m_idleSinceMs + KeepAliveMarginMs < connection->m_keepAliveMs;
+        if (kept && (bootId.empty() || connection->m_bootId == bootId) && isQuiet(*connection)) {
             return connection;
         }
     }
     return nullptr;
 }
 
+void noteKeepAlive(HttpConnection &connection, const HeaderFields &headers)
+{
+    constexpr std::string_view Field = "timeout=";
+    constexpr std::int64_t MsPerSecond = 1'000;
+    const std::string_view value = headerValue(headers, "Keep-Alive");
+    const std::size_t start = value.find(Field);
+    if (start == std::string_view::npos) {
+        return;
+    }
+    std::int64_t seconds = 0;
+    const std::from_chars_result parsed = std::from_chars(value.data() + start + Field.size(), value.data() + value.size(), seconds);
+    if (parsed.ec == std::errc()) {
+        connection.m_keepAliveMs = seconds * MsPerSecond;
+    }
+}
+
 void ConnectionPool::give(HttpConnectionPtr connection)
 {
     connection->m_reused = true;
+    connection->m_idleSinceMs = steadyMs();
     connection->m_stream.expires_never();
     const Place place(&connection->m_stream.get_executor().context(), connection->m_address);
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -116,6 +153,8 @@
     reply.m_status = parser.get().result_int();
     reply.m_headers = toFields(parser.get());
     reply.m_body = std::move(parser.get().body());
+    noteKeepAlive(connection, reply.m_headers);
+    connection.m_closing = !parser.get().keep_alive();
     co_return reply;
 }
 
@@ -126,7 +165,9 @@
     if (connection != nullptr) {
         const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
         if (!failed(reply)) {
-            pool.give(std::move(connection));
+            if (!connection->m_closing) {
+                pool.give(std::move(connection));
+            }
             co_return reply;
         }
         const bool repeatable = request.m_method == "GET" || request.m_method == "HEAD";
@@ -140,7 +181,7 @@
     }
     connection = std::move(valueOf(fresh));
     const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
-    if (!failed(reply)) {
+    if (!failed(reply) && !connection->m_closing) {
         pool.give(std::move(connection));
     }
     co_return reply;
@@ -153,14 +194,31 @@
     m_parser.body_limit(boost::none);
 }
 
+void HttpStream::setLimit(std::int64_t timeoutMs)
+{
+    const std::int64_t nowMs = steadyMs();
+    if (timeoutMs != NoTimeout && m_connection.m_limitMs < nowMs + timeoutMs) {
+        m_connection.m_limitMs = nowMs + timeoutMs + timeoutMs / LimitSlackPart;
+        m_connection.m_stream.expires_after(std::chrono::milliseconds(m_connection.m_limitMs - nowMs));
+    }
+}
+
 awaitable<Result<Done>> HttpStream::open(const HttpRequest &request, std::int64_t timeoutMs)
 {
-    const http::request<http::string_body> message = toMessage(m_connection, request);
-    m_connection.m_limitMs = steadyMs() + timeoutMs;
-    m_connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
-    const auto [writeError, written] = co_await http::async_write(m_connection.m_stream, message, UseTuple);
-    if (writeError) {
-        co_return toError(writeError);
+    using Message = http::request<http::string_body>;
+    const std::shared_ptr<Message> message = std::make_shared<Message>(toMessage(m_connection, request));
+    setLimit(timeoutMs);
+    if (message->body().size() <= ShortBodyBytes) {
+        const auto [writeError, written] = co_await http::async_write(m_connection.m_stream, *message, UseTuple);
+        if (writeError) {
+            co_return toError(writeError);
+        }
+        *m_sent = true;
+    } else {
+        // The other side may answer before it has read a long body; its answer must not wait for that.
+        http::async_write(m_connection.m_stream, *message, [message, sent = m_sent](const boost::system::error_code &error, std::size_t) {
+            *sent = !error;
+        });
     }
     const auto [readError, size] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
     if (readError) {
@@ -179,31 +237,32 @@
     return std::string(m_parser.get()[beast::string_view(name.data(), name.size())]);
 }
 
-awaitable<Result<std::string>> HttpStream::read(std::int64_t timeoutMs)
+HeaderFields HttpStream::headers() const
+{
+    return toFields(m_parser.get());
+}
+
+awaitable<Result<std::string_view>> HttpStream::read(std::int64_t timeoutMs)
 {
     while (!m_parser.is_done()) {
         m_parser.get().body().data = m_piece.data();
         m_parser.get().body().size = m_piece.size();
-        const std::int64_t nowMs = steadyMs();
-        if (m_connection.m_limitMs < nowMs + timeoutMs) {
-            m_connection.m_limitMs = nowMs + timeoutMs + timeoutMs / LimitSlackPart;
-            m_connection.m_stream.expires_after(std::chrono::milliseconds(m_connection.m_limitMs - nowMs));
-        }
+        setLimit(timeoutMs);
         auto [error, size] = co_await http::async_read_some(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
         if (error && error != http::error::need_buffer) {
             co_return toError(error);
         }
         const std::size_t got = m_piece.size() - m_parser.get().body().size;
         if (got > 0) {
-            co_return std::string(m_piece.data(), got);
+            co_return std::string_view(m_piece.data(), got);
         }
     }
-    co_return std::string();
+    co_return std::string_view();
 }
 
 bool HttpStream::finished() const
 {
-    return m_parser.is_done();
+    return m_parser.is_done() && *m_sent && m_parser.get().keep_alive() && m_connection.m_buffer.size() == 0;
 }
 
 std::vector<std::string> EventSplitter::feed(std::string_view text)
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -5,6 +5,9 @@
 
 #include "net/httpserver.h"
 
+#include <array>
+#include <sys/socket.h>
+
 namespace knapweedslip
 {
 namespace
@@ -15,7 +18,7 @@
 void setFields(Message &message, const HeaderFields &headers)
 {
     for (const std::pair<std::string, std::string> &field : headers) {
-        message.set(field.first, field.second);
+        message.insert(field.first, field.second);
     }
 }
 
@@ -30,12 +33,85 @@
     request.m_body = message.body();
     return request;
 }
+
+/** Answers a request that cannot be read, where the caller can still read the answer. Returns false: the connection ends. */
+awaitable<bool> refuseRequest(beast::tcp_stream &stream, boost::system::error_code error)
+{
+    ErrorCode code = ErrorCode::MalformedRequest;
+    if (error == http::error::body_limit) {
+        code = ErrorCode::BodyTooLarge;
+    } else if (error == http::error::header_limit) {
+        code = ErrorCode::HeaderTooLarge;
+    } else if (error == beast::error::timeout || error.category() != http::make_error_code(http::error::end_of_stream).category()
+               || error == http::error::end_of_stream || error == http::error::partial_message) {
+        co_return false;
+    }
+    HttpExchange exchange(stream, {}, []() {
+        return true;
+    });
+    co_await exchange.respond(problemReply(Error{code, error.message()}));
+    co_return false;
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request)
+/** Reads what the caller still sends, for a moment: closing with unread bytes would reset the connection before it has read the answer. */
+awaitable<void> lingerUntilClosed(beast::tcp_stream &stream)
+{
+    constexpr std::int64_t LingerMs = 500;
+    std::array<char, 1024> rest{};
+    stream.expires_after(std::chrono::milliseconds(LingerMs));
+    while (true) {
+        const auto [error, size] = co_await stream.async_read_some(asio::buffer(rest), UseTuple);
+        if (error) {
+            co_return;
+        }
+    }
+}
+}
+
+HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, std::function<bool()> closing)
     : m_stream(stream)
     , m_request(std::move(request))
+    , m_closing(std::move(closing))
+{
+}
+
+HttpExchange::~HttpExchange()
+{
+    if (m_watch != nullptr) {
+        m_watch->m_over = true;
+    }
+}
+
+bool HttpExchange::closes()
+{
+    if (m_closing && m_closing()) {
+        m_reusable = false;
+    }
+    return !m_reusable;
+}
+
+void HttpExchange::whenCallerLeaves(std::function<void()> action)
+{
+    m_watch = std::make_shared<CallerWatch>();
+    m_watch->m_action = std::move(action);
+    Tcp::socket &socket = m_stream.socket();
+    socket.async_wait(Tcp::socket::wait_read, [watch = m_watch, &socket](const boost::system::error_code &error) {
+        if (error || watch->m_over) {
+            return;
+        }
+        char byte = 0;
+        const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        // More bytes are the next request of a caller that does not wait: it is still there.
+        if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+            watch->m_left = true;
+            watch->m_action();
+        }
+    });
+}
+
+bool HttpExchange::callerLeft() const
 {
+    return m_watch != nullptr && m_watch->m_left;
 }
 
 const HttpRequest &HttpExchange::request() const
@@ -50,6 +126,7 @@
     setFields(message, reply.m_headers);
     message.body() = std::move(reply.m_body);
     message.prepare_payload();
+    message.keep_alive(!closes());
     m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
     const auto [error, size] = co_await http::async_write(m_stream, message, UseTuple);
     if (error) {
@@ -65,6 +142,7 @@
     http::response<http::empty_body> message(static_cast<http::status>(status), 11);
     setFields(message, headers);
     message.chunked(true);
+    message.keep_alive(!closes());
     http::response_serializer<http::empty_body> serializer(message);
     extendLimit();
     const auto [error, size] = co_await http::async_write_header(m_stream, serializer, UseTuple);
@@ -129,8 +207,18 @@
     : m_contexts(std::move(contexts))
     , m_acceptor(*m_contexts.front())
     , m_handler(std::move(handler))
-    , m_limits(limits)
 {
+    setLimits(limits);
+}
+
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_limits.publish(std::make_shared<const HttpServerLimits>(limits));
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_closeAfterAnswers = true;
 }
 
 Result<std::shared_ptr<HttpServer>>
@@ -185,6 +273,38 @@
     }
 }
 
+awaitable<bool> HttpServer::readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser)
+{
+    constexpr std::size_t FirstReadBytes = 4 * 1024;
+    const std::shared_ptr<const HttpServerLimits> limits = m_limits.current();
+    parser.header_limit(static_cast<std::uint32_t>(limits->m_maxHeaderBytes));
+    parser.body_limit(limits->m_maxBodyBytes);
+    if (buffer.size() == 0) {
+        stream.expires_after(std::chrono::milliseconds(limits->m_idleTimeoutMs));
+        const auto [error, size] = co_await stream.async_read_some(buffer.prepare(FirstReadBytes), UseTuple);
+        if (error) {
+            co_return false;
+        }
+        buffer.commit(size);
+    }
+    stream.expires_after(std::chrono::milliseconds(limits->m_headerTimeoutMs));
+    const auto [headerError, headerSize] = co_await http::async_read_header(stream, buffer, parser, UseTuple);
+    if (headerError) {
+        co_return co_await refuseRequest(stream, headerError);
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
+    }
+    stream.expires_after(std::chrono::milliseconds(limits->m_idleTimeoutMs));
+    const auto [bodyError, bodySize] = co_await http::async_read(stream, buffer, parser, UseTuple);
+    if (bodyError) {
+        co_return co_await refuseRequest(stream, bodyError);
+    }
+    stream.expires_never();
+    co_return true;
+}
+
 awaitable<void> HttpServer::serve(Tcp::socket socket)
 {
     boost::system::error_code ignored;
@@ -193,25 +313,14 @@
     beast::flat_buffer buffer;
     while (!m_stopping) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(m_limits.m_maxBodyBytes);
-        stream.expires_after(std::chrono::milliseconds(m_limits.m_idleTimeoutMs));
-        const auto [error, size] = co_await http::async_read(stream, buffer, parser, UseTuple);
-        if (error == http::error::body_limit) {
-            HttpExchange exchange(stream, {});
-            co_await exchange.respond(problemReply(Error{ErrorCode::BodyTooLarge, "over " + std::to_string(m_limits.m_maxBodyBytes) + " bytes"}));
-            break;
-        }
-        if (error && error.category() == http::make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream) {
-            HttpExchange exchange(stream, {});
-            co_await exchange.respond(problemReply(Error{ErrorCode::MalformedRequest, error.message()}));
-            break;
-        }
-        if (error) {
+        const bool whole = co_await readRequest(stream, buffer, parser);
+        if (!whole) {
             break;
         }
-        stream.expires_never();
         const bool keepAlive = parser.get().keep_alive();
-        HttpExchange exchange(stream, toRequest(parser.get()));
+        HttpExchange exchange(stream, toRequest(parser.get()), [this, keepAlive]() {
+            return !keepAlive || m_closeAfterAnswers;
+        });
         ++m_active;
         co_await m_handler(exchange);
         if (!exchange.answered()) {
@@ -222,7 +331,8 @@
             break;
         }
     }
-    stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    co_await lingerUntilClosed(stream);
 }
 
 void HttpServer::stopAccepting()
--- a/net/logging.cpp
+++ b/net/logging.cpp
@@ -1,68 +1,184 @@
-// Problem: logs must be searchable by event and field, from several threads, without secrets.
-// Approach: easylogging++ carries the lines; each has a numbered event and key=value fields.
-// Free text cannot be filtered, and writing to the stream directly mixes the lines of threads.
+// Problem: each decision must be found again by its request, and a reader of the log that is slow or has stopped must not hold up requests.
+// Approach: one JSON object a line; a bounded buffer and a thread of its own that writes through easylogging++; what does not fit is counted.
+// Writing from the thread that serves requests stops it as soon as the pipe is full.
 
 #include "net/logging.h"
 
+#include <boost/json.hpp>
 #include <easylogging++.h>
 
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <ctime>
+#include <mutex>
+#include <thread>
+#include <vector>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace knapweedslip
 {
+namespace json = boost::json;
+
 namespace
 {
-std::string quoted(const std::string &value)
+/** Lines held at most: a second of the busiest gateway's decisions. */
+constexpr std::size_t MaxHeldLines = 4'096;
+/** From here on informational lines are dropped, so that room is left for warnings and errors. */
+constexpr std::size_t InfoLimit = MaxHeldLines * 3 / 4;
+/** The writer gathers lines for this long: one system call for many of them. */
+constexpr std::chrono::milliseconds GatherTime(50);
+/** Longest wait for the writer at the end. */
+constexpr std::chrono::milliseconds StopTime(200);
+
+struct LogBuffer
+{
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<std::string> m_lines;
+    std::uint64_t m_droppedSinceLine = 0;
+    bool m_stopping = false;
+    bool m_stopped = false;
+    std::string m_process;
+    std::atomic<std::uint64_t> m_dropped{0};
+    bool m_started = false;
+};
+
+/** Never destroyed: the writer may still hold it when the process ends while nobody reads its output. */
+LogBuffer &buffer()
+{
+    static LogBuffer *held = new LogBuffer;
+    return *held;
+}
+
+constexpr std::array<std::string_view, 3> LevelNames{"info", "warning", "error"};
+
+std::string timeText()
+{
+    const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
+    const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    const std::time_t seconds = static_cast<std::time_t>(ms / 1'000);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%03dZ", static_cast<int>(ms % 1'000));
+    return text.data();
+}
+
+json::value toJson(const LogValue &value)
+{
+    return std::visit(
+        [](const auto &held) -> json::value {
+            return json::value(held);
+        },
+        value);
+}
+
+std::string formatLine(const LogEventRow &row, std::initializer_list<LogField> fields, std::uint64_t dropped)
 {
-    const bool plain = !value.empty() && value.find_first_of(" \"\n=") == std::string::npos;
-    if (plain) {
-        return value;
+    json::object line;
+    line["time"] = timeText();
+    line["level"] = LevelNames.at(static_cast<std::size_t>(row.m_level));
+    line["event"] = row.m_number;
+    line["name"] = row.m_name;
+    line["process"] = buffer().m_process;
+    for (const LogField &field : fields) {
+        line[json::string_view(field.first.data(), field.first.size())] = toJson(field.second);
     }
-    std::string text = "\"";
-    for (const char c : value) {
-        if (c == '"' || c == '\\') {
-            text += '\\';
-        }
-        text += c == '\n' ? ' ' : c;
+    if (dropped > 0) {
+        line["dropped_before"] = dropped;
     }
-    return text + "\"";
+    return json::serialize(line);
 }
 
-std::string &processName()
+void writeLoop()
 {
-    static std::string name;
-    return name;
+    LogBuffer &held = buffer();
+    std::vector<std::string> lines;
+    while (true) {
+        bool stopping = false;
+        {
+            std::unique_lock<std::mutex> lock(held.m_mutex);
+            held.m_changed.wait(lock, [&held]() {
+                return held.m_stopping || !held.m_lines.empty();
+            });
+            lines.swap(held.m_lines);
+            stopping = held.m_stopping;
+        }
+        std::string text;
+        for (const std::string &line : lines) {
+            text += text.empty() ? line : "\n" + line;
+        }
+        lines.clear();
+        if (!text.empty()) {
+            LOG(INFO) << text;
+        }
+        if (stopping) {
+            const std::lock_guard<std::mutex> lock(held.m_mutex);
+            if (held.m_lines.empty()) {
+                held.m_stopped = true;
+                held.m_changed.notify_all();
+                return;
+            }
+            continue;
+        }
+        std::this_thread::sleep_for(GatherTime);
+    }
 }
 }
 
 void startLogging(const std::string &process)
 {
-    processName() = process;
+    LogBuffer &held = buffer();
+    held.m_process = process;
     el::Configurations configurations;
     configurations.setToDefault();
-    configurations.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+    configurations.setGlobally(el::ConfigurationType::Format, "%msg");
     configurations.setGlobally(el::ConfigurationType::ToFile, "false");
     configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     el::Loggers::reconfigureAllLoggers(configurations);
+    held.m_started = true;
+    std::thread(writeLoop).detach();
+}
+
+void stopLogging()
+{
+    LogBuffer &held = buffer();
+    std::unique_lock<std::mutex> lock(held.m_mutex);
+    if (!held.m_started) {
+        return;
+    }
+    held.m_stopping = true;
+    held.m_changed.notify_all();
+    held.m_changed.wait_for(lock, StopTime, [&held]() {
+        return held.m_stopped;
+    });
 }
 
 void logEvent(LogEvent event, std::initializer_list<LogField> fields)
 {
     const LogEventRow &row = logEventRow(event);
-    std::string line = "process=" + processName() + " event=" + std::to_string(row.m_number) + " name=" + std::string(row.m_name);
-    for (const LogField &field : fields) {
-        line += " " + std::string(field.first) + "=" + quoted(field.second);
+    LogBuffer &held = buffer();
+    const std::lock_guard<std::mutex> lock(held.m_mutex);
+    const std::size_t limit = row.m_level == LogLevel::Info ? InfoLimit : MaxHeldLines;
+    if (held.m_lines.size() >= limit) {
+        ++held.m_droppedSinceLine;
+        ++held.m_dropped;
+        return;
     }
-    switch (row.m_level) {
-    case LogLevel::Info:
-        LOG(INFO) << "level=info " << line;
-        break;
-    case LogLevel::Warning:
-        LOG(WARNING) << "level=warning " << line;
-        break;
-    case LogLevel::Error:
-        LOG(ERROR) << "level=error " << line;
-        break;
+    held.m_lines.push_back(formatLine(row, fields, held.m_droppedSinceLine));
+    held.m_droppedSinceLine = 0;
+    if (held.m_lines.size() == 1) {
+        held.m_changed.notify_one();
     }
 }
+
+std::uint64_t droppedLogLines()
+{
+    return buffer().m_dropped;
+}
 }
--- a/tools/httpload.cpp
+++ b/tools/httpload.cpp
@@ -132,7 +132,7 @@
     StreamEnd end;
     bool cut = false;
     while (!stream.finished()) {
-        const Result<std::string> piece = co_await stream.read(limitMs);
+        const Result<std::string_view> piece = co_await stream.read(limitMs);
         cut = failed(piece);
         if (cut) {
             break;
