Silence judged by the longest pause of a working group, over all gateways

Change: limit = one pass with full reading and all slots, plus 40 ms; work seen by any gateway counts (pulses over UDP, every 100 ms); slowness follows the quickest pass and is never below the published pace.

--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -5,6 +5,7 @@
 
 #include "daemons/entrycall.h"
 #include "daemons/entrykeeper.h"
+#include "daemons/entrypulse.h"
 #include "daemons/entrystore.h"
 #include "net/logging.h"
 #include "platform/names.h"
@@ -206,6 +207,18 @@
     asio::co_spawn(io, campaign(context), asio::detached);
     asio::co_spawn(io, keepReplicas(context), asio::detached);
     asio::co_spawn(io, superviseLoop(context), asio::detached);
+    Result<std::unique_ptr<PulseExchange>> pulses = PulseExchange::create(context);
+    if (failed(pulses)) {
+        // Alone, this daemon still serves, on what it sees itself.
+        logEvent(LogEvent::ListenFailed, {{"error", describe(errorOf(pulses))}});
+    } else {
+        PulseExchange &exchange = *valueOf(pulses);
+        context.m_announce = [&exchange]() {
+            exchange.sendNow();
+        };
+        asio::co_spawn(io, exchange.sendLoop(), asio::detached);
+        asio::co_spawn(io, exchange.receiveLoop(), asio::detached);
+    }
     asio::co_spawn(io, watchSettings(context, path), asio::detached);
     asio::co_spawn(io, applyLimits(context, *clients), asio::detached);
     asio::co_spawn(io, handleSignals(context, *clients, path), asio::detached);
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -5,6 +5,7 @@
 
 #include "daemons/entrycall.h"
 
+#include "daemons/entrypulse.h"
 #include "net/logging.h"
 
 #include <algorithm>
@@ -229,9 +230,17 @@
 
 void superviseCalls(EntryContext &context)
 {
+    applyPulses(context);
     const std::int64_t nowMs = steadyMs();
     const std::vector<ReplicaRef> silent = context.m_book.findSilent(nowMs);
     for (const ReplicaRef &replica : silent) {
+        context.m_keeper.suspect(replica, nowMs);
+        if (!context.m_toldSilent.insert(replica).second) {
+            continue;
+        }
+        if (context.m_announce) {
+            context.m_announce();
+        }
         ++context.m_metrics.m_silences;
         const BookedReplica *booked = context.m_book.find(replica);
         logEvent(LogEvent::ReplicaSilent,
@@ -241,7 +250,9 @@
                   {"writing", static_cast<std::int64_t>(booked == nullptr ? 0 : booked->m_own.m_writing)},
                   {"waiting", static_cast<std::int64_t>(booked == nullptr ? 0 : booked->m_own.m_waiting)},
                   {"slowness", booked == nullptr ? 0.0 : booked->m_slowness}});
-        context.m_keeper.suspect(replica, nowMs);
+    }
+    for (auto it = context.m_toldSilent.begin(); it != context.m_toldSilent.end();) {
+        it = std::find(silent.begin(), silent.end(), *it) == silent.end() ? context.m_toldSilent.erase(it) : std::next(it);
     }
     for (const std::shared_ptr<RunningCall> &call : context.m_running) {
         if (nowMs >= call->m_endMs) {
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -2,6 +2,7 @@
 
 #include "daemons/entrysettings.h"
 #include "kernel/callconfig.h"
+#include "kernel/pulse.h"
 #include "kernel/replicabook.h"
 #include "kernel/replicakeeper.h"
 #include "kernel/servicebook.h"
@@ -104,6 +105,8 @@
     std::string m_leader;
 
     ReplicaBook m_book;
+    /** What the other daemons said last. */
+    PulseBook m_pulses;
     ServiceBook m_services;
     std::map<std::string, WindowBudget> m_budgets;
     std::map<std::string, ColdGate> m_coldGates;
@@ -113,6 +116,10 @@
     bool m_serving = false;
 
     std::set<std::shared_ptr<RunningCall>> m_running;
+    /** Silent groups that were logged and told. */
+    std::set<ReplicaRef> m_toldSilent;
+    /** Tells the other daemons at once; set while there are others to tell. */
+    std::function<void()> m_announce;
     EntryMetrics m_metrics;
     bool m_stopping = false;
 };
--- /dev/null
+++ b/daemons/entrypulse.cpp
@@ -0,0 +1,116 @@
+// Problem: what the others have on each group is needed within a pass of the engines, and may be lost without harm.
+// Approach: one datagram to each daemon, sent again soon whatever happens to it.
+// Connections between all daemons cost memory and go silent unseen, and an old load is worth nothing when it is delivered at last.
+
+#include "daemons/entrypulse.h"
+
+#include "net/logging.h"
+#include "net/pulsecodec.h"
+
+#include <array>
+
+namespace knapweedslip
+{
+namespace
+{
+using Udp = asio::ip::udp;
+
+/** Interval of pulses, in ms: about two passes of the engines. */
+constexpr std::int64_t PulseMs = 100;
+constexpr std::size_t MaxDatagramBytes = 60 * 1024;
+}
+
+PulseExchange::PulseExchange(EntryContext &context)
+    : m_context(context)
+    , m_socket(context.m_io)
+{
+}
+
+Result<std::unique_ptr<PulseExchange>> PulseExchange::create(EntryContext &context)
+{
+    const Result<Tcp::endpoint> parsed = parseEndpoint(context.m_settings.m_peerListen);
+    if (failed(parsed)) {
+        return errorOf(parsed);
+    }
+    std::unique_ptr<PulseExchange> exchange(new PulseExchange(context));
+    const Udp::endpoint endpoint(valueOf(parsed).address(), valueOf(parsed).port());
+    boost::system::error_code error;
+    exchange->m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+        exchange->m_socket.bind(endpoint, error);
+    }
+    if (!error) {
+        exchange->m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return Error{ErrorCode::Io, "cannot use " + context.m_settings.m_peerListen + ": " + error.message()};
+    }
+    return exchange;
+}
+
+void PulseExchange::sendNow()
+{
+    const std::int64_t nowMs = steadyMs();
+    const std::string bytes = encodePulse(makePulse(m_context.m_settings.m_name, ++m_number, m_context.m_serving, m_context.m_book, nowMs));
+    for (const std::pair<const std::string, EntryPeer> &peer : m_context.m_peers) {
+        const Result<Tcp::endpoint> parsed = parseEndpoint(peer.second.m_address);
+        if (peer.first == m_context.m_settings.m_name || failed(parsed)) {
+            continue;
+        }
+        // A datagram that cannot be sent now is not worth sending later.
+        boost::system::error_code ignored;
+        m_socket.send_to(asio::buffer(bytes), Udp::endpoint(valueOf(parsed).address(), valueOf(parsed).port()), 0, ignored);
+    }
+}
+
+awaitable<void> PulseExchange::sendLoop()
+{
+    while (true) {
+        sendNow();
+        co_await sleepFor(PulseMs);
+    }
+}
+
+awaitable<void> PulseExchange::receiveLoop()
+{
+    std::vector<char> bytes(MaxDatagramBytes);
+    while (true) {
+        Udp::endpoint sender;
+        const auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(bytes), sender, UseTuple);
+        if (error) {
+            // Also a datagram of ours that found no listener is told here; the next ones may.
+            if (!m_socket.is_open()) {
+                co_return;
+            }
+            continue;
+        }
+        const Result<DaemonPulse> pulse = decodePulse(bytes.data(), size);
+        if (failed(pulse)) {
+            logEvent(LogEvent::PeerRejected, {{"error", describe(errorOf(pulse))}});
+            continue;
+        }
+        m_context.m_pulses.take(valueOf(pulse), steadyMs());
+    }
+}
+
+void applyPulses(EntryContext &context)
+{
+    const std::int64_t nowMs = steadyMs();
+    const PeerView view = context.m_pulses.view(nowMs);
+    context.m_serving = context.m_serving || view.m_serving;
+    context.m_book.setPeerLoads(view.m_loads);
+    if (!leads(context)) {
+        return;
+    }
+    for (const std::pair<const ReplicaRef, KeptReplica> &entry : context.m_keeper.replicas()) {
+        const auto load = view.m_loads.find(entry.first.m_epoch);
+        if (load != view.m_loads.end() && load->second.m_progressMs >= 0) {
+            context.m_keeper.progress(entry.first, load->second.m_progressMs);
+        }
+        const bool silent = std::find(view.m_silent.begin(), view.m_silent.end(), entry.first.m_epoch) != view.m_silent.end();
+        if (silent) {
+            context.m_keeper.suspect(entry.first, nowMs);
+        }
+    }
+}
+}
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -174,6 +174,7 @@
         takeDaemon(context, item.m_key.substr(DaemonPrefix.size()), item);
     } else if (item.m_key == LeaderKey) {
         context.m_leader = item.m_deleted ? std::string() : item.m_value;
+        logEvent(LogEvent::LeaderSeen, {{"leader", context.m_leader}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
     }
     if (item.m_deleted) {
         mirror.m_revisions.erase(item.m_key);
@@ -372,7 +373,8 @@
     context.m_leadership.m_lease = valueOf(lease).m_id;
     context.m_leadership.m_validUntilMs = askedMs + valueOf(lease).m_ttlMs - LeaseMarginMs;
     context.m_leader = context.m_settings.m_name;
-    logEvent(LogEvent::LeadershipTaken, {{"fence", static_cast<std::int64_t>(context.m_leadership.m_fence)}});
+    logEvent(LogEvent::LeadershipTaken,
+             {{"fence", static_cast<std::int64_t>(context.m_leadership.m_fence)}, {"lease_ms", valueOf(lease).m_ttlMs}});
     if (context.m_config != nullptr) {
         if (const CallService *service = engineService(*context.m_config)) {
             context.m_keeper.beginTerm(context.m_leadership.m_fence, *service, steadyMs());
--- a/kernel/logevents.cpp
+++ b/kernel/logevents.cpp
@@ -30,6 +30,7 @@
         {LogEvent::UpstreamUnreadable, 1111, LogLevel::Warning, "upstream-unreadable", "An entry in the list of upstreams names none that can be used."},
         {LogEvent::HistoryLost, 1112, LogLevel::Warning, "history-lost", "The store has dropped changes not yet seen; everything is read again."},
         {LogEvent::DaemonsChanged, 1113, LogLevel::Info, "daemons-changed", "The number of daemons that share limits changed."},
+        {LogEvent::LeaderSeen, 1114, LogLevel::Info, "leader-seen", "The store names another daemon as the leader, or none."},
         {LogEvent::RequestRefused, 1201, LogLevel::Info, "request-refused", "A request was refused; the reason and when to come back are given."},
         {LogEvent::AttemptFailed, 1202, LogLevel::Warning, "attempt-failed", "An attempt at an upstream failed."},
         {LogEvent::StreamResumed, 1203, LogLevel::Info, "stream-resumed", "An answer is continued by another upstream."},
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -32,6 +32,7 @@
     UpstreamUnreadable,
     HistoryLost,
     DaemonsChanged,
+    LeaderSeen,
     RequestRefused,
     AttemptFailed,
     StreamResumed,
--- a/kernel/replicabook.cpp
+++ b/kernel/replicabook.cpp
@@ -7,14 +7,15 @@
 #include "kernel/replicabook.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace knapweedslip
 {
 namespace
 {
-/** Part of a new observation in the running mean of slowness. */
-constexpr double SlownessGain = 0.1;
-constexpr double MinSlowness = 0.5;
+/** Part of a slower observation in the running mean of slowness; a quicker one counts at once, since reading only makes passes longer. */
+constexpr double SlownessGain = 0.03;
+constexpr double MinSlowness = 1.0;
 constexpr double MaxSlowness = 20.0;
 constexpr int MaxDoublings = 4;
 
@@ -55,11 +56,14 @@
     }
 }
 
-void ReplicaBook::setPeerLoads(const std::map<ReplicaRef, PeerLoad> &loads)
+void ReplicaBook::setPeerLoads(const std::map<std::uint64_t, PeerLoad> &loads)
 {
     for (std::pair<const ReplicaRef, BookedReplica> &entry : m_replicas) {
-        const auto found = loads.find(entry.first);
+        const auto found = loads.find(entry.first.m_epoch);
         entry.second.m_peers = found == loads.end() ? ReplicaLoad() : found->second.m_load;
+        if (found != loads.end()) {
+            entry.second.m_peerProgressMs = std::max(entry.second.m_peerProgressMs, found->second.m_progressMs);
+        }
     }
 }
 
@@ -123,6 +127,7 @@
     BookedStream &booked = found->second;
     BookedReplica &replica = m_replicas[booked.m_replica];
     replica.m_progressMs = nowMs;
+    replica.m_silent = false;
     replica.m_doubts = 0;
     replica.m_avoidUntilMs = std::min(replica.m_avoidUntilMs, nowMs);
     if (!booked.m_writing) {
@@ -134,10 +139,10 @@
         }
     } else if (m_service.m_engines && events > 0) {
         const ServedModel *model = findModel(m_service, replica.m_model);
-        const double expected = eventPauseMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers), model == nullptr ? 1.0 : model->m_pace);
+        const double expected = passMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers)) * (model == nullptr ? 1.0 : model->m_pace);
         const double ratio = static_cast<double>(nowMs - booked.m_lastEventMs) / events / std::max(expected, 1.0);
-        const double slowness = replica.m_slowness + SlownessGain * (ratio - replica.m_slowness);
-        replica.m_slowness = std::clamp(slowness, MinSlowness, MaxSlowness);
+        const double gain = ratio < replica.m_slowness ? 1.0 : SlownessGain;
+        replica.m_slowness = std::clamp(replica.m_slowness + gain * (ratio - replica.m_slowness), MinSlowness, MaxSlowness);
     }
     booked.m_lastEventMs = nowMs;
 }
@@ -164,36 +169,39 @@
 
 std::vector<ReplicaRef> ReplicaBook::findSilent(std::int64_t nowMs)
 {
-    struct Oldest
+    if (!m_service.m_engines) {
+        return {};
+    }
+    struct Expecting
     {
-        std::int64_t m_writingSinceMs = -1;
-        std::int64_t m_expectedMs = -1;
+        bool m_writing = false;
+        /** Since when there is something to be written or read here. */
+        std::int64_t m_sinceMs = std::numeric_limits<std::int64_t>::max();
     };
-    std::map<ReplicaRef, Oldest> oldest;
+    std::map<ReplicaRef, Expecting> expecting;
     for (const std::pair<const std::uint64_t, BookedStream> &entry : m_streams) {
-        const BookedStream &stream = entry.second;
-        Oldest &group = oldest[stream.m_replica];
-        if (stream.m_writing) {
-            group.m_writingSinceMs = std::max(group.m_writingSinceMs, stream.m_lastEventMs);
-        } else {
-            group.m_expectedMs = group.m_expectedMs < 0 ? stream.m_expectedMs : std::min(group.m_expectedMs, stream.m_expectedMs);
-        }
+        Expecting &group = expecting[entry.second.m_replica];
+        group.m_writing = group.m_writing || entry.second.m_writing;
+        group.m_sinceMs = std::min(group.m_sinceMs, entry.second.m_sentMs);
     }
     std::vector<ReplicaRef> silent;
-    for (const std::pair<const ReplicaRef, Oldest> &entry : oldest) {
+    for (const std::pair<const ReplicaRef, Expecting> &entry : expecting) {
         BookedReplica &replica = m_replicas[entry.first];
-        const double pause = m_service.m_engines ? eventPauseMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers), paceOf(replica)) : 0.0;
-        const std::int64_t limit = std::max(m_settings.m_minSilenceMs, static_cast<std::int64_t>(pause * m_settings.m_silenceFactor));
-        const std::int64_t lastWork = std::max(replica.m_progressMs, entry.second.m_writingSinceMs);
-        const bool writersSilent = entry.second.m_writingSinceMs >= 0 && nowMs - lastWork > limit;
-        const bool firstLate = entry.second.m_writingSinceMs < 0 && entry.second.m_expectedMs >= 0
-            && nowMs - std::max(entry.second.m_expectedMs, replica.m_progressMs) > m_settings.m_firstSlackMs;
-        if (writersSilent || firstLate) {
-            const int doublings = std::min(replica.m_doubts, MaxDoublings);
+        const ReplicaLoad load = sum(replica.m_own, replica.m_peers);
+        // While nothing is written, all that waits may be read before the next event.
+        const double unread = entry.second.m_writing ? 0.0 : load.m_unreadMs * paceOf(replica);
+        const double limit = longestPauseMs(*m_service.m_engines, load, paceOf(replica)) + unread + static_cast<double>(m_settings.m_silenceSlackMs);
+        const std::int64_t lastWork = std::max({replica.m_progressMs, replica.m_peerProgressMs, entry.second.m_sinceMs});
+        if (static_cast<double>(nowMs - lastWork) <= limit) {
+            replica.m_silent = false;
+            continue;
+        }
+        if (!replica.m_silent) {
+            replica.m_silent = true;
+            replica.m_avoidUntilMs = nowMs + (m_settings.m_avoidMs << std::min(replica.m_doubts, MaxDoublings));
             ++replica.m_doubts;
-            replica.m_avoidUntilMs = nowMs + (m_settings.m_avoidMs << doublings);
-            silent.push_back(entry.first);
         }
+        silent.push_back(entry.first);
     }
     return silent;
 }
--- a/kernel/replicabook.h
+++ b/kernel/replicabook.h
@@ -47,8 +47,11 @@
 
     ReplicaLoad m_own;
     ReplicaLoad m_peers;
-    /** Last event of any stream here. */
+    /** Last event of any stream of this gateway, and of any other. */
     std::int64_t m_progressMs = -1;
+    std::int64_t m_peerProgressMs = -1;
+    /** It shows no work here though it should. */
+    bool m_silent = false;
     /** No new work until then: it was silent, or said that it was full or not open. */
     std::int64_t m_avoidUntilMs = -1;
     /** Doubts in a row without any work in between. */
@@ -60,12 +63,8 @@
 /** Intervals and factors of the book. */
 struct BookSettings
 {
-    /** Shortest silence that is taken for a stall, in ms: two passes of the slowest published engines. */
-    std::int64_t m_minSilenceMs = 90;
-    /** Silence taken for a stall, against the expected pause. */
-    double m_silenceFactor = 2.0;
-    /** Lateness of a first event that is taken for a stall, in ms, on a group that shows no other work. */
-    std::int64_t m_firstSlackMs = 180;
+    /** Silence beyond the longest pause of a working group that is taken for a stall, in ms: events cross zones and wait for a processor. */
+    std::int64_t m_silenceSlackMs = 40;
     /** A silent group gets no new work for this long, doubled with each doubt in a row, in ms: a broken group is formed anew in less. */
     std::int64_t m_avoidMs = 1'000;
     /** A group that refused work as full is avoided for about one pass, in ms. */
@@ -86,7 +85,8 @@
     void setService(const CallService &service);
     /** Takes the groups that can be used now; what is known about those that stay is kept. */
     void setReplicas(const std::vector<BookedReplica> &replicas);
-    void setPeerLoads(const std::map<ReplicaRef, PeerLoad> &loads);
+    /** @p loads is what the other gateways have, by epoch. */
+    void setPeerLoads(const std::map<std::uint64_t, PeerLoad> &loads);
 
     /**
      * The group on which @p promptTokens of @p model give their first event soonest, or nothing. Groups in @p excluded are left out.
@@ -106,7 +106,7 @@
     void event(std::uint64_t stream, int events, std::int64_t nowMs);
     void end(std::uint64_t stream);
 
-    /** Groups that should show work but have not for too long: their streams are to go on elsewhere. Marks them as avoided. */
+    /** Groups that should show work but show none for longer than any working group can: their streams are to go on elsewhere. */
     std::vector<ReplicaRef> findSilent(std::int64_t nowMs);
     void avoid(const ReplicaRef &replica, std::int64_t nowMs, std::int64_t forMs);
     /** It said that it is full. */
--- a/kernel/steptime.cpp
+++ b/kernel/steptime.cpp
@@ -43,6 +43,14 @@
     return pace * (waitForPass + waitForSlot + load.m_unreadMs + readMs(engines, promptTokens) + pass);
 }
 
+double longestPauseMs(const StepModel &engines, const ReplicaLoad &load, double pace)
+{
+    ReplicaLoad full = load;
+    full.m_writing = std::max(load.m_writing, engines.m_slots);
+    full.m_contextTokens = std::max(load.m_contextTokens, engines.m_slots * (engines.m_usualPromptTokens + engines.m_usualAnswerTokens));
+    return pace * (passMs(engines, full) + engines.m_stride * readMs(engines, engines.m_chunkTokens));
+}
+
 double eventPauseMs(const StepModel &engines, const ReplicaLoad &load, double pace)
 {
     return pace * (passMs(engines, load) + load.m_unreadMs);
--- a/kernel/steptime.h
+++ b/kernel/steptime.h
@@ -31,6 +31,12 @@
  */
 double firstEventMs(const StepModel &engines, const ReplicaLoad &load, std::int64_t promptTokens, double pace);
 
+/**
+ * Longest pause between two events of a group that works: every step of a pass also reads as much as it may. Whoever else uses the group can
+ * add no more than that.
+ */
+double longestPauseMs(const StepModel &engines, const ReplicaLoad &load, double pace);
+
 /** Expected pause between two events of a stream while @p load runs. */
 double eventPauseMs(const StepModel &engines, const ReplicaLoad &load, double pace);
 }
