--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -274,7 +274,12 @@
 {
     Mirror mirror;
     while (!context.m_stopping) {
-        const Result<Done> done = mirror.m_synced ? co_await watchOnce(context, mirror) : co_await readAll(context, mirror);
+        Result<Done> done = Done{};
+        if (mirror.m_synced) {
+            done = co_await watchOnce(context, mirror);
+        } else {
+            done = co_await readAll(context, mirror);
+        }
         dropDoubtful(context, mirror);
         refreshBooks(context);
         if (failed(done) && errorOf(done).m_code != ErrorCode::NotFound) {
