--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -140,6 +140,8 @@
               {"status", static_cast<std::int64_t>(status)},
               {"sends", static_cast<std::int64_t>(call.m_sends)},
               {"took_ms", steadyMs() - call.m_arrivedMs},
+              {"expected_first_ms", call.m_expectedMs},
+              {"first_ms", call.m_firstEventMs},
               {"config_version", call.m_config == nullptr ? std::int64_t(-1) : call.m_config->m_version},
               {"detail", detail}});
 }
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -31,6 +31,9 @@
     std::int64_t m_endMs = 0;
     /** Sends so far. */
     int m_sends = 0;
+    /** When the first event was expected at the first send, and when it came, in ms after the arrival; -1 when there was none. */
+    double m_expectedMs = -1.0;
+    std::int64_t m_firstEventMs = -1;
     std::shared_ptr<RunningCall> m_running;
 };
 
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -50,16 +50,28 @@
     for (const ServedModel &model : service.m_engines->m_models) {
         sizes[model.m_name] = model.m_size;
     }
-    std::vector<BookedReplica> replicas;
     for (const ListedReplica &listed : wholeReplicas(context.m_upstreams, sizes)) {
-        const UpstreamEntry &head = context.m_upstreams.at(listed.m_head);
+        if (listed.m_phase == MemberPhase::Open) {
+            context.m_seenWhole[listed.m_ref] = listed;
+        }
+    }
+    std::vector<BookedReplica> replicas;
+    for (auto it = context.m_seenWhole.begin(); it != context.m_seenWhole.end();) {
+        const ListedReplica &listed = it->second;
+        const auto found = context.m_upstreams.find(listed.m_head);
+        if (found == context.m_upstreams.end() || found->second.m_phase != MemberPhase::Open || !(found->second.m_replica == listed.m_ref)) {
+            it = context.m_seenWhole.erase(it);
+            continue;
+        }
+        ++it;
+        const UpstreamEntry &head = found->second;
         BookedReplica replica;
         replica.m_ref = listed.m_ref;
         replica.m_model = replicaModel(listed.m_ref.m_name);
         replica.m_head = head.m_id;
         replica.m_address = head.m_address;
         replica.m_availabilityZone = head.m_availabilityZone;
-        replica.m_usable = listed.m_phase == MemberPhase::Open && takesWork(context, head);
+        replica.m_usable = takesWork(context, head);
         replica.m_coldUntilMs = head.m_coldUntilMs;
         replicas.push_back(std::move(replica));
     }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -81,6 +81,8 @@
     std::uint64_t m_lease = 0;
     /** Until when the lease certainly holds. */
     std::int64_t m_validUntilMs = 0;
+    /** The lease is to be renewed now, not at its time. */
+    bool m_renewNow = false;
 };
 
 /** State of one entry daemon. Everything here belongs to the thread of m_io. */
@@ -104,6 +106,8 @@
     /** Name of the daemon that leads, as the store says; empty when none does. */
     std::string m_leader;
 
+    /** Open groups that were listed with all their members once, and their heads: an entry that is missing later may only be late. */
+    std::map<ReplicaRef, ListedReplica> m_seenWhole;
     ReplicaBook m_book;
     /** What the other daemons said last. */
     PulseBook m_pulses;
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -144,6 +144,7 @@
             ++state.m_runs;
             call.m_running->m_movable = mayMove(call, state, state.m_runs);
             if (state.m_runs == 1) {
+                call.m_firstEventMs = steadyMs() - call.m_arrivedMs;
                 call.m_context.m_metrics.m_firstEvent.add(static_cast<double>(steadyMs() - call.m_arrivedMs));
             }
         }
@@ -182,7 +183,11 @@
     const ReplicaRef replica = chosen.m_ref;
     const std::string head = chosen.m_head;
     AttemptTarget target{chosen.m_head, chosen.m_address};
-    logCallSent(call, head, replica.m_name, context.m_book.expectedMs(chosen, call.m_caller.m_promptTokens));
+    const double expectedMs = context.m_book.expectedMs(chosen, call.m_caller.m_promptTokens);
+    if (call.m_sends == 0) {
+        call.m_expectedMs = static_cast<double>(steadyMs() - call.m_arrivedMs) + expectedMs;
+    }
+    logCallSent(call, head, replica.m_name, expectedMs);
     Booking booking(call, chosen);
     call.m_running->m_movable = mayMove(call, state, state.m_runs);
     EntryAttempt attempt(call);
--- a/daemons/entrykeeper.cpp
+++ b/daemons/entrykeeper.cpp
@@ -42,12 +42,8 @@
         co_return;
     }
     if (reply == OrderReply::Fenced) {
-        // A later leader has given orders here, or this term's epochs are behind: a new term settles both.
-        logEvent(LogEvent::LeadershipLost, {{"fence", static_cast<std::int64_t>(fence)}, {"reason", std::string("an engine has seen a later term")}});
-        const std::uint64_t lease = context.m_leadership.m_lease;
-        context.m_leadership = {};
-        co_await platform::storeEndLease(context.m_store, lease, context.m_settings.m_storeTimeoutMs);
-        co_return;
+        // Perhaps a later leader has given orders here: the lease is asked for at once, and this term ends if it is gone.
+        context.m_leadership.m_renewNow = true;
     }
     context.m_keeper.orderAnswered(order, reply, steadyMs());
 }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -398,8 +398,9 @@
             vacantSinceMs = -1;
             if (nowMs >= context.m_leadership.m_validUntilMs) {
                 loseLeadership(context, "the lease ran out");
-            } else if (nowMs - renewedMs >= context.m_settings.m_leaseMs / RenewalsPerLife) {
+            } else if (context.m_leadership.m_renewNow || nowMs - renewedMs >= context.m_settings.m_leaseMs / RenewalsPerLife) {
                 renewedMs = nowMs;
+                context.m_leadership.m_renewNow = false;
                 co_await renewLeadership(context);
             }
         } else if (!context.m_leader.empty() || context.m_proofMs < 0 || context.m_config == nullptr) {
--- a/kernel/replicakeeper.cpp
+++ b/kernel/replicakeeper.cpp
@@ -44,7 +44,6 @@
     m_service = service;
     m_fence = fence;
     m_nextEpoch = fence * EpochsPerTerm;
-    m_adopted = false;
     m_termSinceMs = nowMs;
     m_replicas.clear();
     for (std::pair<const std::string, Engine> &entry : m_engines) {
@@ -85,6 +84,7 @@
         }
     }
     engine.m_entry = entry;
+    engine.m_listed = true;
     if (engine.m_model.empty() && !entry.m_stagedModels.empty() && findModel(m_service, entry.m_stagedModels.back()) != nullptr) {
         engine.m_model = entry.m_stagedModels.back();
     }
@@ -96,7 +96,9 @@
 
 void ReplicaKeeper::forget(const std::string &engine)
 {
-    m_engines.erase(engine);
+    if (Engine *found = find(engine)) {
+        found->m_listed = false;
+    }
 }
 
 void ReplicaKeeper::probeAnswered(const std::string &engine, std::int64_t nowMs)
@@ -147,6 +149,10 @@
     engine->m_misses = 0;
     engine->m_dead = false;
     const ServedModel *model = findModel(m_service, order.m_model);
+    if (reply == OrderReply::Fenced && replica != nullptr && replica->m_phase != KeptPhase::Closing) {
+        // The engine has seen a later epoch, or another list under this one: the group is given up, and the next has a new epoch.
+        replica->m_refused = true;
+    }
     switch (order.m_kind) {
     case EngineOrderKind::Stage:
     case EngineOrderKind::Join:
@@ -221,19 +227,19 @@
     if (!m_service.m_engines) {
         return actions;
     }
-    if (!m_adopted) {
-        if (nowMs - m_termSinceMs >= AdoptAfterMs) {
-            adopt(nowMs);
-        } else {
-            probe(nowMs, actions);
-            return actions;
-        }
+    if (nowMs - m_termSinceMs < AdoptAfterMs) {
+        probe(nowMs, actions);
+        return actions;
     }
+    adoptStrays(nowMs, actions);
     for (std::pair<const ReplicaRef, KeptReplica> &entry : m_replicas) {
         judgeReplica(entry.second, nowMs, actions);
     }
     for (auto it = m_replicas.begin(); it != m_replicas.end();) {
         const bool over = it->second.m_phase == KeptPhase::Closing && driveClose(it->second, nowMs, actions);
+        if (over) {
+            release(it->second, nowMs);
+        }
         it = over ? m_replicas.erase(it) : std::next(it);
     }
     assignModels(nowMs);
@@ -243,6 +249,7 @@
     }
     stageEmpty(nowMs, actions);
     probe(nowMs, actions);
+    sweep();
     return actions;
 }
 
@@ -256,48 +263,81 @@
     return m_fence;
 }
 
-void ReplicaKeeper::adopt(std::int64_t nowMs)
+void ReplicaKeeper::adoptStrays(std::int64_t nowMs, KeeperActions &actions)
 {
-    m_adopted = true;
-    std::map<ReplicaRef, std::map<int, std::string>> byRef;
+    std::map<ReplicaRef, std::map<int, std::string>> strays;
     for (const std::pair<const std::string, Engine> &entry : m_engines) {
-        const UpstreamEntry &said = entry.second.m_entry;
-        if (!said.m_replica.empty() && said.m_rank >= 0) {
-            byRef[said.m_replica][said.m_rank] = entry.first;
-        }
-    }
-    for (const std::pair<const ReplicaRef, std::map<int, std::string>> &entry : byRef) {
-        KeptReplica replica;
-        replica.m_ref = entry.first;
-        replica.m_model = replicaModel(entry.first.m_name);
-        replica.m_phaseSinceMs = nowMs;
-        replica.m_progressMs = nowMs;
-        const ServedModel *model = findModel(m_service, replica.m_model);
-        const bool hasHead = entry.second.begin()->first == 0;
-        const MemberPhase headPhase = hasHead ? m_engines[entry.second.begin()->second].m_entry.m_phase : MemberPhase::None;
-        if (!hasHead) {
-            // The head is not known: an empty id stands for it and counts as dead.
-            replica.m_members.emplace_back();
-        }
-        for (const std::pair<const int, std::string> &member : entry.second) {
-            replica.m_members.push_back(member.second);
-        }
-        const bool whole = model != nullptr && hasHead && static_cast<int>(entry.second.size()) == model->m_size
-            && entry.second.rbegin()->first == model->m_size - 1;
-        if (whole && headPhase == MemberPhase::Open) {
-            replica.m_phase = KeptPhase::Open;
-            replica.m_ready.insert(replica.m_members.begin(), replica.m_members.end());
-        } else if (whole && (headPhase == MemberPhase::Ready || headPhase == MemberPhase::Joining)) {
-            replica.m_phase = KeptPhase::Joining;
-        } else if (hasHead && entry.second.size() == 1 && (headPhase == MemberPhase::Ready || headPhase == MemberPhase::Joining)) {
-            replica.m_phase = KeptPhase::Joining;
-            replica.m_spare = true;
-        } else {
-            replica.m_phase = KeptPhase::Closing;
-            replica.m_cause = ClosingCause::Incomplete;
-            replica.m_preempt = true;
+        const Engine &engine = entry.second;
+        const UpstreamEntry &said = engine.m_entry;
+        if (said.m_replica.empty() || said.m_rank < 0 || replicaOf(entry.first) != nullptr) {
+            continue;
+        }
+        // An order that was carried out late may have opened a group again that was closed before.
+        const bool serves = said.m_phase == MemberPhase::Open || said.m_phase == MemberPhase::Closing;
+        const bool openedLate = serves && nowMs - engine.m_freeSinceMs > BeliefLagMs;
+        if (said.m_replica.m_epoch > engine.m_freeEpoch || openedLate) {
+            strays[said.m_replica][said.m_rank] = entry.first;
+        }
+    }
+    for (const std::pair<const ReplicaRef, std::map<int, std::string>> &entry : strays) {
+        const auto kept = m_replicas.find(entry.first);
+        if (kept == m_replicas.end()) {
+            adopt(entry.first, entry.second, nowMs, actions);
+        }
+    }
+}
+
+void ReplicaKeeper::adopt(const ReplicaRef &ref, const std::map<int, std::string> &ranks, std::int64_t nowMs, KeeperActions &actions)
+{
+    KeptReplica replica;
+    replica.m_ref = ref;
+    replica.m_model = replicaModel(ref.m_name);
+    replica.m_progressMs = nowMs;
+    const ServedModel *model = findModel(m_service, replica.m_model);
+    const bool hasHead = ranks.begin()->first == 0;
+    const MemberPhase headPhase = hasHead ? m_engines[ranks.begin()->second].m_entry.m_phase : MemberPhase::None;
+    if (!hasHead) {
+        // The head is not known: an empty id stands for it and counts as dead.
+        replica.m_members.emplace_back();
+    }
+    for (const std::pair<const int, std::string> &member : ranks) {
+        replica.m_members.push_back(member.second);
+    }
+    const bool whole = model != nullptr && hasHead && static_cast<int>(ranks.size()) == model->m_size && ranks.rbegin()->first == model->m_size - 1;
+    const bool neverOpened = headPhase == MemberPhase::Ready || headPhase == MemberPhase::Joining;
+    if (neverOpened && !whole) {
+        // A spare, or what is left of a group that was closed: its list of members is not known, so it is not joined again, and it is free.
+        release(replica, nowMs);
+        return;
+    }
+    KeptPhase phase = KeptPhase::Closing;
+    if (whole && headPhase == MemberPhase::Open) {
+        phase = KeptPhase::Open;
+        replica.m_ready.insert(replica.m_members.begin(), replica.m_members.end());
+    } else if (neverOpened) {
+        phase = KeptPhase::Joining;
+    } else {
+        replica.m_cause = ClosingCause::Incomplete;
+        replica.m_preempt = true;
+    }
+    setPhase(m_replicas.emplace(ref, std::move(replica)).first->second, phase, nowMs, actions);
+}
+
+void ReplicaKeeper::release(const KeptReplica &replica, std::int64_t nowMs)
+{
+    for (const std::string &member : replica.m_members) {
+        if (Engine *engine = find(member)) {
+            engine->m_freeEpoch = std::max(engine->m_freeEpoch, replica.m_ref.m_epoch);
+            engine->m_freeSinceMs = nowMs;
         }
-        m_replicas.emplace(replica.m_ref, std::move(replica));
+    }
+}
+
+void ReplicaKeeper::sweep()
+{
+    for (auto it = m_engines.begin(); it != m_engines.end();) {
+        const bool unneeded = !it->second.m_listed && replicaOf(it->first) == nullptr;
+        it = unneeded ? m_engines.erase(it) : std::next(it);
     }
 }
 
@@ -306,6 +346,10 @@
     if (replica.m_phase == KeptPhase::Closing) {
         return;
     }
+    if (replica.m_refused) {
+        startClosing(replica, ClosingCause::Refused, true, nowMs, actions);
+        return;
+    }
     const bool works = nowMs - replica.m_progressMs < m_settings.m_progressProofMs && replica.m_phase == KeptPhase::Open;
     for (const std::string &member : replica.m_members) {
         const Engine *engine = find(member);
@@ -315,7 +359,9 @@
             startClosing(replica, ClosingCause::MemberLost, true, nowMs, actions);
             return;
         }
-        if (engine->m_entry.m_leaving) {
+        // A head that is not listed may get no new work; another member that still answers only cannot reach the list.
+        const bool headUnlisted = !engine->m_listed && member == replica.m_members.front();
+        if (engine->m_entry.m_leaving || headUnlisted) {
             startClosing(replica, ClosingCause::MemberLeaving, false, nowMs, actions);
             return;
         }
@@ -532,6 +578,9 @@
         // A spare's own group was never opened, so nothing has to be closed.
         for (auto it = m_replicas.begin(); it != m_replicas.end();) {
             const bool old = it->second.m_spare && contains(it->second.m_members, member);
+            if (old) {
+                release(it->second, nowMs);
+            }
             it = old ? m_replicas.erase(it) : std::next(it);
         }
         m_engines[member].m_nextOrderMs = 0;
@@ -578,6 +627,9 @@
             const bool works = nowMs - replica->m_progressMs < m_settings.m_progressProofMs;
             const bool suspected = replica->m_suspectedMs > replica->m_progressMs;
             interval = suspected ? SuspectProbeMs : m_settings.m_idleProbeMs;
+            if (!engine.m_listed) {
+                interval = SuspectProbeMs;
+            }
             if (works && !suspected && engine.m_misses == 0) {
                 continue;
             }
@@ -606,7 +658,7 @@
 
 bool ReplicaKeeper::usable(const Engine &engine) const
 {
-    return !engine.m_dead && !engine.m_entry.m_leaving && engine.m_entry.m_service == m_service.m_name;
+    return !engine.m_dead && engine.m_listed && !engine.m_entry.m_leaving && engine.m_entry.m_service == m_service.m_name;
 }
 
 bool ReplicaKeeper::needsLoad(const Engine &engine, const std::string &model) const
--- a/kernel/replicakeeper.h
+++ b/kernel/replicakeeper.h
@@ -85,9 +85,11 @@
     MemberElsewhere,
     Stalled,
     Incomplete,
+    /** An engine refused its place in it. */
+    Refused,
 };
 
-inline constexpr EnumNames<6> ClosingCauseNames{"none", "member-lost", "member-leaving", "member-elsewhere", "stalled", "incomplete"};
+inline constexpr EnumNames<7> ClosingCauseNames{"none", "member-lost", "member-leaving", "member-elsewhere", "stalled", "incomplete", "refused"};
 
 struct KeptReplica
 {
@@ -104,6 +106,7 @@
     /** One member that only keeps its weights warm; never opened. */
     bool m_spare = false;
     bool m_preempt = false;
+    bool m_refused = false;
     ClosingCause m_cause = ClosingCause::None;
     /** The last time that a gateway said it was silent, and the last time that one saw it work. */
     std::int64_t m_suspectedMs = -1;
@@ -177,7 +180,7 @@
 
     /** Takes what an engine or the list says about it. */
     void observe(const UpstreamEntry &entry, std::int64_t nowMs);
-    /** It is no longer in the list. */
+    /** It is no longer in the list: it may have gone, or only be cut off from the list while it goes on serving. */
     void forget(const std::string &engine);
     void probeAnswered(const std::string &engine, std::int64_t nowMs);
     /** @p refused: nothing listens there, which counts at once. */
@@ -210,11 +213,21 @@
         std::int64_t m_nextOrderMs = 0;
         /** A load of weights was begun here. */
         bool m_loading = false;
+        bool m_listed = true;
+        /** It is known to serve in no group up to this epoch, and since when. */
+        std::uint64_t m_freeEpoch = 0;
+        std::int64_t m_freeSinceMs = 0;
     };
 
     using EngineMap = std::map<std::string, Engine>;
 
-    void adopt(std::int64_t nowMs);
+    /** Takes over the groups that engines say they are in, and that are not kept yet. */
+    void adoptStrays(std::int64_t nowMs, KeeperActions &actions);
+    void adopt(const ReplicaRef &ref, const std::map<int, std::string> &ranks, std::int64_t nowMs, KeeperActions &actions);
+    /** The members of @p replica serve in no group up to its epoch. */
+    void release(const KeptReplica &replica, std::int64_t nowMs);
+    /** Forgets engines that are neither listed nor needed. */
+    void sweep();
     void judgeReplica(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions);
     void drive(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions);
     void driveJoin(KeptReplica &replica, std::int64_t nowMs, KeeperActions &actions);
@@ -238,7 +251,6 @@
     CallService m_service;
     std::uint64_t m_fence = 0;
     std::uint64_t m_nextEpoch = 0;
-    bool m_adopted = false;
     bool m_serving = false;
     std::int64_t m_termSinceMs = 0;
     EngineMap m_engines;
--- a/kernel/windowbudget.cpp
+++ b/kernel/windowbudget.cpp
@@ -47,7 +47,7 @@
         requests += entry.m_requests;
         resends += entry.m_resends;
     }
-    return m_limits.m_ratio * requests + m_limits.m_extra / m_daemons - resends;
+    return m_limits.m_usedPart * (m_limits.m_ratio * requests + m_limits.m_extra / m_daemons) - resends;
 }
 
 bool WindowBudget::trySpend(std::int64_t nowMs)
--- a/kernel/windowbudget.h
+++ b/kernel/windowbudget.h
@@ -13,6 +13,8 @@
     /** Resends that are allowed besides, in a window, for all daemons. */
     double m_extra = 0.0;
     std::int64_t m_windowMs = 10'000;
+    /** Part that is used: a daemon that started anew has forgotten what it spent, and windows do not begin at the same moment. */
+    double m_usedPart = 0.7;
 };
 
 /**
