Refuse at once what would be late: first event expected after 1.2 of its time

Change: a new request whose first event is expected later than 1.2 times its objective is refused with a time to come back.

--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t NoGroupRetryMs = 700;
 /** A group that cannot be reached, or says that it is not open, is avoided this long, in ms: the list is behind by about as much. */
 constexpr std::int64_t UnreachableMs = 500;
+/** A request is refused when its first event is expected later than this many times the time in which it is on time. */
+constexpr double LateFactor = 1.2;
 constexpr unsigned Ok = 200;
 
 enum class TryEnd {
@@ -255,6 +257,11 @@
                 call.m_caller.m_model, call.m_caller.m_promptTokens, call.m_context.m_settings.m_availabilityZone, excluded, nowMs);
             if (chosen == nullptr || passColdGate(call.m_context, chosen->m_head, chosen->m_coldUntilMs, call.m_service->m_coldPerSecond, nowMs)) {
                 if (chosen != nullptr) {
+                    const double target = static_cast<double>(call.m_verdict.m_route->m_latencyTargetMs);
+                    const double expected = call.m_context.m_book.expectedMs(*chosen, call.m_caller.m_promptTokens);
+                    if (call.m_sends == 0 && expected > LateFactor * target) {
+                        co_return nullptr;
+                    }
                     co_return chosen;
                 }
                 break;
