Late factor 0.8

Cause: the expectation is a median: at 1.2 half of those admitted at the limit were late. Ruled out: 1.0 and 1.6. Conclusion: 0.8.

--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -20,8 +20,8 @@
 constexpr std::int64_t NoGroupRetryMs = 700;
 /** A group that cannot be reached, or says that it is not open, is avoided this long, in ms: the list is behind by about as much. */
 constexpr std::int64_t UnreachableMs = 500;
-/** A request is refused when its first event is expected later than this many times the time in which it is on time. */
-constexpr double LateFactor = 1.2;
+/** A request is refused when its first event is expected later than this part of the time in which it is on time: half come later than expected. */
+constexpr double LateFactor = 0.8;
 constexpr unsigned Ok = 200;
 
 enum class TryEnd {
