--- a/autotests/admitcalltest.cpp
+++ b/autotests/admitcalltest.cpp
@@ -1,7 +1,7 @@
 // Pattern: configurations change, keys are taken away and the store is out of reach while clients go on sending.
 
-#include "autotests/entryfixtures.h"
 #include "kernel/admitcall.h"
+#include "autotests/entryfixtures.h"
 
 #include <catch2/catch.hpp>
 #include <random>
--- a/autotests/replicabooktest.cpp
+++ b/autotests/replicabooktest.cpp
@@ -1,8 +1,8 @@
 // Pattern: streams with prompts of very different length share groups with other gateways; a group dies under them, or only reads.
 
+#include "kernel/replicabook.h"
 #include "autotests/entryfixtures.h"
 #include "kernel/pulse.h"
-#include "kernel/replicabook.h"
 
 #include <catch2/catch.hpp>
 
--- a/autotests/replicakeepertest.cpp
+++ b/autotests/replicakeepertest.cpp
@@ -1,7 +1,7 @@
 // Pattern: serving groups under deaths, cuts, lost and late orders and changes of leader, in virtual time.
 
-#include "autotests/entryfixtures.h"
 #include "kernel/replicakeeper.h"
+#include "autotests/entryfixtures.h"
 #include "tools/virtualtime.h"
 
 #include <algorithm>
--- a/autotests/replicalayouttest.cpp
+++ b/autotests/replicalayouttest.cpp
@@ -1,7 +1,7 @@
 // Pattern: domains of several sizes, models of several sizes, and engines that come and go one by one.
 
-#include "autotests/entryfixtures.h"
 #include "kernel/replicalayout.h"
+#include "autotests/entryfixtures.h"
 
 #include <catch2/catch.hpp>
 #include <set>
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -284,7 +284,9 @@
     while (true) {
         const BookedReplica *chosen = co_await awaitGroup(call, state);
         if (chosen == nullptr) {
-            const RefusalReason reason = timeLeftMs(call) <= 0 ? RefusalReason::TimeOver : state.m_refusedFull ? RefusalReason::Overloaded : RefusalReason::NoUpstream;
+            const RefusalReason reason = timeLeftMs(call) <= 0 ? RefusalReason::TimeOver
+                                         : state.m_refusedFull ? RefusalReason::Overloaded
+                                                               : RefusalReason::NoUpstream;
             co_await giveUp(call, state, reason, NoGroupRetryMs);
             co_return;
         }
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -70,8 +70,7 @@
     const std::string address = chosen.m_address;
     logCallSent(call, upstream, {}, 0.0);
     if (repeatable) {
-        call.m_running->m_tryEndMs =
-            steadyMs() + static_cast<std::int64_t>(TryPart * static_cast<double>(call.m_verdict.m_route->m_latencyTargetMs));
+        call.m_running->m_tryEndMs = steadyMs() + static_cast<std::int64_t>(TryPart * static_cast<double>(call.m_verdict.m_route->m_latencyTargetMs));
     }
     call.m_context.m_services.begin(service, upstream);
     EntryAttempt attempt(call);
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -24,7 +24,6 @@
 using platform::StoreItem;
 using platform::StoreItems;
 
-constexpr std::string_view OwnPrefix = "knapweedslip/";
 constexpr std::string_view DaemonPrefix = "knapweedslip/vm/";
 constexpr const char *LeaderKey = "knapweedslip/leader";
 /** Everything in the store: the operators' part, the upstreams' and this system's. */
@@ -128,7 +127,7 @@
     UpstreamEntry &entry = valueOf(decoded);
     const auto known = context.m_upstreams.find(id);
     const bool changed = known == context.m_upstreams.end() || known->second.m_leaving != entry.m_leaving || known->second.m_bornMs != entry.m_bornMs
-        || known->second.m_phase != entry.m_phase || !(known->second.m_replica == entry.m_replica);
+                         || known->second.m_phase != entry.m_phase || !(known->second.m_replica == entry.m_replica);
     if (changed) {
         logEvent(LogEvent::UpstreamChanged,
                  {{"upstream", id},
@@ -252,8 +251,7 @@
 awaitable<Result<Done>> watchOnce(EntryContext &context, Mirror &mirror)
 {
     const std::int64_t askedMs = steadyMs();
-    Result<StoreItems> changes =
-        co_await platform::storeWatch(context.m_store, WatchedPrefix, mirror.m_at, WatchWaitMs, context.m_settings.m_storeTimeoutMs);
+    Result<StoreItems> changes = co_await platform::storeWatch(context.m_store, WatchedPrefix, mirror.m_at, WatchWaitMs, context.m_settings.m_storeTimeoutMs);
     if (failed(changes)) {
         if (errorOf(changes).m_code == ErrorCode::NotFound) {
             mirror.m_synced = false;
@@ -378,8 +376,7 @@
     context.m_leadership.m_lease = valueOf(lease).m_id;
     context.m_leadership.m_validUntilMs = askedMs + valueOf(lease).m_ttlMs - LeaseMarginMs;
     context.m_leader = context.m_settings.m_name;
-    logEvent(LogEvent::LeadershipTaken,
-             {{"fence", static_cast<std::int64_t>(context.m_leadership.m_fence)}, {"lease_ms", valueOf(lease).m_ttlMs}});
+    logEvent(LogEvent::LeadershipTaken, {{"fence", static_cast<std::int64_t>(context.m_leadership.m_fence)}, {"lease_ms", valueOf(lease).m_ttlMs}});
     if (context.m_config != nullptr) {
         if (const CallService *service = engineService(*context.m_config)) {
             context.m_keeper.beginTerm(context.m_leadership.m_fence, *service, steadyMs());
--- a/kernel/admitcall.h
+++ b/kernel/admitcall.h
@@ -35,17 +35,17 @@
 };
 
 inline constexpr EnumNames<12> RefusalReasonNames{"none",
-                                                 "no-configuration",
-                                                 "stale-keys",
-                                                 "unknown-route",
-                                                 "unknown-key",
-                                                 "no-time",
-                                                 "no-upstream",
-                                                 "overloaded",
-                                                 "attempts-spent",
-                                                 "outcome-unknown",
-                                                 "time-over",
-                                                 "draining"};
+                                                  "no-configuration",
+                                                  "stale-keys",
+                                                  "unknown-route",
+                                                  "unknown-key",
+                                                  "no-time",
+                                                  "no-upstream",
+                                                  "overloaded",
+                                                  "attempts-spent",
+                                                  "outcome-unknown",
+                                                  "time-over",
+                                                  "draining"};
 
 /** HTTP status of a refusal. 503 promises that the request has not run and will not; 502 and 504 promise nothing. */
 unsigned refusalStatus(RefusalReason reason);
--- a/kernel/pulse.cpp
+++ b/kernel/pulse.cpp
@@ -13,7 +13,7 @@
     Held &held = m_held[pulse.m_sender];
     // A daemon that started anew counts from the beginning again; its old pulses are long forgotten by then.
     const bool stale = held.m_receivedMs > 0 && nowMs - held.m_receivedMs < LifeMs && pulse.m_number <= held.m_pulse.m_number
-        && held.m_pulse.m_number - pulse.m_number < static_cast<std::uint64_t>(LifeMs);
+                       && held.m_pulse.m_number - pulse.m_number < static_cast<std::uint64_t>(LifeMs);
     if (!stale) {
         held.m_pulse = pulse;
         held.m_receivedMs = nowMs;
--- a/kernel/replicabook.cpp
+++ b/kernel/replicabook.cpp
@@ -78,11 +78,8 @@
     return m_service.m_engines ? firstEventMs(*m_service.m_engines, sum(replica.m_own, replica.m_peers), promptTokens, paceOf(replica)) : 0.0;
 }
 
-const BookedReplica *ReplicaBook::choose(const std::string &model,
-                                         std::int64_t promptTokens,
-                                         const std::string &ownZone,
-                                         const std::set<ReplicaRef> &excluded,
-                                         std::int64_t nowMs) const
+const BookedReplica *ReplicaBook::choose(
+    const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
 {
     const BookedReplica *best = nullptr;
     double bestMs = 0.0;
--- a/kernel/replicabook.h
+++ b/kernel/replicabook.h
@@ -92,11 +92,8 @@
      * The group on which @p promptTokens of @p model give their first event soonest, or nothing. Groups in @p excluded are left out.
      * @p mayStart decides about a cold group.
      */
-    const BookedReplica *choose(const std::string &model,
-                                std::int64_t promptTokens,
-                                const std::string &ownZone,
-                                const std::set<ReplicaRef> &excluded,
-                                std::int64_t nowMs) const;
+    const BookedReplica *
+    choose(const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
     /** Expected time to the first event on @p replica. */
     double expectedMs(const BookedReplica &replica, std::int64_t promptTokens) const;
 
--- a/kernel/replicakeeper.cpp
+++ b/kernel/replicakeeper.cpp
@@ -379,7 +379,7 @@
             return;
         }
         const bool elsewhere = !(engine->m_entry.m_replica == replica.m_ref) && replica.m_phase == KeptPhase::Open
-            && nowMs - replica.m_phaseSinceMs > BeliefLagMs && engine->m_entry.m_replica.m_epoch > 0;
+                               && nowMs - replica.m_phaseSinceMs > BeliefLagMs && engine->m_entry.m_replica.m_epoch > 0;
         if (elsewhere) {
             startClosing(replica, ClosingCause::MemberElsewhere, true, nowMs, actions);
             return;
@@ -517,6 +517,7 @@
         return;
     }
     std::vector<LayoutDomain> list;
+    list.reserve(domains.size());
     for (std::pair<const std::string, LayoutDomain> &entry : domains) {
         list.push_back(std::move(entry.second));
     }
@@ -573,8 +574,8 @@
         while (entry.second.size() >= size) {
             std::vector<std::string> members(entry.second.begin(), entry.second.begin() + static_cast<std::ptrdiff_t>(size));
             const bool load = m_serving && std::any_of(members.begin(), members.end(), [this, model](const std::string &member) {
-                return needsLoad(m_engines[member], model->m_name);
-            });
+                                  return needsLoad(m_engines[member], model->m_name);
+                              });
             if (load) {
                 // Engines without weights are staged first; the others stay spares meanwhile.
                 break;
--- a/kernel/servicebook.cpp
+++ b/kernel/servicebook.cpp
@@ -60,8 +60,8 @@
         }
         const int reported = nowMs - upstream.m_reportedMs < ReportLifeMs ? upstream.m_reported : 0;
         const double running = std::max(upstream.m_own, reported);
-        const double load = running / std::max(upstream.m_slots, 1) + FailureWeight * upstream.m_failing
-            + (upstream.m_availabilityZone == ownZone ? 0.0 : CrossZoneWeight);
+        const double load =
+            running / std::max(upstream.m_slots, 1) + FailureWeight * upstream.m_failing + (upstream.m_availabilityZone == ownZone ? 0.0 : CrossZoneWeight);
         if (best == nullptr || load < bestLoad) {
             best = &upstream;
             bestLoad = load;
--- a/kernel/upstreams.cpp
+++ b/kernel/upstreams.cpp
@@ -34,8 +34,8 @@
     for (const std::pair<const ReplicaRef, std::map<int, const UpstreamEntry *>> &entry : byRef) {
         const auto size = sizes.find(replicaModel(entry.first.m_name));
         const std::map<int, const UpstreamEntry *> &ranks = entry.second;
-        const bool whole = size != sizes.end() && static_cast<int>(ranks.size()) == size->second && ranks.begin()->first == 0
-            && ranks.rbegin()->first == size->second - 1;
+        const bool whole =
+            size != sizes.end() && static_cast<int>(ranks.size()) == size->second && ranks.begin()->first == 0 && ranks.rbegin()->first == size->second - 1;
         if (!whole) {
             continue;
         }
--- a/kernel/yamlreader.h
+++ b/kernel/yamlreader.h
@@ -43,7 +43,8 @@
                          std::optional<std::int64_t> fallback = std::nullopt);
 
 /** Reads a number in [@p minimum, @p maximum]. */
-double readReal(YamlReader &reader, const YAML::Node &node, const std::string &key, double minimum, double maximum, std::optional<double> fallback = std::nullopt);
+double
+readReal(YamlReader &reader, const YAML::Node &node, const std::string &key, double minimum, double maximum, std::optional<double> fallback = std::nullopt);
 
 bool readBool(YamlReader &reader, const YAML::Node &node, const std::string &key, bool fallback);
 
