Keeper: an engine given up for dead may still serve

Ruled out: a late order (none outstanding), a second leader. Change: only members that confirmed count as free; those given up for dead are asked, and closed, when they answer again.

--- a/autotests/replicakeepertest.cpp
+++ b/autotests/replicakeepertest.cpp
@@ -24,6 +24,8 @@
     bool m_dead = false;
     /** Cannot reach the list. */
     bool m_unlisted = false;
+    /** Serves, but the leader's packets do not reach it. */
+    bool m_unreachable = false;
     std::int64_t m_readyAtMs = 0;
     std::int64_t m_openAtMs = -1;
     /** It has been ready in the group it is in. */
@@ -156,6 +158,12 @@
     static constexpr std::int64_t ProbeTimeoutMs = 110;
     static constexpr std::int64_t OrderTimeoutMs = 250;
 
+    bool silent(const std::string &id) const
+    {
+        const FakeEngine &engine = m_engines.at(id);
+        return engine.m_dead || engine.m_unreachable;
+    }
+
     bool chance(double part)
     {
         return std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < part;
@@ -293,13 +301,13 @@
         const std::uint64_t term = m_fence;
         const std::int64_t delayMs = late ? 2'000 + static_cast<std::int64_t>(m_random() % 10'000) : WireMs;
         m_time.after(delayMs, [this, order, lost, late, term]() {
-            const bool dead = m_engines.at(order.m_engine).m_dead;
+            const bool dead = silent(order.m_engine);
             const OrderReply reply = dead ? OrderReply::Unanswered : carryOut(order);
             if (!lost && !late && !dead) {
                 answer(order, reply, WireMs, term);
             }
         });
-        if (lost || late || m_engines.at(order.m_engine).m_dead) {
+        if (lost || late || silent(order.m_engine)) {
             answer(order, OrderReply::Unanswered, OrderTimeoutMs, term);
         }
     }
@@ -315,10 +323,10 @@
 
     void probe(const std::string &id)
     {
-        const bool dead = m_engines.at(id).m_dead;
+        const bool dead = silent(id);
         m_time.after(dead ? ProbeTimeoutMs : 2 * WireMs, [this, id, dead]() {
             const FakeEngine &engine = m_engines.at(id);
-            if (dead || engine.m_dead) {
+            if (dead || silent(id)) {
                 m_keeper->probeMissed(id, false, m_time.nowMs());
                 return;
             }
@@ -390,6 +398,27 @@
     CHECK(fabric.serving("big") == before);
 }
 
+TEST_CASE("engines that the leader could not reach for a while are not taken from their open group", "[entry][keeper]")
+{
+    // Seen on the users' bench: packets passed one way only; the leader gave all members up for dead, and joined them anew when they answered again.
+    const bool headOnly = GENERATE(false, true);
+    Fabric fabric(7, 2, 9);
+    fabric.run(5'000);
+    fabric.setServing();
+    const std::string head = fabric.headOf("big");
+    const std::vector<std::string> members = fabric.m_engines.at(head).m_members;
+    for (const std::string &member : members) {
+        fabric.m_engines.at(member).m_unreachable = !headOnly || member == head;
+    }
+    fabric.run(8'000);
+    for (const std::string &member : members) {
+        fabric.m_engines.at(member).m_unreachable = false;
+    }
+    fabric.run(14'000);
+    CHECK(firstOf(fabric.m_violations) == "");
+    CHECK(fabric.serving("big") >= 1);
+}
+
 TEST_CASE("a new leader takes over what stands and mends what does not", "[entry][keeper]")
 {
     // Seen on the users' bench: a lone former member was joined again under its old epoch, and every term ended with that refusal.
@@ -440,11 +469,12 @@
             ids.push_back(entry.first);
         }
         std::vector<std::string> cut;
+        std::vector<std::string> unreachable;
         fabric.m_faults.m_lost = seed % 3 == 0 ? 0.2 : 0.0;
         fabric.m_faults.m_late = seed % 4 == 0 ? 0.35 : 0.0;
         for (int step = 0; step < 12; ++step) {
             const std::string &victim = ids[fabric.m_random() % ids.size()];
-            switch (fabric.m_random() % 5) {
+            switch (fabric.m_random() % 6) {
             case 0:
             case 1:
                 fabric.kill(victim);
@@ -456,6 +486,16 @@
             case 3:
                 fabric.newLeader();
                 break;
+            case 4:
+                // A whole group cannot be reached, until the next such step.
+                for (const std::string &id : unreachable) {
+                    fabric.m_engines.at(id).m_unreachable = false;
+                }
+                unreachable = fabric.m_engines.at(victim).m_members;
+                for (const std::string &id : unreachable) {
+                    fabric.m_engines.at(id).m_unreachable = true;
+                }
+                break;
             default:
                 fabric.leave(victim);
                 break;
@@ -466,6 +506,9 @@
         for (const std::string &id : cut) {
             fabric.cutFromList(id, false);
         }
+        for (const std::string &id : unreachable) {
+            fabric.m_engines.at(id).m_unreachable = false;
+        }
         fabric.run(fabric.m_time.nowMs() + 16'000);
         INFO("seed " << seed);
         CHECK(firstOf(fabric.m_violations) == "");
--- a/kernel/replicakeeper.cpp
+++ b/kernel/replicakeeper.cpp
@@ -279,7 +279,7 @@
     for (const std::pair<const std::string, Engine> &entry : m_engines) {
         const Engine &engine = entry.second;
         const UpstreamEntry &said = engine.m_entry;
-        if (said.m_replica.empty() || said.m_rank < 0 || replicaOf(entry.first) != nullptr) {
+        if (engine.m_dead || said.m_replica.empty() || said.m_rank < 0 || replicaOf(entry.first) != nullptr) {
             continue;
         }
         // An order that was carried out late may have opened a group again that was closed before.
@@ -339,7 +339,10 @@
 void ReplicaKeeper::release(const KeptReplica &replica, std::int64_t nowMs)
 {
     for (const std::string &member : replica.m_members) {
-        if (Engine *engine = find(member)) {
+        // One that was given up for dead may still serve: it is asked when it answers again.
+        Engine *engine = find(member);
+        const bool unheard = replica.m_phase == KeptPhase::Closing && replica.m_left.count(member) == 0;
+        if (engine != nullptr && !unheard) {
             engine->m_freeEpoch = std::max(engine->m_freeEpoch, replica.m_ref.m_epoch);
             engine->m_freeSinceMs = nowMs;
         }
--- a/kernel/replicakeeper.h
+++ b/kernel/replicakeeper.h
@@ -228,7 +228,7 @@
     /** Takes over the groups that engines say they are in, and that are not kept yet. */
     void adoptStrays(std::int64_t nowMs, KeeperActions &actions);
     void adopt(const ReplicaRef &ref, const std::map<int, std::string> &ranks, std::int64_t nowMs, KeeperActions &actions);
-    /** The members of @p replica serve in no group up to its epoch. */
+    /** The members of @p replica that are known to have given it up serve in no group up to its epoch. */
     void release(const KeptReplica &replica, std::int64_t nowMs);
     /** Forgets engines that are neither listed nor needed. */
     void sweep();
