A request that was sent is never said not to have run

Change: whatever was sent and not refused may have run: only resumable routes go on elsewhere, and the final answer is 502, never 503.

--- a/autotests/admitcalltest.cpp
+++ b/autotests/admitcalltest.cpp
@@ -160,3 +160,13 @@
     INFO(row.m_what);
     CHECK(takenWhileStopping(StopTimes{3'600, 8'200}, row.m_kind, row.m_nowMs, row.m_callEndMs) == row.m_taken);
 }
+
+TEST_CASE("a request that was sent is never said not to have run", "[entry][admit]")
+{
+    for (std::size_t i = 1; i < RefusalReasonNames.size(); ++i) {
+        const RefusalReason reason = static_cast<RefusalReason>(i);
+        INFO(enumName(RefusalReasonNames, reason));
+        CHECK(truthfulReason(reason, false) == reason);
+        CHECK(refusalStatus(truthfulReason(reason, true)) != 503);
+    }
+}
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -28,7 +28,7 @@
     Final,
     /** Nothing ran; another group may be tried freely. */
     NotRun,
-    /** It ran, or may have; it may go on elsewhere within its attempts. */
+    /** It was sent, and may have run: it may go on elsewhere within its attempts, where its route allows that. */
     Broken,
 };
 
@@ -40,9 +40,10 @@
     }
 
     EventJoin m_join;
-    std::set<ReplicaRef> m_tried;
-    /** Attempts that gave at least one event, or may have run otherwise. */
+    /** Attempts that gave at least one event or a failure. */
     int m_runs = 0;
+    /** An attempt was sent and not refused: "not run" can no longer be said. */
+    bool m_mayHaveRun = false;
     bool m_headerSent = false;
     bool m_refusedFull = false;
     /** A failure that an engine gave, in case there is nothing better. */
@@ -90,11 +91,11 @@
     co_return co_await call.m_exchange.beginStream(attempt.status(), headers);
 }
 
-bool mayMove(const EntryCall &call, const GenerationState &state, int runs)
+bool mayMove(const EntryCall &call, int runs)
 {
     const CallRoute &route = *call.m_verdict.m_route;
-    // Without any event so far nothing has run: a request begins to run with its first token.
-    return runs < route.m_maxAttempts && (route.m_resumable || !state.m_headerSent);
+    // Also without any event it may have run: the answer may have been lost on its way.
+    return route.m_resumable && runs < route.m_maxAttempts;
 }
 
 awaitable<TryEnd> passFailure(EntryAttempt &attempt, GenerationState &state)
@@ -146,7 +147,7 @@
         if (!counted) {
             counted = true;
             ++state.m_runs;
-            call.m_running->m_movable = mayMove(call, state, state.m_runs);
+            call.m_running->m_movable = mayMove(call, state.m_runs);
             if (state.m_runs == 1) {
                 call.m_firstEventMs = steadyMs() - call.m_arrivedMs;
                 call.m_context.m_metrics.m_firstEvent.add(static_cast<double>(steadyMs() - call.m_arrivedMs));
@@ -193,7 +194,7 @@
     }
     logCallSent(call, head, replica.m_name, expectedMs);
     Booking booking(call, chosen);
-    call.m_running->m_movable = mayMove(call, state, state.m_runs);
+    call.m_running->m_movable = mayMove(call, state.m_runs);
     EntryAttempt attempt(call);
     state.m_join.restart();
     const AttemptOpen opened = co_await attempt.open(std::move(target), state.m_join.lastId(), 0);
@@ -202,8 +203,11 @@
         if (call.m_running->m_cause == AbortCause::None) {
             context.m_book.avoid(replica, steadyMs(), UnreachableMs);
         }
-        // A request begins to run with its first token, and none came.
-        co_return TryEnd::NotRun;
+        if (opened == AttemptOpen::NotSent) {
+            co_return TryEnd::NotRun;
+        }
+        state.m_mayHaveRun = true;
+        co_return TryEnd::Broken;
     }
     if (attempt.answer().m_notRun) {
         constexpr unsigned Misdirected = 421;
@@ -216,6 +220,7 @@
         logAttemptFailed(call, head, "refused with status " + std::to_string(attempt.status()));
         co_return TryEnd::NotRun;
     }
+    state.m_mayHaveRun = true;
     if (attempt.status() != Ok || !attempt.genuine()) {
         logAttemptFailed(call, head, "answered with status " + std::to_string(attempt.status()));
         ++state.m_runs;
@@ -243,7 +248,7 @@
         co_await call.m_exchange.respond(std::move(state.m_failure));
         logCallEnd(call, "failed", status, {});
     } else {
-        co_await refuseCall(call, reason, retryAfterMs);
+        co_await refuseCall(call, truthfulReason(reason, state.m_mayHaveRun), retryAfterMs);
     }
 }
 
@@ -310,8 +315,7 @@
             co_await giveUp(call, state, RefusalReason::TimeOver, 0);
             co_return;
         }
-        const bool resumable = route.m_resumable || !state.m_headerSent;
-        if (end == TryEnd::Broken && (!resumable || state.m_runs >= route.m_maxAttempts)) {
+        if (end == TryEnd::Broken && (!route.m_resumable || state.m_runs >= route.m_maxAttempts)) {
             co_await giveUp(call, state, RefusalReason::OutcomeUnknown, 0);
             co_return;
         }
--- a/kernel/admitcall.cpp
+++ b/kernel/admitcall.cpp
@@ -34,6 +34,12 @@
     return 503;
 }
 
+RefusalReason truthfulReason(RefusalReason reason, bool mayHaveRun)
+{
+    constexpr unsigned NotRunStatus = 503;
+    return mayHaveRun && refusalStatus(reason) == NotRunStatus ? RefusalReason::OutcomeUnknown : reason;
+}
+
 bool takenWhileStopping(const StopTimes &stop, CallKind kind, std::int64_t nowMs, std::int64_t callEndMs)
 {
     return nowMs < stop.m_takeUntilMs || (kind != CallKind::Streaming && callEndMs < stop.m_endMs);
--- a/kernel/admitcall.h
+++ b/kernel/admitcall.h
@@ -50,6 +50,9 @@
 /** HTTP status of a refusal. 503 promises that the request has not run and will not; 502 and 504 promise nothing. */
 unsigned refusalStatus(RefusalReason reason);
 
+/** @p reason, or OutcomeUnknown where @p reason would promise that nothing was run though @p mayHaveRun. */
+RefusalReason truthfulReason(RefusalReason reason, bool mayHaveRun);
+
 /** How old this daemon's knowledge of the configuration is: it has seen everything that was accepted before that. */
 struct ConfigAge
 {
