--- a/autotests/replicabooktest.cpp
+++ b/autotests/replicabooktest.cpp
@@ -82,7 +82,7 @@
 
 TEST_CASE("a stream whose answer was lost goes on elsewhere though its group works", "[entry][book]")
 {
-    // Seen on the users' bench: an engine ran a request and its answer was lost; the client gave up after 2 s without an event.
+    // An engine may run a request whose answer is lost on its way; its client gives up after 2 s without an event.
     const bool writing = GENERATE(false, true);
     ReplicaBook book = bookOf({group("small", 1)});
     const std::uint64_t lost = book.begin(*book.find({"small.1", 1}), 500, 0);
