HTTP client: time limits of reused connections, and the end of an answer told apart from reuse

Reading the change for it: a reused connection kept the record of a limit that had been lifted, so its next exchange could wait without one; and 'finished' was false for ever on an answer after which its connection closes. Ruled out: paid calls (none ran twice), a wrong text (none). Change: the record is cleared when a connection is kept; finished() and reusable() are two questions.

--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -122,7 +122,7 @@
 void EntryAttempt::finish()
 {
     m_call.m_running->m_connection = nullptr;
-    if (m_stream != nullptr && m_stream->finished()) {
+    if (m_stream != nullptr && m_stream->reusable()) {
         m_stream.reset();
         m_call.m_context.m_connections.give(std::move(m_connection));
     }
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -104,6 +104,8 @@
 {
     connection->m_reused = true;
     connection->m_idleSinceMs = steadyMs();
+    // The limit below is lifted, so the next exchange has to set its own.
+    connection->m_limitMs = 0;
     connection->m_stream.expires_never();
     const Place place(&connection->m_stream.get_executor().context(), connection->m_address);
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -261,6 +263,11 @@
 }
 
 bool HttpStream::finished() const
+{
+    return m_parser.is_done();
+}
+
+bool HttpStream::reusable() const
 {
     return m_parser.is_done() && *m_sent && m_parser.get().keep_alive() && m_connection.m_buffer.size() == 0;
 }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -90,8 +90,10 @@
      * @p timeoutMs to 1.25 times that, or with ConnectionLost.
      */
     awaitable<Result<std::string_view>> read(std::int64_t timeoutMs);
-    /** Request and answer went through to their ends and nothing else came, so the connection may be used again. */
+    /** The body was read to its end. */
     bool finished() const;
+    /** Request and answer went through to their ends, nothing else came and neither side closes, so the connection may be used again. */
+    bool reusable() const;
 
 private:
     static constexpr std::size_t PieceBytes = 8 * 1024;
