Layout bears losses: large replicas get spares; an attempt that hung counts as a run

Ruled out: too little capacity of the small model (first event p50 77 ms before and after); late detection (a death is seen in 0.6 s). Change: the layout counts the replicas expected to stand after losses (Poisson, 2 of 37 engines); kernel/attempttally counts every attempt that was sent unless its upstream said that it did not run it.

--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -5,6 +5,7 @@
 
 #include "daemons/entrycall.h"
 
+#include "kernel/attempttally.h"
 #include "kernel/eventjoin.h"
 #include "net/logging.h"
 
@@ -40,8 +41,7 @@
     }
 
     EventJoin m_join;
-    /** Attempts that gave at least one event or a failure. */
-    int m_runs = 0;
+    AttemptTally m_tally;
     /** An attempt was sent and not refused: "not run" can no longer be said. */
     bool m_mayHaveRun = false;
     bool m_headerSent = false;
@@ -91,13 +91,6 @@
     co_return co_await call.m_exchange.beginStream(attempt.status(), headers);
 }
 
-bool mayMove(const EntryCall &call, int runs)
-{
-    const CallRoute &route = *call.m_verdict.m_route;
-    // Also without any event it may have run: the answer may have been lost on its way.
-    return route.m_resumable && runs < route.m_maxAttempts;
-}
-
 awaitable<TryEnd> passFailure(EntryAttempt &attempt, GenerationState &state)
 {
     HttpReply reply;
@@ -146,9 +139,7 @@
         call.m_context.m_metrics.m_events += static_cast<std::uint64_t>(events.m_events);
         if (!counted) {
             counted = true;
-            ++state.m_runs;
-            call.m_running->m_movable = mayMove(call, state.m_runs);
-            if (state.m_runs == 1) {
+            if (call.m_firstEventMs < 0) {
                 call.m_firstEventMs = steadyMs() - call.m_arrivedMs;
                 call.m_context.m_metrics.m_firstEvent.add(static_cast<double>(steadyMs() - call.m_arrivedMs));
             }
@@ -194,7 +185,9 @@
     }
     logCallSent(call, head, replica.m_name, expectedMs);
     Booking booking(call, chosen);
-    call.m_running->m_movable = mayMove(call, state.m_runs);
+    AttemptTally withThis = state.m_tally;
+    countAttempt(withThis, AttemptFate::MayHaveRun);
+    call.m_running->m_movable = mayMove(withThis, *call.m_verdict.m_route);
     EntryAttempt attempt(call);
     state.m_join.restart();
     const AttemptOpen opened = co_await attempt.open(std::move(target), state.m_join.lastId(), 0);
@@ -223,7 +216,6 @@
     state.m_mayHaveRun = true;
     if (attempt.status() != Ok || !attempt.genuine()) {
         logAttemptFailed(call, head, "answered with status " + std::to_string(attempt.status()));
-        ++state.m_runs;
         co_return co_await passFailure(attempt, state);
     }
     co_return co_await relayEvents(call, attempt, state, booking);
@@ -310,12 +302,13 @@
         if (end == TryEnd::Final) {
             co_return;
         }
+        countAttempt(state.m_tally, end == TryEnd::NotRun ? AttemptFate::NotRun : AttemptFate::MayHaveRun);
         const AbortCause cause = call.m_running->m_cause;
         if (cause == AbortCause::CallerLeft || cause == AbortCause::TimeOver || call.m_exchange.callerLeft()) {
             co_await giveUp(call, state, RefusalReason::TimeOver, 0);
             co_return;
         }
-        if (end == TryEnd::Broken && (!route.m_resumable || state.m_runs >= route.m_maxAttempts)) {
+        if (end == TryEnd::Broken && !mayMove(state.m_tally, route)) {
             co_await giveUp(call, state, RefusalReason::OutcomeUnknown, 0);
             co_return;
         }
--- a/kernel/replicalayout.cpp
+++ b/kernel/replicalayout.cpp
@@ -1,8 +1,10 @@
 // Problem: replicas of several sizes must be packed into fabric domains, and a VM can quickly join only a replica of the model whose weights
 // it has; what is left over in a domain serves nobody.
 // Approach: list the ways to fill each domain, take for each domain in turn the way that raises the total utility most, and go round again
-// until nothing changes. Utility is the demand-weighted logarithm of replicas, less a little for replicas of one model in one zone.
-// Giving every domain the same mix leaves engines over in each of them, and spares of one model cannot help the other.
+// until nothing changes. Utility is the demand-weighted logarithm of the replicas that are expected to stand after some engines were lost, less
+// a little for replicas of one model in one zone.
+// Counting the replicas that can be formed leaves a large one without spares: the loss of one engine takes it out until a new VM has loaded,
+// and spares of one model cannot help the other.
 
 #include "kernel/replicalayout.h"
 
@@ -19,8 +21,11 @@
 constexpr int MaxRounds = 4;
 /** Cost of an uneven spread over zones, against the logarithm of replicas; only breaks ties. */
 constexpr double ZoneWeight = 0.02;
-/** Worth of a spare engine, against the logarithm of replicas; only breaks ties. */
-constexpr double SpareWeight = 0.0005;
+/**
+ * Part of the engines that a layout is to bear the loss of before new ones have loaded their weights (16 s, operators' configuration): two
+ * engines of a domain of 37, which is what an ordinary day of the largest deployments takes.
+ */
+constexpr double LossPart = 2.0 / 37.0;
 /** Stands for "a part of a replica" in the logarithm, so that a model without any replica weighs most. */
 constexpr double NoReplica = 0.05;
 
@@ -51,47 +56,72 @@
     Way m_chosen;
 };
 
-/** Replicas by model, and by model and zone. */
+/** Expected replicas by number of engines, for each model. */
+class Expectation
+{
+public:
+    Expectation(const std::vector<ServedModel> &models, int mostEngines)
+    {
+        for (const ServedModel &model : models) {
+            std::vector<double> &row = m_rows.emplace_back();
+            for (int engines = 0; engines <= mostEngines; ++engines) {
+                row.push_back(expectedReplicas(engines, std::max(model.m_size, 1)));
+            }
+        }
+    }
+
+    double of(std::size_t model, int engines) const
+    {
+        return m_rows[model][static_cast<std::size_t>(engines)];
+    }
+
+private:
+    std::vector<std::vector<double>> m_rows;
+};
+
+/** Expected replicas by model, and by model and zone. */
 struct Totals
 {
-    std::vector<int> m_replicas;
-    std::vector<std::map<std::string, int>> m_byZone;
-    int m_spares = 0;
+    std::vector<double> m_replicas;
+    std::vector<std::map<std::string, double>> m_byZone;
 };
 
-Totals count(const std::vector<ServedModel> &models, const std::vector<LayoutDomain> &domains, const std::vector<Filling> &fillings)
+int keptFor(const ServedModel &model, const LayoutDomain &domain)
+{
+    const auto kept = domain.m_kept.find(model.m_name);
+    return kept == domain.m_kept.end() ? 0 : kept->second;
+}
+
+Totals count(const std::vector<ServedModel> &models,
+             const std::vector<LayoutDomain> &domains,
+             const Expectation &expectation,
+             const std::vector<Filling> &fillings)
 {
     Totals totals;
     totals.m_replicas.resize(models.size());
     totals.m_byZone.resize(models.size());
     for (std::size_t d = 0; d < domains.size(); ++d) {
-        int used = 0;
         for (std::size_t m = 0; m < models.size(); ++m) {
-            const auto kept = domains[d].m_kept.find(models[m].m_name);
-            const int have = (kept == domains[d].m_kept.end() ? 0 : kept->second) + fillings[d].m_chosen[m];
-            const int replicas = have / std::max(models[m].m_size, 1);
+            const double replicas = expectation.of(m, keptFor(models[m], domains[d]) + fillings[d].m_chosen[m]);
             totals.m_replicas[m] += replicas;
             totals.m_byZone[m][domains[d].m_availabilityZone] += replicas;
-            totals.m_spares += have % std::max(models[m].m_size, 1);
-            used += fillings[d].m_chosen[m];
         }
-        totals.m_spares += domains[d].m_empty - used;
     }
     return totals;
 }
 
 double utility(const std::vector<ServedModel> &models, const Totals &totals, const std::map<std::string, double> &demand)
 {
-    double sum = SpareWeight * totals.m_spares;
+    double sum = 0.0;
     for (std::size_t m = 0; m < models.size(); ++m) {
         const auto wanted = demand.find(models[m].m_name);
         const double weight = wanted == demand.end() ? models[m].m_share : wanted->second;
         sum += weight * std::log(totals.m_replicas[m] + NoReplica);
-        int most = 0;
-        for (const std::pair<const std::string, int> &zone : totals.m_byZone[m]) {
+        double most = 0.0;
+        for (const std::pair<const std::string, double> &zone : totals.m_byZone[m]) {
             most = std::max(most, zone.second);
         }
-        if (totals.m_replicas[m] > 0) {
+        if (totals.m_replicas[m] > 0.0) {
             sum -= ZoneWeight * most / totals.m_replicas[m];
         }
     }
@@ -101,11 +131,12 @@
 /** Two domains that could each be filled as the other change places when that is better: no change of one alone may be. */
 bool swapChoices(const std::vector<ServedModel> &models,
                  const std::vector<LayoutDomain> &domains,
+                 const Expectation &expectation,
                  const std::map<std::string, double> &demand,
                  std::vector<Filling> &fillings)
 {
     bool changed = false;
-    double best = utility(models, count(models, domains, fillings), demand);
+    double best = utility(models, count(models, domains, expectation, fillings), demand);
     for (std::size_t a = 0; a < domains.size(); ++a) {
         for (std::size_t b = a + 1; b < domains.size(); ++b) {
             const bool alike = domains[a].m_empty == domains[b].m_empty && domains[a].m_kept == domains[b].m_kept;
@@ -113,7 +144,7 @@
                 continue;
             }
             std::swap(fillings[a].m_chosen, fillings[b].m_chosen);
-            const double value = utility(models, count(models, domains, fillings), demand);
+            const double value = utility(models, count(models, domains, expectation, fillings), demand);
             if (value > best + MinGain) {
                 best = value;
                 changed = true;
@@ -125,36 +156,40 @@
     return changed;
 }
 
-/** What is over after the chosen way goes to the model of which most engines are there, as spares. */
-void assignRest(const std::vector<ServedModel> &models, const LayoutDomain &domain, Way &chosen)
+/** What a way leaves over goes, one by one, to the model whose replicas in the domain gain most by a spare. */
+void assignRest(const std::vector<ServedModel> &models, const LayoutDomain &domain, const Expectation &expectation, Way &way)
 {
     int rest = domain.m_empty;
-    std::size_t most = 0;
-    int mostEngines = -1;
-    for (std::size_t m = 0; m < models.size(); ++m) {
-        rest -= chosen[m];
-        const auto kept = domain.m_kept.find(models[m].m_name);
-        const int have = (kept == domain.m_kept.end() ? 0 : kept->second) + chosen[m];
-        if (have > mostEngines) {
-            mostEngines = have;
-            most = m;
+    for (const int used : way) {
+        rest -= used;
+    }
+    for (; rest > 0; --rest) {
+        std::size_t best = 0;
+        double bestGain = -1.0;
+        for (std::size_t m = 0; m < models.size(); ++m) {
+            const int have = keptFor(models[m], domain) + way[m];
+            const double now = expectation.of(m, have);
+            const double gain = models[m].m_share * (expectation.of(m, have + 1) - now) / (now + NoReplica);
+            if (gain > bestGain) {
+                bestGain = gain;
+                best = m;
+            }
         }
+        ++way[best];
     }
-    chosen[most] += rest;
 }
 }
 
-std::map<std::string, int> replicasHeld(const std::vector<ServedModel> &models, const std::vector<LayoutDomain> &domains)
+double expectedReplicas(int engines, int size)
 {
-    std::map<std::string, int> held;
-    for (const ServedModel &model : models) {
-        int &sum = held[model.m_name];
-        for (const LayoutDomain &domain : domains) {
-            const auto kept = domain.m_kept.find(model.m_name);
-            sum += kept == domain.m_kept.end() ? 0 : kept->second / std::max(model.m_size, 1);
-        }
+    const double meanLost = LossPart * engines;
+    double probability = std::exp(-meanLost);
+    double expected = 0.0;
+    for (int lost = 0; lost + size <= engines; ++lost) {
+        expected += probability * ((engines - lost) / size);
+        probability *= meanLost / (lost + 1);
     }
-    return held;
+    return expected;
 }
 
 LayoutPlan planLayout(const std::vector<ServedModel> &models, const std::vector<LayoutDomain> &domains, const std::map<std::string, double> &demand)
@@ -163,20 +198,32 @@
     if (models.empty()) {
         return plan;
     }
+    int mostEngines = 0;
+    for (const LayoutDomain &domain : domains) {
+        int engines = domain.m_empty;
+        for (const ServedModel &model : models) {
+            engines += keptFor(model, domain);
+        }
+        mostEngines = std::max(mostEngines, engines);
+    }
+    const Expectation expectation(models, mostEngines);
     std::vector<Filling> fillings(domains.size());
     for (std::size_t d = 0; d < domains.size(); ++d) {
         Way way;
         listWays(models, domains[d], 0, domains[d].m_empty, way, fillings[d].m_ways);
-        fillings[d].m_chosen.assign(models.size(), 0);
+        for (Way &listed : fillings[d].m_ways) {
+            assignRest(models, domains[d], expectation, listed);
+        }
+        fillings[d].m_chosen = fillings[d].m_ways.front();
     }
     for (int round = 0; round < MaxRounds; ++round) {
         bool changed = false;
         for (std::size_t d = 0; d < domains.size(); ++d) {
             Way best = fillings[d].m_chosen;
-            double bestUtility = utility(models, count(models, domains, fillings), demand);
+            double bestUtility = utility(models, count(models, domains, expectation, fillings), demand);
             for (const Way &way : fillings[d].m_ways) {
                 fillings[d].m_chosen = way;
-                const double value = utility(models, count(models, domains, fillings), demand);
+                const double value = utility(models, count(models, domains, expectation, fillings), demand);
                 if (value > bestUtility + MinGain) {
                     bestUtility = value;
                     best = way;
@@ -185,7 +232,7 @@
             }
             fillings[d].m_chosen = best;
         }
-        changed = swapChoices(models, domains, demand, fillings) || changed;
+        changed = swapChoices(models, domains, expectation, demand, fillings) || changed;
         if (!changed) {
             break;
         }
@@ -194,7 +241,6 @@
         if (domains[d].m_empty == 0) {
             continue;
         }
-        assignRest(models, domains[d], fillings[d].m_chosen);
         for (std::size_t m = 0; m < models.size(); ++m) {
             plan[domains[d].m_domain][models[m].m_name] = fillings[d].m_chosen[m];
         }
--- a/kernel/replicalayout.h
+++ b/kernel/replicalayout.h
@@ -22,11 +22,11 @@
 /** Engines without weights that are to be kept for each model, by domain. */
 using LayoutPlan = std::map<std::string, std::map<std::string, int>>;
 
-/** Replicas of each model that @p domains can hold with the engines that are kept for it. */
-std::map<std::string, int> replicasHeld(const std::vector<ServedModel> &models, const std::vector<LayoutDomain> &domains);
+/** Replicas of @p size that are expected to stand among @p engines after a usual number of them was lost; the loss of each is independent. */
+double expectedReplicas(int engines, int size);
 
 /**
- * Shares the empty engines of each domain out between models. Few engines are left over in a domain, replicas follow the share of the work
+ * Shares the empty engines of each domain out between models. Large replicas get spares beside them, replicas follow the share of the work
  * that each model does (@p demand, by model; any scale), and the replicas of a model lie in different availability zones.
  * The same input gives the same plan on every daemon. Costs O(domains x ways to fill one domain), twice.
  */
