Layout: each zone out of service counts

Ruled out: too few groups in all (34 stood, 8 of the large model). Change: the utility weighs the replicas that are left with each zone out, instead of the largest zone's part. Test 'no zone holds more of a model than its part', seen to fail first.

--- a/autotests/replicalayouttest.cpp
+++ b/autotests/replicalayouttest.cpp
@@ -79,6 +79,45 @@
     CHECK(made(plan, domains, models[1]).m_replicas >= 24);
 }
 
+TEST_CASE("no zone holds more of a model than its part", "[entry][layout]")
+{
+    struct Row
+    {
+        const char *m_name;
+        int m_domains;
+        int m_engines;
+        /** Domains that follow each other in one zone. */
+        int m_inZone;
+        int m_zones;
+        int m_big;
+        int m_small;
+    };
+    const std::vector<Row> rows{{"two domains a zone", 8, 37, 2, 4, 16, 4}, {"three zones of two", 6, 37, 2, 3, 16, 4}, {"small domains", 6, 9, 2, 3, 4, 3}};
+    for (const Row &row : rows) {
+        CAPTURE(row.m_name);
+        const std::vector<ServedModel> models{{"big", row.m_big, 0.5, 1.0, 16'000, 1'600}, {"small", row.m_small, 0.5, 0.6, 12'000, 1'100}};
+        std::vector<LayoutDomain> domains = emptyDomains(row.m_domains, row.m_engines);
+        for (int i = 0; i < row.m_domains; ++i) {
+            domains[static_cast<std::size_t>(i)].m_availabilityZone = std::string(1, static_cast<char>('a' + i / row.m_inZone));
+        }
+        const LayoutPlan plan = planLayout(models, domains, {});
+        for (const ServedModel &model : models) {
+            std::map<std::string, int> byZone;
+            int all = 0;
+            for (const LayoutDomain &domain : domains) {
+                const int replicas = plan.at(domain.m_domain).at(model.m_name) / model.m_size;
+                byZone[domain.m_availabilityZone] += replicas;
+                all += replicas;
+            }
+            CHECK(byZone.size() == static_cast<std::size_t>(row.m_zones));
+            for (const std::pair<const std::string, int> &zone : byZone) {
+                CAPTURE(model.m_name, zone.first);
+                CHECK(zone.second * row.m_zones <= all + row.m_zones);
+            }
+        }
+    }
+}
+
 TEST_CASE("expected replicas", "[entry][layout]")
 {
     struct Row
--- a/kernel/replicalayout.cpp
+++ b/kernel/replicalayout.cpp
@@ -1,8 +1,8 @@
 // Problem: replicas of several sizes must be packed into fabric domains, and a VM can quickly join only a replica of the model whose weights
 // it has; what is left over in a domain serves nobody.
 // Approach: list the ways to fill each domain, take for each domain in turn the way that raises the total utility most, and go round again
-// until nothing changes. Utility is the demand-weighted logarithm of the replicas that are expected to stand after some engines were lost, less
-// a little for replicas of one model in one zone.
+// until nothing changes. Utility is the demand-weighted logarithm of the replicas that are expected to stand after some engines were lost, with
+// all zones and with each zone out of service.
 // Counting the replicas that can be formed leaves a large one without spares: the loss of one engine takes it out until a new VM has loaded,
 // and spares of one model cannot help the other.
 
@@ -19,8 +19,8 @@
 constexpr double MinGain = 1e-9;
 /** Rounds of improvement; each round costs one pass over all domains. */
 constexpr int MaxRounds = 4;
-/** Cost of an uneven spread over zones, against the logarithm of replicas; only breaks ties. */
-constexpr double ZoneWeight = 0.02;
+/** Weight of a day on which one zone is out of service, which the system has to bear (operators' pages), against one on which none is. */
+constexpr double ZoneOutWeight = 0.25;
 /**
  * Part of the engines that a layout is to bear the loss of before new ones have loaded their weights (16 s, operators' configuration): two
  * engines of a domain of 37, which is what an ordinary day of the largest deployments takes.
@@ -116,14 +116,12 @@
     for (std::size_t m = 0; m < models.size(); ++m) {
         const auto wanted = demand.find(models[m].m_name);
         const double weight = wanted == demand.end() ? models[m].m_share : wanted->second;
-        sum += weight * std::log(totals.m_replicas[m] + NoReplica);
-        double most = 0.0;
+        double zoneOut = 0.0;
         for (const std::pair<const std::string, double> &zone : totals.m_byZone[m]) {
-            most = std::max(most, zone.second);
-        }
-        if (totals.m_replicas[m] > 0.0) {
-            sum -= ZoneWeight * most / totals.m_replicas[m];
+            zoneOut += std::log(std::max(totals.m_replicas[m] - zone.second, 0.0) + NoReplica);
         }
+        const double zones = static_cast<double>(std::max<std::size_t>(totals.m_byZone[m].size(), 1));
+        sum += weight * ((1.0 - ZoneOutWeight) * std::log(totals.m_replicas[m] + NoReplica) + ZoneOutWeight * zoneOut / zones);
     }
     return sum;
 }
