Explaining a request: knapweedslipctl explain; the log's reader may stop; streams are moved only when that is paid for

Change: a waiting stream that no later one has overtaken stays 1.4 s (test 'a stream in a queue that is longer than expected stays where it is', seen to fail); an attempt is ended for silence only when the budget pays for the next. Ruled out: silent groups (their heads answered).

--- /dev/null
+++ b/autotests/explaintest.cpp
@@ -0,0 +1,73 @@
+// Pattern: an on-call engineer has a request's id and the logs of all daemons. The lines are those of docs/OPERATIONS.md, so that the page cannot drift.
+
+#include "tools/explain.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+using namespace knapweedslip;
+
+namespace
+{
+/** The log lines shown on the page: indented, and each a JSON object. */
+std::string linesOfPage()
+{
+    std::ifstream page(std::string(KNAPWEEDSLIP_SOURCE_DIR) + "/docs/OPERATIONS.md");
+    std::string lines;
+    for (std::string line; std::getline(page, line);) {
+        if (line.rfind("    {", 0) == 0) {
+            lines += line.substr(4) + "\n";
+        }
+    }
+    return lines;
+}
+
+RequestStory explain(const std::string &log, const std::string &id)
+{
+    std::istringstream stream(log);
+    return explainRequest({&stream}, id);
+}
+}
+
+TEST_CASE("the walks of the operations page lead from a request's id to its cause", "[explain]")
+{
+    struct Row
+    {
+        const char *m_name;
+        const char *m_request;
+        std::size_t m_lines;
+        const char *m_cause;
+    };
+    const std::vector<Row> rows{
+        {"refused", "98217947bf1b262f", 1, "no-upstream (no upstream could take it at that moment); it has not run, to come back after 700 ms"},
+        {"cut with its group", "07804c5000128fd3", 5, "cut after event 25 and 2 sends: time-over"},
+        {"outcome unknown", "0d135615094a6a68", 4, "it was sent and may have run"},
+    };
+    const std::string log = linesOfPage();
+    for (const Row &row : rows) {
+        CAPTURE(row.m_name);
+        const RequestStory story = explain(log, row.m_request);
+        CHECK(story.m_unreadable == 0);
+        CHECK(story.m_lines.size() == row.m_lines);
+        REQUIRE_FALSE(story.m_findings.empty());
+        CHECK(story.m_findings.back().find(row.m_cause) != std::string::npos);
+    }
+}
+
+TEST_CASE("lines in any order, torn lines and unknown ids", "[explain]")
+{
+    const std::string late = R"({"time":"2026-01-01T00:00:02.000Z","name":"request-refused","process":"a","request":"r","reason":"stale-keys","status":503})";
+    const std::string early = R"({"time":"2026-01-01T00:00:01.500Z","name":"store-lost","process":"a","error":"no answer in time"})";
+    const std::string other = R"({"time":"2026-01-01T00:00:01.500Z","name":"store-lost","process":"b","error":"no answer in time"})";
+    const std::string old = R"({"time":"2025-12-31T23:59:58.000Z","name":"store-lost","process":"a","error":"older than three seconds"})";
+    RequestStory story = explain(late + "\n{\"torn\n" + other + "\n" + early + "\n\n", "r");
+    REQUIRE(story.m_lines.size() == 2);
+    CHECK(story.m_findings.front() == "the daemon had lost the store: no answer in time");
+    CHECK(story.m_unreadable == 1);
+    story = explain(old + "\n" + late, "r");
+    CHECK(story.m_lines.size() == 1);
+    story = explain(early + "\n" + late, "unknown");
+    CHECK(story.m_lines.empty());
+    CHECK(formatStory(story, "unknown").find("No line names request unknown") == 0);
+}
--- a/autotests/replicabooktest.cpp
+++ b/autotests/replicabooktest.cpp
@@ -103,6 +103,23 @@
     CHECK(book.findSilent(nowMs).empty());
 }
 
+TEST_CASE("a stream in a queue that is longer than expected stays where it is", "[entry][book]")
+{
+    // Other gateways fill the group: what was sent here earlier writes on, what comes now waits for a slot.
+    ReplicaBook book = bookOf({group("small", 1)});
+    const std::uint64_t earlier = book.begin(*book.find({"small.1", 1}), 500, 0);
+    book.event(earlier, 1, 40);
+    const std::uint64_t queued = book.begin(*book.find({"small.1", 1}), 500, 100);
+    for (std::int64_t nowMs = 130; nowMs < 1'400; nowMs += 30) {
+        CAPTURE(nowMs);
+        book.event(earlier, 1, nowMs);
+        REQUIRE(book.findStuck(nowMs).empty());
+    }
+    // By then its answer counts as lost: the client leaves after 2 s.
+    book.event(earlier, 1, 1'510);
+    CHECK(book.findStuck(1'520) == std::vector<std::uint64_t>{queued});
+}
+
 TEST_CASE("a slow group is not silent while it works at its own pace", "[entry][book]")
 {
     ReplicaBook book = bookOf({group("small", 1)});
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -256,6 +256,5 @@
     std::signal(SIGPIPE, SIG_IGN);
     startLogging(std::get<EntrySettings>(settings).m_name);
     const int status = runEntry(std::get<EntrySettings>(settings), path);
-    stopLogging();
-    return status;
+    return stopLogging(status);
 }
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -221,6 +221,7 @@
     budgetOf(context, call.m_service->m_name).request(call.m_arrivedMs);
     call.m_running = std::make_shared<RunningCall>();
     call.m_running->m_endMs = call.m_endMs;
+    call.m_running->m_service = call.m_service->m_name;
     context.m_running.insert(call.m_running);
     if (call.m_verdict.m_route->m_kind != CallKind::NonIdempotent) {
         // A call that may run only once is left to finish: its effect is wanted though its answer is not.
@@ -269,10 +270,14 @@
             abortAttempt(*call, AbortCause::TimeOver);
         } else if (call->m_tryEndMs > 0 && nowMs >= call->m_tryEndMs) {
             abortAttempt(*call, AbortCause::TryOver);
-        } else if (call->m_movable && std::find(silent.begin(), silent.end(), call->m_replica) != silent.end()) {
-            abortAttempt(*call, AbortCause::ReplicaSilent);
-        } else if (call->m_movable && call->m_stream != 0 && std::find(stuck.begin(), stuck.end(), call->m_stream) != stuck.end()) {
-            abortAttempt(*call, AbortCause::StreamStuck);
+        } else if (call->m_movable && call->m_cause == AbortCause::None) {
+            const bool isSilent = std::find(silent.begin(), silent.end(), call->m_replica) != silent.end();
+            const bool isStuck = call->m_stream != 0 && std::find(stuck.begin(), stuck.end(), call->m_stream) != stuck.end();
+            // Without budget it cannot go on elsewhere; where it is, it still may.
+            if ((isSilent || isStuck) && budgetOf(context, call->m_service).trySpend(nowMs)) {
+                call->m_resendPaid = true;
+                abortAttempt(*call, isSilent ? AbortCause::ReplicaSilent : AbortCause::StreamStuck);
+            }
         }
     }
 }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -50,6 +50,10 @@
     std::uint64_t m_stream = 0;
     /** It may go on at another group. */
     bool m_movable = false;
+    /** Service of the request, whose budget pays for sending it once more. */
+    std::string m_service;
+    /** The attempt was ended so that the request goes on elsewhere, and the budget has paid for that. */
+    bool m_resendPaid = false;
 };
 
 /** Ends the current attempt; the first cause stands. */
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -9,6 +9,8 @@
 #include "kernel/eventjoin.h"
 #include "net/logging.h"
 
+#include <utility>
+
 namespace knapweedslip
 {
 namespace
@@ -224,7 +226,11 @@
 awaitable<void> giveUp(EntryCall &call, GenerationState &state, RefusalReason reason, std::int64_t retryAfterMs)
 {
     if (call.m_exchange.callerLeft() || call.m_running->m_cause == AbortCause::CallerLeft) {
-        logEvent(LogEvent::CallerLeft, {{"request", call.m_caller.m_requestId}, {"after_ms", steadyMs() - call.m_arrivedMs}});
+        logEvent(LogEvent::CallerLeft,
+                 {{"request", call.m_caller.m_requestId},
+                  {"last_event", state.m_join.lastId().value_or(-1)},
+                  {"sends", static_cast<std::int64_t>(call.m_sends)},
+                  {"after_ms", steadyMs() - call.m_arrivedMs}});
         call.m_exchange.abort();
     } else if (state.m_headerSent) {
         ++call.m_context.m_metrics.m_cut;
@@ -289,7 +295,8 @@
             co_await giveUp(call, state, reason, NoGroupRetryMs);
             co_return;
         }
-        if (call.m_sends > 0 && !budgetOf(call.m_context, call.m_service->m_name).trySpend(steadyMs())) {
+        const bool paid = std::exchange(call.m_running->m_resendPaid, false);
+        if (call.m_sends > 0 && !paid && !budgetOf(call.m_context, call.m_service->m_name).trySpend(steadyMs())) {
             co_await giveUp(call, state, RefusalReason::AttemptsSpent, NoGroupRetryMs);
             co_return;
         }
--- a/kernel/replicabook.cpp
+++ b/kernel/replicabook.cpp
@@ -228,6 +228,14 @@
 std::vector<std::uint64_t> ReplicaBook::findStuck(std::int64_t nowMs) const
 {
     std::vector<std::uint64_t> stuck;
+    /** When the newest stream that has had an event was sent, by group. */
+    std::map<ReplicaRef, std::int64_t> newestWriting;
+    for (const std::pair<const std::uint64_t, BookedStream> &entry : m_streams) {
+        if (entry.second.m_writing) {
+            std::int64_t &sentMs = newestWriting.emplace(entry.second.m_replica, entry.second.m_sentMs).first->second;
+            sentMs = std::max(sentMs, entry.second.m_sentMs);
+        }
+    }
     for (const std::pair<const std::uint64_t, BookedStream> &entry : m_streams) {
         const BookedStream &stream = entry.second;
         const auto found = m_replicas.find(stream.m_replica);
@@ -239,7 +247,10 @@
         const double limit = m_settings.m_stuckPauses * longestPauseMs(*m_service.m_engines, load, paceOf(replica));
         // Before its first event a stream may have to wait as long again as was expected.
         const std::int64_t sinceMs = stream.m_writing ? stream.m_lastEventMs : 2 * stream.m_expectedMs - stream.m_sentMs;
-        if (static_cast<double>(nowMs - sinceMs) > limit) {
+        const auto newest = newestWriting.find(stream.m_replica);
+        const bool overtaken = newest != newestWriting.end() && newest->second >= stream.m_sentMs;
+        const bool mayQueue = !stream.m_writing && !overtaken && nowMs - stream.m_sentMs < m_settings.m_stuckWaitingMs;
+        if (!mayQueue && static_cast<double>(nowMs - sinceMs) > limit) {
             stuck.push_back(entry.first);
         }
     }
--- a/kernel/replicabook.h
+++ b/kernel/replicabook.h
@@ -68,6 +68,11 @@
     std::int64_t m_silenceSlackMs = 40;
     /** Longest pauses of a working group that a single stream may stop for before it goes on elsewhere. */
     double m_stuckPauses = 3.0;
+    /**
+     * A stream that has shown nothing yet, and that no later one has overtaken, goes on elsewhere no sooner than this, in ms: a queue that is longer
+     * than expected looks the same as a lost answer. Clients leave after 2 s without an event (client interface).
+     */
+    std::int64_t m_stuckWaitingMs = 1'400;
     /** A silent group gets no new work for this long, doubled with each doubt in a row, in ms: a broken group is formed anew in less. */
     std::int64_t m_avoidMs = 1'000;
     /** A group that refused work as full is avoided for about one pass, in ms. */
--- a/net/daemonmain.h
+++ b/net/daemonmain.h
@@ -54,7 +54,6 @@
     const Settings &good = std::get<Settings>(settings);
     startLogging(good.m_common.m_name);
     const int status = run(good);
-    stopLogging();
-    return status;
+    return stopLogging(status);
 }
 }
--- a/net/logging.cpp
+++ b/net/logging.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <mutex>
 #include <thread>
@@ -145,18 +146,23 @@
     std::thread(writeLoop).detach();
 }
 
-void stopLogging()
+int stopLogging(int status)
 {
     LogBuffer &held = buffer();
     std::unique_lock<std::mutex> lock(held.m_mutex);
     if (!held.m_started) {
-        return;
+        return status;
     }
     held.m_stopping = true;
     held.m_changed.notify_all();
-    held.m_changed.wait_for(lock, StopTime, [&held]() {
+    const bool written = held.m_changed.wait_for(lock, StopTime, [&held]() {
         return held.m_stopped;
     });
+    if (!written) {
+        // The writer is stuck in a full pipe and holds the stream: the usual end of the process would wait to flush it.
+        std::_Exit(status);
+    }
+    return status;
 }
 
 void logEvent(LogEvent event, std::initializer_list<LogField> fields)
--- a/net/logging.h
+++ b/net/logging.h
@@ -17,8 +17,11 @@
 
 /** Starts the log to standard output; @p process names the daemon in every line. Called once, before any thread starts. */
 void startLogging(const std::string &process);
-/** Writes what is held, as far as that takes no longer than a fraction of a second, and ends the log. */
-void stopLogging();
+/**
+ * Writes what is held, as far as that takes no longer than a fraction of a second, and ends the log. Returns @p status, or ends the process with
+ * it at once when nobody reads its output. Called last.
+ */
+int stopLogging(int status);
 
 /**
  * Adds one line, a JSON object: time, level, event number and name, process, then the fields. Never waits: lines are held in a buffer of
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -7,6 +7,7 @@
 #include "net/keys.h"
 #include "net/synccall.h"
 #include "tools/ctlformat.h"
+#include "tools/explain.h"
 
 #include <CLI/CLI.hpp>
 
@@ -42,6 +43,8 @@
     std::string m_name;
     std::string m_state;
     std::string m_address;
+    std::string m_request;
+    std::vector<std::string> m_logs;
     std::uint64_t m_revision = 0;
     bool m_hasBase = false;
     std::uint64_t m_base = 0;
@@ -255,6 +258,24 @@
     return ExitOk;
 }
 
+int explainLogs(const Options &options)
+{
+    std::vector<std::ifstream> files;
+    std::vector<std::istream *> logs;
+    files.reserve(options.m_logs.size());
+    for (const std::string &path : options.m_logs) {
+        files.emplace_back(path);
+        if (!files.back()) {
+            std::cerr << path << ": cannot be read\n";
+            return ExitUsage;
+        }
+        logs.push_back(&files.back());
+    }
+    const RequestStory story = explainRequest(logs, options.m_request);
+    std::cout << formatStory(story, options.m_request);
+    return story.m_lines.empty() ? ExitRefused : ExitOk;
+}
+
 void addChangeOptions(CLI::App &command, Options &options)
 {
     command.add_option("--author", options.m_author, "who makes the change")->required();
@@ -357,6 +378,9 @@
     add("history", "who changed the plan, when and why", showHistory);
     add("events", "list the numbered log events", listEvents);
     add("dump", "print the state of one daemon", dumpProcess)->add_option("address", options.m_address, "its status_listen address")->required();
+    CLI::App *explain = add("explain", "tell from log files why a request ended as it did", explainLogs);
+    explain->add_option("request", options.m_request, "the request's id")->required();
+    explain->add_option("logs", options.m_logs, "log files of all daemons")->required();
     CLI::App *rollout = app.add_subcommand("rollout", "wait until a view is in force on every living daemon");
     rollout->add_option("index", options.m_revision, "view index printed by a change")->required();
     rollout->add_option("--wait-ms", options.m_waitMs, "longest wait");
@@ -383,7 +407,8 @@
                "  knapweedslipctl --key-file operator.key status\n"
                "  knapweedslipctl --key-file operator.key apply monday.yaml --base 4 --author dana --reason 'Monday plan' --wait\n"
                "  knapweedslipctl --key-file operator.key zone attica-2 out --author dana --reason 'switch work' --wait\n"
-               "Exit status: 0 done, 1 refused, 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
+               "  knapweedslipctl explain 9992af0c649e5da9 logs/*.jsonl\n"
+               "Exit status: 0 done, 1 refused (explain: no line names the request), 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
     addPlanCommands(app, options, run);
     addPartCommands(app, options, run);
     addReadCommands(app, options, run);
