--- a/autotests/newssourcetest.cpp
+++ b/autotests/newssourcetest.cpp
@@ -28,12 +28,13 @@
     for (int i = 0; i < 90; ++i) {
         const std::string self = "vm-" + std::to_string(i);
         const NewsView view = deployment(90, self);
-        const std::string source = chooseNewsSource(view, 0);
-        if (source.empty()) {
+        const NewsChoice choice = chooseNewsSource(view, 0);
+        CHECK(choice.m_forOthers == choice.m_source.empty());
+        if (choice.m_forOthers) {
             watchers.insert(self);
             CHECK(view.m_daemons.at(self).m_cpuShare == 0.5);
         } else {
-            CHECK(view.m_daemons.at(source).m_availabilityZone == view.m_availabilityZone);
+            CHECK(view.m_daemons.at(choice.m_source).m_availabilityZone == view.m_availabilityZone);
         }
     }
     CHECK(watchers.size() == 3);
@@ -42,11 +43,11 @@
 TEST_CASE("who asks the store itself", "[entry][news]")
 {
     const std::int64_t nowMs = 1'000;
-    const std::string first = chooseNewsSource(deployment(90, "vm-89"), nowMs);
+    const std::string first = chooseNewsSource(deployment(90, "vm-89"), nowMs).m_source;
     REQUIRE_FALSE(first.empty());
     NewsView second = deployment(90, "vm-89");
     second.m_failed[first] = nowMs + 1;
-    const std::string next = chooseNewsSource(second, nowMs);
+    const std::string next = chooseNewsSource(second, nowMs).m_source;
     struct Row
     {
         const char *m_name;
@@ -68,7 +69,11 @@
         NewsView view = deployment(row.m_daemons, row.m_daemons == 8 ? "vm-7" : "vm-89");
         view.m_leads = row.m_leads;
         view.m_failed = row.m_failed;
-        CHECK(chooseNewsSource(view, nowMs) == row.m_source);
+        CHECK(chooseNewsSource(view, nowMs).m_source == row.m_source);
     }
     CHECK(next != first);
+    // Who comes next watches for the others, from whichever side the failure is seen.
+    NewsView successor = deployment(90, next);
+    successor.m_failed[first] = nowMs + 1;
+    CHECK(chooseNewsSource(successor, nowMs).m_forOthers);
 }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -73,6 +73,8 @@
     int m_failures = 0;
     FailedSources m_failedSources;
     std::string m_source;
+    /** Others take their news from this daemon. */
+    bool m_forOthers = false;
     /** Items of the last watch. */
     std::size_t m_lastItems = 0;
     /** Upstreams whose entries vanished while the store was away, and until when they are kept. */
@@ -281,19 +283,13 @@
     }
 }
 
-/** Others may take their news from this daemon, and nothing speaks against it. */
-bool watchesForOthers(const EntryContext &context, const Mirror &mirror)
-{
-    return daemonCount(context) > static_cast<int>(FewDaemons) && mirror.m_failedSources.empty();
-}
-
 std::int64_t watchPause(const EntryContext &context, const Mirror &mirror)
 {
     // The leader's repairs wait for what the list says.
     if (leads(context)) {
         return WatchPauseMs;
     }
-    if (watchesForOthers(context, mirror)) {
+    if (mirror.m_forOthers) {
         // An empty answer has waited already.
         return mirror.m_lastItems == 0 ? 0 : SourceWatchPauseMs;
     }
@@ -319,7 +315,9 @@
     view.m_leads = leads(context);
     view.m_daemons = sizedDaemons(context);
     view.m_failed = mirror.m_failedSources;
-    const std::string source = context.m_mirrorSynced ? chooseNewsSource(view, nowMs) : std::string();
+    const NewsChoice choice = context.m_mirrorSynced ? chooseNewsSource(view, nowMs) : NewsChoice();
+    const std::string &source = choice.m_source;
+    mirror.m_forOthers = choice.m_forOthers;
     if (source != mirror.m_source) {
         mirror.m_source = source;
         logEvent(LogEvent::NewsSourceChanged, {{"source", source.empty() ? std::string("store") : source}, {"proof_age_ms", steadyMs() - context.m_proofMs}});
@@ -358,7 +356,7 @@
 awaitable<Result<Done>> watchOnce(EntryContext &context, Mirror &mirror)
 {
     const std::int64_t askedMs = steadyMs();
-    const std::int64_t waitMs = watchesForOthers(context, mirror) ? SourceWatchWaitMs : WatchWaitMs;
+    const std::int64_t waitMs = mirror.m_forOthers ? SourceWatchWaitMs : WatchWaitMs;
     Result<StoreItems> changes =
         co_await platform::storeWatch(context.m_store, WatchedPrefix, context.m_mirror.at(), waitMs, context.m_settings.m_storeTimeoutMs);
     if (failed(changes)) {
--- a/kernel/newssource.cpp
+++ b/kernel/newssource.cpp
@@ -26,7 +26,7 @@
     return rendezvousWeight(task, a) > rendezvousWeight(task, b);
 }
 
-std::string chooseNewsSource(const NewsView &view, std::int64_t nowMs)
+NewsChoice chooseNewsSource(const NewsView &view, std::int64_t nowMs)
 {
     if (view.m_leads || view.m_daemons.size() <= FewDaemons) {
         return {};
@@ -47,6 +47,7 @@
             bestSize = &entry.second;
         }
     }
-    return best == view.m_self ? std::string() : best;
+    const bool isFirst = best == view.m_self;
+    return {isFirst ? std::string() : best, isFirst};
 }
 }
--- a/kernel/newssource.h
+++ b/kernel/newssource.h
@@ -35,9 +35,18 @@
 /** Whether @p a comes before @p b when work is given to the largest daemon; the same on every daemon. */
 bool comesFirst(const std::string &task, const std::string &a, const SizedDaemon &sizeOfA, const std::string &b, const SizedDaemon &sizeOfB);
 
+/** Where a daemon takes the store's news from. */
+struct NewsChoice
+{
+    /** Name of a daemon, or empty for the store itself. */
+    std::string m_source;
+    /** It watches the store for the others of its availability zone as well. */
+    bool m_forOthers = false;
+};
+
 /**
- * The daemon that this one takes the store's news from, or empty for the store itself. One daemon of each availability zone watches for the
+ * Chooses a daemon to take the store's news from, or the store. One daemon of each availability zone watches for the
  * others there; who finds it failing asks the next, and then the store.
  */
-std::string chooseNewsSource(const NewsView &view, std::int64_t nowMs);
+NewsChoice chooseNewsSource(const NewsView &view, std::int64_t nowMs);
 }
--- a/kernel/replicakeeper.cpp
+++ b/kernel/replicakeeper.cpp
@@ -23,8 +23,10 @@
 constexpr std::int64_t DeadProbeMs = 500;
 /** Between two probes of the members of a suspected group: a probe is given up after about this. */
 constexpr std::int64_t SuspectProbeMs = 120;
-/** A loading engine is asked this often before clients come. */
+/** A loading engine is asked this often before clients come, once its load should have ended. */
 constexpr std::int64_t FirstLoadPollMs = 100;
+/** Part of its time that a load takes before clients come (engines' interface). */
+constexpr double FirstLoadPart = 0.1;
 /** An order that takes long is repeated after this part of its time. */
 constexpr double ExpectedPart = 0.97;
 
@@ -161,6 +163,7 @@
     case EngineOrderKind::Join:
         if (reply == OrderReply::Done) {
             engine->m_loading = false;
+            engine->m_loadSeen = false;
             if (!contains(engine->m_entry.m_stagedModels, order.m_model)) {
                 engine->m_entry.m_stagedModels = {order.m_model};
             }
@@ -172,7 +175,12 @@
                 wait = m_settings.m_warmJoinMs;
             }
             wait = static_cast<std::int64_t>(static_cast<double>(wait) * ExpectedPart);
-            engine->m_nextOrderMs = nowMs + (load && !m_serving ? FirstLoadPollMs : wait);
+            if (load && !m_serving) {
+                const std::int64_t quick = static_cast<std::int64_t>(static_cast<double>(wait) * FirstLoadPart);
+                wait = engine->m_loadSeen ? FirstLoadPollMs : quick;
+                engine->m_loadSeen = true;
+            }
+            engine->m_nextOrderMs = nowMs + wait;
         }
         if (order.m_kind == EngineOrderKind::Join && reply == OrderReply::Done) {
             engine->m_warmModel = order.m_model;
@@ -648,7 +656,8 @@
         if (replica != nullptr && replica->m_phase == KeptPhase::Open) {
             const bool works = nowMs - replica->m_progressMs < m_settings.m_progressProofMs;
             const bool suspected = replica->m_suspectedMs > replica->m_progressMs;
-            interval = suspected ? SuspectProbeMs : m_settings.m_idleProbeMs;
+            // Before clients come, a death holds up nobody.
+            interval = suspected ? SuspectProbeMs : m_serving ? m_settings.m_idleProbeMs : m_settings.m_spareProbeMs;
             if (!engine.m_listed) {
                 interval = SuspectProbeMs;
             }
--- a/kernel/replicakeeper.h
+++ b/kernel/replicakeeper.h
@@ -217,6 +217,8 @@
         std::int64_t m_nextOrderMs = 0;
         /** A load of weights was begun here. */
         bool m_loading = false;
+        /** The engine has said that a load goes on. */
+        bool m_loadSeen = false;
         bool m_listed = true;
         /** It is known to serve in no group up to this epoch, and since when. */
         std::uint64_t m_freeEpoch = 0;
