--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -408,10 +408,9 @@
 awaitable<void> keepPresence(EntryContext &context)
 {
     const std::string key = std::string(DaemonPrefix) + context.m_settings.m_name;
-    const std::string value =
-        json::serialize(json::object{{"address", context.m_settings.m_peerListen},
-                                     {"availability_zone", context.m_settings.m_availabilityZone},
-                                     {"cpu_share", context.m_settings.m_cpuShare}});
+    const std::string value = json::serialize(json::object{{"address", context.m_settings.m_peerListen},
+                                                           {"availability_zone", context.m_settings.m_availabilityZone},
+                                                           {"cpu_share", context.m_settings.m_cpuShare}});
     std::uint64_t lease = 0;
     while (!context.m_stopping) {
         if (lease == 0) {
--- a/kernel/replicabook.cpp
+++ b/kernel/replicabook.cpp
@@ -103,7 +103,8 @@
         least = std::min(least, ms);
     }
     // With the others' word old by a pass or more, a smaller difference than a prompt and a pass says nothing.
-    const double tolerance = m_spread && m_service.m_engines ? readMs(*m_service.m_engines, m_service.m_engines->m_usualPromptTokens) + passMs(*m_service.m_engines, {}) : 0.0;
+    const double tolerance =
+        m_spread && m_service.m_engines ? readMs(*m_service.m_engines, m_service.m_engines->m_usualPromptTokens) + passMs(*m_service.m_engines, {}) : 0.0;
     const BookedReplica *best = nullptr;
     std::uint32_t alike = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/kernel/replicalayout.cpp
+++ b/kernel/replicalayout.cpp
@@ -92,10 +92,8 @@
     return kept == domain.m_kept.end() ? 0 : kept->second;
 }
 
-Totals count(const std::vector<ServedModel> &models,
-             const std::vector<LayoutDomain> &domains,
-             const Expectation &expectation,
-             const std::vector<Filling> &fillings)
+Totals
+count(const std::vector<ServedModel> &models, const std::vector<LayoutDomain> &domains, const Expectation &expectation, const std::vector<Filling> &fillings)
 {
     Totals totals;
     totals.m_replicas.resize(models.size());
@@ -184,7 +182,8 @@
     double probability = std::exp(-meanLost);
     double expected = 0.0;
     for (int lost = 0; lost + size <= engines; ++lost) {
-        expected += probability * ((engines - lost) / size);
+        const int replicas = (engines - lost) / size;
+        expected += probability * replicas;
         probability *= meanLost / (lost + 1);
     }
     return expected;
--- a/net/newscodec.cpp
+++ b/net/newscodec.cpp
@@ -28,12 +28,8 @@
             builder.CreateVector(reinterpret_cast<const std::uint8_t *>(item.m_value.data()), item.m_value.size());
         items.push_back(wire::CreateNewsItem(builder, key, value, item.m_revision, item.m_lease, item.m_deleted));
     }
-    builder.Finish(wire::CreateNews(builder,
-                                    answer.m_news.m_at,
-                                    answer.m_news.m_whole,
-                                    shortAge(answer.m_proofAgeMs),
-                                    shortAge(answer.m_regainedAgeMs),
-                                    builder.CreateVector(items)));
+    builder.Finish(wire::CreateNews(
+        builder, answer.m_news.m_at, answer.m_news.m_whole, shortAge(answer.m_proofAgeMs), shortAge(answer.m_regainedAgeMs), builder.CreateVector(items)));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
--- a/tools/explain.cpp
+++ b/tools/explain.cpp
@@ -57,8 +57,15 @@
 
 bool isContext(const std::string &name)
 {
-    static const std::set<std::string> names{"replica-silent", "replica-changed", "engine-silent", "store-lost", "store-recovered", "process-stopping",
-                                             "config-adopted", "leadership-lost", "news-source-failed"};
+    static const std::set<std::string> names{"replica-silent",
+                                             "replica-changed",
+                                             "engine-silent",
+                                             "store-lost",
+                                             "store-recovered",
+                                             "process-stopping",
+                                             "config-adopted",
+                                             "leadership-lost",
+                                             "news-source-failed"};
     return names.count(name) > 0;
 }
 
@@ -99,7 +106,8 @@
         const bool own = what.find("Operation canceled") != std::string::npos;
         text << "that attempt failed: " << what << (own ? " (ended by this daemon itself: the client left, time was over, or the group fell silent)" : "");
     } else if (name == "replica-silent") {
-        text << "group " << textField(line, "group") << " showed no work for " << numberField(line, "silent_ms") << " ms, seen at " << textField(line, "process");
+        text << "group " << textField(line, "group") << " showed no work for " << numberField(line, "silent_ms") << " ms, seen at "
+             << textField(line, "process");
     } else if (name == "replica-changed" && textField(line, "phase") == "closing") {
         text << "group " << textField(line, "group") << " was closed: " << textField(line, "cause");
     } else if (name == "store-lost") {
@@ -112,7 +120,8 @@
         text << "refused with " << numberField(line, "status") << ": " << nameOf(reason)
              << (ran ? "" : "; it has not run, to come back after " + std::to_string(numberField(line, "retry_after_ms")) + " ms");
     } else if (name == "stream-broken") {
-        text << "cut after event " << numberField(line, "last_event", -1) << " and " << numberField(line, "sends") << " sends: " << nameOf(textField(line, "reason"));
+        text << "cut after event " << numberField(line, "last_event", -1) << " and " << numberField(line, "sends")
+             << " sends: " << nameOf(textField(line, "reason"));
     } else if (name == "caller-left") {
         text << "the client closed its connection after " << numberField(line, "after_ms") << " ms and event " << numberField(line, "last_event", -1);
     } else if (name == "call-ended") {
