--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -65,7 +65,7 @@
 }
 
 /** State of following the store, beside what is held of it. */
-struct Mirror
+struct Following
 {
     bool m_lost = false;
     std::int64_t m_lostSinceMs = 0;
@@ -82,6 +82,7 @@
     std::set<std::string> m_unreadable;
 };
 
+/** Returns whether the item says anything new, as do the other functions that take one. */
 bool takeConfig(EntryContext &context, const StoreItem &item)
 {
     if (item.m_deleted || (context.m_config != nullptr && item.m_revision <= context.m_config->m_revision)) {
@@ -131,24 +132,23 @@
            && a.m_replica == b.m_replica && a.m_rank == b.m_rank && a.m_phase == b.m_phase && std::abs(a.m_coldUntilMs - b.m_coldUntilMs) <= ColdSlackMs;
 }
 
-/** Returns whether the entry says anything new. */
-bool takeUpstream(EntryContext &context, Mirror &mirror, const std::string &id, const StoreItem &item)
+bool takeUpstream(EntryContext &context, Following &following, const std::string &id, const StoreItem &item)
 {
     const std::int64_t nowMs = steadyMs();
     if (item.m_deleted) {
         const std::int64_t regainedMs = context.m_storeRegainedMs;
         const bool storeWasAway = regainedMs >= 0 && nowMs - regainedMs < context.m_settings.m_addressReuseMs;
         if (storeWasAway && context.m_upstreams.count(id) > 0) {
-            mirror.m_doubtful.emplace(id, regainedMs + context.m_settings.m_addressReuseMs);
+            following.m_doubtful.emplace(id, regainedMs + context.m_settings.m_addressReuseMs);
         } else {
             dropUpstream(context, id, "gone");
         }
         return true;
     }
-    mirror.m_doubtful.erase(id);
+    following.m_doubtful.erase(id);
     Result<UpstreamEntry> decoded = platform::decodeEntry(id, item.m_value, nowMs);
     if (failed(decoded)) {
-        if (mirror.m_unreadable.insert(id).second) {
+        if (following.m_unreadable.insert(id).second) {
             logEvent(LogEvent::UpstreamUnreadable, {{"upstream", id}, {"error", describe(errorOf(decoded))}});
         }
         dropUpstream(context, id, "unreadable");
@@ -188,7 +188,7 @@
     logEvent(LogEvent::DaemonsChanged, {{"daemon", name}, {"gone", item.m_deleted}, {"daemons", static_cast<std::int64_t>(daemonCount(context))}});
 }
 
-void takeItem(EntryContext &context, Mirror &mirror, const StoreItem &item)
+void takeItem(EntryContext &context, Following &following, const StoreItem &item)
 {
     if (!context.m_mirror.isNewer(item)) {
         return;
@@ -199,7 +199,7 @@
     } else if (startsWith(item.m_key, platform::key::EvacuatedZone)) {
         takeEvacuation(context, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
     } else if (startsWith(item.m_key, platform::key::Upstream)) {
-        changed = takeUpstream(context, mirror, item.m_key.substr(platform::key::Upstream.size()), item);
+        changed = takeUpstream(context, following, item.m_key.substr(platform::key::Upstream.size()), item);
     } else if (startsWith(item.m_key, DaemonPrefix)) {
         takeDaemon(context, item.m_key.substr(DaemonPrefix.size()), item);
     } else if (item.m_key == LeaderKey) {
@@ -209,39 +209,39 @@
     context.m_mirror.put(item, changed);
 }
 
-void noteAnswer(EntryContext &context, Mirror &mirror, std::int64_t askedMs)
+void noteAnswer(EntryContext &context, Following &following, std::int64_t askedMs)
 {
     context.m_proofMs = std::max(context.m_proofMs, askedMs);
-    if (mirror.m_lost) {
-        mirror.m_lost = false;
+    if (following.m_lost) {
+        following.m_lost = false;
         context.m_storeRegainedMs = steadyMs();
-        logEvent(LogEvent::StoreRecovered, {{"away_ms", context.m_storeRegainedMs - mirror.m_lostSinceMs}});
+        logEvent(LogEvent::StoreRecovered, {{"away_ms", context.m_storeRegainedMs - following.m_lostSinceMs}});
     }
 }
 
-void noteFailure(const EntryContext &context, Mirror &mirror, const Error &error)
+void noteFailure(const EntryContext &context, Following &following, const Error &error)
 {
-    if (!mirror.m_lost) {
-        mirror.m_lost = true;
-        mirror.m_lostSinceMs = steadyMs();
+    if (!following.m_lost) {
+        following.m_lost = true;
+        following.m_lostSinceMs = steadyMs();
         logEvent(LogEvent::StoreLost, {{"error", describe(error)}, {"proof_age_ms", context.m_proofMs < 0 ? -1 : steadyMs() - context.m_proofMs}});
     }
 }
 
 /** Takes the removal of @p keys (by revision of their last writing), which were found missing as of @p revision. */
-void removeKeys(EntryContext &context, Mirror &mirror, const std::map<std::string, std::uint64_t> &keys, std::uint64_t revision)
+void removeKeys(EntryContext &context, Following &following, const std::map<std::string, std::uint64_t> &keys, std::uint64_t revision)
 {
     for (const std::pair<const std::string, std::uint64_t> &entry : keys) {
         StoreItem gone;
         gone.m_key = entry.first;
         gone.m_deleted = true;
         gone.m_revision = std::max(revision, entry.second + 1);
-        takeItem(context, mirror, gone);
+        takeItem(context, following, gone);
     }
 }
 
 /** Reads everything, page by page. Pages are no snapshot: the watch goes on from the revision of the first. */
-awaitable<Result<Done>> readAll(EntryContext &context, Mirror &mirror)
+awaitable<Result<Done>> readAll(EntryContext &context, Following &following)
 {
     std::map<std::string, std::uint64_t> before = context.m_mirror.revisions();
     std::string after;
@@ -252,61 +252,61 @@
         if (failed(page)) {
             co_return errorOf(page);
         }
-        noteAnswer(context, mirror, -1);
+        noteAnswer(context, following, -1);
         firstAt = firstAt == 0 ? valueOf(page).m_at : firstAt;
         for (const StoreItem &item : valueOf(page).m_items) {
             before.erase(item.m_key);
-            takeItem(context, mirror, item);
+            takeItem(context, following, item);
             after = item.m_key;
         }
         if (!valueOf(page).m_more || valueOf(page).m_items.empty()) {
             break;
         }
     }
-    removeKeys(context, mirror, before, firstAt);
+    removeKeys(context, following, before, firstAt);
     context.m_mirror.restart(firstAt);
     context.m_mirrorSynced = true;
-    noteAnswer(context, mirror, askedMs);
+    noteAnswer(context, following, askedMs);
     co_return Done{};
 }
 
-void dropDoubtful(EntryContext &context, Mirror &mirror)
+void dropDoubtful(EntryContext &context, Following &following)
 {
     const std::int64_t nowMs = steadyMs();
-    for (auto it = mirror.m_doubtful.begin(); it != mirror.m_doubtful.end();) {
+    for (auto it = following.m_doubtful.begin(); it != following.m_doubtful.end();) {
         if (nowMs >= it->second) {
             dropUpstream(context, it->first, "not back after the store was away");
-            it = mirror.m_doubtful.erase(it);
+            it = following.m_doubtful.erase(it);
         } else {
             ++it;
         }
     }
 }
 
-std::int64_t watchPause(const EntryContext &context, const Mirror &mirror)
+std::int64_t watchPause(const EntryContext &context, const Following &following)
 {
     // The leader's repairs wait for what the list says.
     if (leads(context)) {
         return WatchPauseMs;
     }
-    if (mirror.m_forOthers) {
+    if (following.m_forOthers) {
         // An empty answer has waited already.
-        return mirror.m_lastItems == 0 ? 0 : SourceWatchPauseMs;
+        return following.m_lastItems == 0 ? 0 : SourceWatchPauseMs;
     }
     return std::clamp(WatchPausePerDaemonMs * daemonCount(context), WatchPauseMs, LongestWatchPauseMs);
 }
 
-std::int64_t retryPause(const Mirror &mirror)
+std::int64_t retryPause(const Following &following)
 {
     constexpr int MaxDoublings = 3;
-    return std::min(RetryPauseMs << std::min(mirror.m_failures, MaxDoublings), LongestRetryPauseMs);
+    return std::min(RetryPauseMs << std::min(following.m_failures, MaxDoublings), LongestRetryPauseMs);
 }
 
 /** The daemon to take news from now, empty for the store itself; a change is logged. */
-std::string newsSource(EntryContext &context, Mirror &mirror)
+std::string newsSource(EntryContext &context, Following &following)
 {
     const std::int64_t nowMs = steadyMs();
-    std::erase_if(mirror.m_failedSources, [nowMs](const std::pair<const std::string, std::int64_t> &failure) {
+    std::erase_if(following.m_failedSources, [nowMs](const std::pair<const std::string, std::int64_t> &failure) {
         return failure.second <= nowMs;
     });
     NewsView view;
@@ -314,23 +314,24 @@
     view.m_availabilityZone = context.m_settings.m_availabilityZone;
     view.m_leads = leads(context);
     view.m_daemons = sizedDaemons(context);
-    view.m_failed = mirror.m_failedSources;
+    view.m_failed = following.m_failedSources;
     const NewsChoice choice = context.m_mirrorSynced ? chooseNewsSource(view, nowMs) : NewsChoice();
     const std::string &source = choice.m_source;
-    mirror.m_forOthers = choice.m_forOthers;
-    if (source != mirror.m_source) {
-        mirror.m_source = source;
+    following.m_forOthers = choice.m_forOthers;
+    if (source != following.m_source) {
+        following.m_source = source;
         logEvent(LogEvent::NewsSourceChanged, {{"source", source.empty() ? std::string("store") : source}, {"proof_age_ms", steadyMs() - context.m_proofMs}});
     }
     return source;
 }
 
-awaitable<Result<Done>> followOnce(EntryContext &context, Mirror &mirror, const std::string &source)
+/** Takes what is lacking here from the daemon @p source. */
+awaitable<Result<Done>> followOnce(EntryContext &context, Following &following, const std::string &source)
 {
     const std::int64_t askedMs = steadyMs();
-    const Result<NewsAnswer> answer = co_await askNews(context, context.m_peers[source].m_address);
+    const Result<NewsAnswer> answer = co_await askNews(context, context.m_peers.at(source).m_address);
     if (failed(answer)) {
-        mirror.m_failedSources[source] = steadyMs() + FailedSourceMs;
+        following.m_failedSources[source] = steadyMs() + FailedSourceMs;
         logEvent(LogEvent::NewsSourceFailed, {{"source", source}, {"error", describe(errorOf(answer))}, {"after_ms", steadyMs() - askedMs}});
         co_return errorOf(answer);
     }
@@ -341,22 +342,22 @@
     std::map<std::string, std::uint64_t> before = context.m_mirror.revisions();
     for (const StoreItem &item : news.m_items) {
         before.erase(item.m_key);
-        takeItem(context, mirror, item);
+        takeItem(context, following, item);
     }
     if (news.m_whole) {
-        removeKeys(context, mirror, before, news.m_at);
+        removeKeys(context, following, before, news.m_at);
         context.m_mirror.restart(news.m_at);
     }
     context.m_mirror.completeTo(news.m_at);
     // The age was true at some moment after the question, so that this is the earliest that it can mean.
-    noteAnswer(context, mirror, askedMs - valueOf(answer).m_proofAgeMs);
+    noteAnswer(context, following, askedMs - valueOf(answer).m_proofAgeMs);
     co_return Done{};
 }
 
-awaitable<Result<Done>> watchOnce(EntryContext &context, Mirror &mirror)
+awaitable<Result<Done>> watchOnce(EntryContext &context, Following &following)
 {
     const std::int64_t askedMs = steadyMs();
-    const std::int64_t waitMs = mirror.m_forOthers ? SourceWatchWaitMs : WatchWaitMs;
+    const std::int64_t waitMs = following.m_forOthers ? SourceWatchWaitMs : WatchWaitMs;
     Result<StoreItems> changes =
         co_await platform::storeWatch(context.m_store, WatchedPrefix, context.m_mirror.at(), waitMs, context.m_settings.m_storeTimeoutMs);
     if (failed(changes)) {
@@ -366,41 +367,41 @@
         }
         co_return errorOf(changes);
     }
-    mirror.m_lastItems = valueOf(changes).m_items.size();
+    following.m_lastItems = valueOf(changes).m_items.size();
     for (const StoreItem &item : valueOf(changes).m_items) {
-        takeItem(context, mirror, item);
+        takeItem(context, following, item);
     }
     context.m_mirror.completeTo(valueOf(changes).m_at);
-    noteAnswer(context, mirror, askedMs);
+    noteAnswer(context, following, askedMs);
     co_return Done{};
 }
 }
 
 awaitable<void> followStore(EntryContext &context)
 {
-    Mirror mirror;
+    Following following;
     while (!context.m_stopping) {
-        const std::string source = newsSource(context, mirror);
+        const std::string source = newsSource(context, following);
         Result<Done> done = Done{};
         if (!source.empty()) {
-            done = co_await followOnce(context, mirror, source);
+            done = co_await followOnce(context, following, source);
         } else if (context.m_mirrorSynced) {
-            done = co_await watchOnce(context, mirror);
+            done = co_await watchOnce(context, following);
         } else {
-            done = co_await readAll(context, mirror);
+            done = co_await readAll(context, following);
         }
-        dropDoubtful(context, mirror);
+        dropDoubtful(context, following);
         refreshBooks(context);
         if (!source.empty()) {
             // After a failure the next source, or the store, is asked at once.
             co_await sleepFor(failed(done) ? 0 : FollowPauseMs);
         } else if (failed(done) && errorOf(done).m_code != ErrorCode::NotFound) {
-            noteFailure(context, mirror, errorOf(done));
-            co_await sleepFor(retryPause(mirror));
-            ++mirror.m_failures;
+            noteFailure(context, following, errorOf(done));
+            co_await sleepFor(retryPause(following));
+            ++following.m_failures;
         } else if (!failed(done)) {
-            mirror.m_failures = 0;
-            co_await sleepFor(watchPause(context, mirror));
+            following.m_failures = 0;
+            co_await sleepFor(watchPause(context, following));
         }
     }
 }
