News: no copy of all keys for each answer; a result that said nothing and a function nobody calls are gone

Cause: read once more. Each answer of a source was compared with a copy of all keys, which only an answer that holds everything needs, two or three times a second on the smallest VMs; takeConfig returned true on every path; ServiceBook::usable had no caller.

--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -82,16 +82,15 @@
     std::set<std::string> m_unreadable;
 };
 
-/** Returns whether the item says anything new, as do the other functions that take one. */
-bool takeConfig(EntryContext &context, const StoreItem &item)
+void takeConfig(EntryContext &context, const StoreItem &item)
 {
     if (item.m_deleted || (context.m_config != nullptr && item.m_revision <= context.m_config->m_revision)) {
-        return true;
+        return;
     }
     Result<CallConfigPtr> config = platform::decodeConfig(item.m_value, item.m_revision);
     if (failed(config)) {
         logEvent(LogEvent::ConfigUnreadable, {{"revision", static_cast<std::int64_t>(item.m_revision)}, {"error", describe(errorOf(config))}});
-        return true;
+        return;
     }
     context.m_config = valueOf(config);
     logEvent(LogEvent::ConfigAdopted,
@@ -102,7 +101,6 @@
     if (const CallService *service = engineService(*context.m_config)) {
         context.m_keeper.setService(*service);
     }
-    return true;
 }
 
 void takeEvacuation(EntryContext &context, const std::string &zone, const StoreItem &item)
@@ -132,6 +130,7 @@
            && a.m_replica == b.m_replica && a.m_rank == b.m_rank && a.m_phase == b.m_phase && std::abs(a.m_coldUntilMs - b.m_coldUntilMs) <= ColdSlackMs;
 }
 
+/** Returns whether the item says anything new of the upstream. */
 bool takeUpstream(EntryContext &context, Following &following, const std::string &id, const StoreItem &item)
 {
     const std::int64_t nowMs = steadyMs();
@@ -195,7 +194,7 @@
     }
     bool changed = true;
     if (item.m_key == platform::key::Config) {
-        changed = takeConfig(context, item);
+        takeConfig(context, item);
     } else if (startsWith(item.m_key, platform::key::EvacuatedZone)) {
         takeEvacuation(context, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
     } else if (startsWith(item.m_key, platform::key::Upstream)) {
@@ -339,13 +338,15 @@
     if (valueOf(answer).m_regainedAgeMs >= 0) {
         context.m_storeRegainedMs = std::max(context.m_storeRegainedMs, askedMs - valueOf(answer).m_regainedAgeMs);
     }
-    std::map<std::string, std::uint64_t> before = context.m_mirror.revisions();
     for (const StoreItem &item : news.m_items) {
-        before.erase(item.m_key);
         takeItem(context, following, item);
     }
     if (news.m_whole) {
-        removeKeys(context, following, before, news.m_at);
+        std::map<std::string, std::uint64_t> missing = context.m_mirror.revisions();
+        for (const StoreItem &item : news.m_items) {
+            missing.erase(item.m_key);
+        }
+        removeKeys(context, following, missing, news.m_at);
         context.m_mirror.restart(news.m_at);
     }
     context.m_mirror.completeTo(news.m_at);
--- a/kernel/servicebook.cpp
+++ b/kernel/servicebook.cpp
@@ -97,17 +97,6 @@
     }
 }
 
-int ServiceBook::usable(const std::string &service) const
-{
-    const auto upstreams = m_services.find(service);
-    if (upstreams == m_services.end()) {
-        return 0;
-    }
-    return static_cast<int>(std::count_if(upstreams->second.begin(), upstreams->second.end(), [](const std::pair<const std::string, BookedUpstream> &entry) {
-        return entry.second.m_usable;
-    }));
-}
-
 BookedUpstream *ServiceBook::find(const std::string &service, const std::string &upstream)
 {
     const auto upstreams = m_services.find(service);
--- a/kernel/servicebook.h
+++ b/kernel/servicebook.h
@@ -52,8 +52,6 @@
     void begin(const std::string &service, const std::string &upstream);
     /** @p reported is what the answer said of running and waiting requests, or -1. */
     void end(const std::string &service, const std::string &upstream, CallEnd end, int reported, std::int64_t nowMs);
-    /** Usable upstreams of @p service. */
-    int usable(const std::string &service) const;
 
 private:
     BookedUpstream *find(const std::string &service, const std::string &upstream);
