--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -65,6 +65,8 @@
     add("knapweedslip_resent_total", "Requests sent once more", metrics.m_resent);
     add("knapweedslip_events_total", "Events passed on", metrics.m_events);
     add("knapweedslip_silences_total", "Groups found silent", metrics.m_silences);
+    add("knapweedslip_cold_sent_total", "Requests sent to cold upstreams", metrics.m_coldSent);
+    add("knapweedslip_cold_withheld_total", "Choices of a cold upstream that its rate limit did not allow", metrics.m_coldWithheld);
     add("knapweedslip_orders_total", "Orders given to engines", metrics.m_orders);
     add("knapweedslip_probes_total", "Engines asked for a report", metrics.m_probes);
     add("knapweedslip_store_calls_total", "Calls to the platform's store", context.m_store.m_calls);
@@ -76,6 +78,7 @@
     }
     const std::int64_t confirmationAgeMs = context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs;
     text += exposeMetric("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(confirmationAgeMs), true);
+    text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(daemonCount(context)), true);
     text += exposeMetric("knapweedslip_running", "Requests being served", static_cast<double>(context.m_running.size()), true);
     return text;
 }
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -149,7 +149,7 @@
               {"detail", detail}});
 }
 
-void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs)
+void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs, std::int64_t coldUntilMs)
 {
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
@@ -157,6 +157,8 @@
               {"group", group},
               {"send", static_cast<std::int64_t>(call.m_sends + 1)},
               {"expected_ms", expectedMs},
+              {"cold_left_ms", std::max<std::int64_t>(0, coldUntilMs - steadyMs())},
+              {"daemons", static_cast<std::int64_t>(daemonCount(call.m_context))},
               {"left_ms", timeLeftMs(call)},
               {"proof_age_ms", steadyMs() - call.m_context.m_confirmedMs}});
 }
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -101,8 +101,8 @@
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs);
 /** Logs the end of a request. */
 void logCallEnd(const EntryCall &call, const char *outcome, unsigned status, const std::string &detail);
-/** Logs that the request is about to be sent to @p upstream; @p group is empty for a plain service. */
-void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs);
+/** Logs that the request is about to be sent to @p upstream, cold until @p coldUntilMs; @p group is empty for a plain service. */
+void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs, std::int64_t coldUntilMs);
 /** Logs that the attempt at @p upstream failed, and why. */
 void logAttemptFailed(const EntryCall &call, const std::string &upstream, const std::string &what);
 
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -140,6 +140,8 @@
     }
     ColdRateLimiter &limiter = context.m_coldLimiters[upstream];
     limiter.setLimits(coldPerSecond * context.m_settings.m_coldShare, daemonCount(context));
-    return limiter.trySend(nowMs);
+    const bool allowed = limiter.trySend(nowMs);
+    ++(allowed ? context.m_metrics.m_coldSent : context.m_metrics.m_coldWithheld);
+    return allowed;
 }
 }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -82,6 +82,9 @@
     std::uint64_t m_resumed = 0;
     std::uint64_t m_resent = 0;
     std::uint64_t m_events = 0;
+    /** Requests sent to cold upstreams, and choices of a cold upstream that its rate limit did not allow. */
+    std::uint64_t m_coldSent = 0;
+    std::uint64_t m_coldWithheld = 0;
     std::uint64_t m_orders = 0;
     std::uint64_t m_probes = 0;
     std::uint64_t m_silences = 0;
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -190,7 +190,7 @@
     if (call.m_sends == 0) {
         call.m_expectedMs = static_cast<double>(steadyMs() - call.m_arrivedMs) + expectedMs;
     }
-    logCallSent(call, head, replica.m_name, expectedMs);
+    logCallSent(call, head, replica.m_name, expectedMs, chosen.m_coldUntilMs);
     AttemptRegistration registration(call, chosen);
     AttemptCounter attemptsWithThis = state.m_attempts;
     countAttempt(attemptsWithThis, AttemptOutcome::MayHaveRun);
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -74,7 +74,7 @@
     const std::string service = call.m_service->m_name;
     const std::string upstream = chosen.m_id;
     const std::string address = chosen.m_address;
-    logCallSent(call, upstream, {}, 0.0);
+    logCallSent(call, upstream, {}, 0.0, chosen.m_coldUntilMs);
     if (repeatable) {
         call.m_running->m_attemptDeadlineMs =
             steadyMs() + static_cast<std::int64_t>(AttemptTimeoutFactor * static_cast<double>(call.m_admission.m_route->m_latencyTargetMs));
--- a/tools/explain.cpp
+++ b/tools/explain.cpp
@@ -103,6 +103,10 @@
         const std::string group = stringField(line, "group");
         text << "send " << integerField(line, "send") << " to " << (group.empty() ? "upstream " + stringField(line, "upstream") : "group " + group) << " with "
              << integerField(line, "left_ms") << " ms left";
+        if (integerField(line, "cold_left_ms") > 0) {
+            text << ", cold for another " << integerField(line, "cold_left_ms") << " ms, with its limit divided by " << integerField(line, "daemons")
+                 << " daemons";
+        }
     } else if (name == "attempt-failed") {
         const std::string what = stringField(line, "what");
         const bool canceledByDaemon = what.find("Operation canceled") != std::string::npos;
