--- a/autotests/coldlimittest.cpp
+++ b/autotests/coldlimittest.cpp
@@ -1,14 +1,13 @@
 // Guards against a flood of an upstream that has just started: daemons that cannot coordinate on each request together sent more than it can take,
 // because their shares did not add up to its limit.
 
-#include "kernel/resendbudget.h"
+#include "kernel/coldlimiter.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -55,18 +54,19 @@
     std::int64_t m_cutOffMs = -1;
     /** Number of registration changes in its view. */
     std::size_t m_appliedChanges = 0;
-    std::set<std::string> m_known;
-    ColdRateLimiter m_limiter;
+    SharedLimitMembers m_members{std::string(), ColdLimiter::WindowMs};
+    ColdLimiter m_limiter;
 
+    /** Returns the time as of which the daemon knows all registrations: it reads the whole store when it starts, and hears of changes later. */
     std::int64_t viewTimeMs(std::int64_t nowMs) const
     {
-        return (m_cutOffMs < 0 ? nowMs : std::min(nowMs, m_cutOffMs)) - m_viewLagMs;
+        const std::int64_t heardMs = (m_cutOffMs < 0 ? nowMs : std::min(nowMs, m_cutOffMs)) - m_viewLagMs;
+        return std::max(heardMs, m_startedMs + StartMs);
     }
 
     bool trySend(std::int64_t nowMs)
     {
-        m_limiter.setLimits(PerSecond, static_cast<int>(m_known.size()) + (m_known.count(m_name) > 0 ? 0 : 1));
-        return m_limiter.trySend(nowMs);
+        return m_limiter.trySend(m_members, "upstream", PerSecond, viewTimeMs(nowMs), nowMs);
     }
 };
 
@@ -88,6 +88,7 @@
         SendingDaemon daemon;
         daemon.m_name = name;
         daemon.m_startedMs = nowMs;
+        daemon.m_members = SharedLimitMembers(name, ColdLimiter::WindowMs);
         daemon.m_viewLagMs = static_cast<std::int64_t>(m_random() % MaxViewLagMs);
         m_daemons[name] = std::move(daemon);
         m_planned.push_back({nowMs + StartMs, name, true});
@@ -110,6 +111,7 @@
     void stop(const std::string &name, std::int64_t nowMs)
     {
         m_daemons[name].m_stopping = true;
+        m_daemons[name].m_members.withdraw();
         m_planned.push_back({nowMs, name, false});
     }
 
@@ -192,14 +194,13 @@
 private:
     void applyChanges(SendingDaemon &daemon, std::int64_t nowMs)
     {
-        // A process reads the whole store when it starts.
-        const std::int64_t viewMs = std::max(daemon.viewTimeMs(nowMs), std::min(nowMs, daemon.m_startedMs + StartMs));
+        const std::int64_t viewMs = daemon.viewTimeMs(nowMs);
         while (daemon.m_appliedChanges < m_changes.size() && m_changes[daemon.m_appliedChanges].m_atMs <= viewMs) {
             const RegistrationChange &change = m_changes[daemon.m_appliedChanges];
             if (change.m_registered) {
-                daemon.m_known.insert(change.m_daemon);
+                daemon.m_members.add(change.m_daemon, nowMs);
             } else {
-                daemon.m_known.erase(change.m_daemon);
+                daemon.m_members.remove(change.m_daemon, nowMs);
             }
             ++daemon.m_appliedChanges;
         }
@@ -309,3 +310,14 @@
     }
     CHECK(static_cast<double>(fleet.sent()) >= 0.75 * PerSecond * static_cast<double>(EndMs - OpeningMs) / 1'000.0);
 }
+
+TEST_CASE("requests to a cold upstream stay within its limit over all daemons", "[entry][cold]")
+{
+    const int daemons = GENERATE(1, 7, 8);
+    Fleet fleet(daemons, 1);
+    for (std::int64_t nowMs = 0; nowMs < OpeningMs + 6'000; nowMs += StepMs) {
+        fleet.step(nowMs);
+    }
+    CHECK(static_cast<double>(fleet.mostPerSecond()) <= PerSecond * 1.5 + 5.0);
+    CHECK(fleet.sent() > 60);
+}
--- a/autotests/resendbudgettest.cpp
+++ b/autotests/resendbudgettest.cpp
@@ -1,5 +1,4 @@
-// Pattern: many requests are resent at the same time by daemons that cannot coordinate, and several cold upstreams become available at
-// once.
+// Pattern: many requests are resent at the same time by daemons that cannot coordinate.
 
 #include "kernel/resendbudget.h"
 
@@ -62,28 +61,3 @@
     }
     CHECK(spent <= 134);
 }
-
-TEST_CASE("requests to a cold upstream stay within its limit over all daemons", "[entry][cold]")
-{
-    const int daemons = GENERATE(1, 7, 8);
-    constexpr double PerSecond = 26.0;
-    // The platform tolerates half as much again plus five requests in a second.
-    constexpr double MaxPerWindow = PerSecond * 1.5 + 5.0;
-    std::vector<ColdRateLimiter> limiters(static_cast<std::size_t>(daemons));
-    std::vector<std::int64_t> sent;
-    for (std::int64_t nowMs = 0; nowMs < 6'000; nowMs += 2) {
-        for (ColdRateLimiter &limiter : limiters) {
-            limiter.setLimits(PerSecond, daemons);
-            if (limiter.trySend(nowMs)) {
-                sent.push_back(nowMs);
-            }
-        }
-    }
-    for (std::int64_t start = 0; start < 5'000; start += 10) {
-        const std::ptrdiff_t count = std::count_if(sent.begin(), sent.end(), [start](std::int64_t at) {
-            return at >= start && at < start + 1'000;
-        });
-        CHECK(static_cast<double>(count) <= MaxPerWindow);
-    }
-    CHECK(sent.size() > 60);
-}
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -78,7 +78,7 @@
     }
     const std::int64_t confirmationAgeMs = context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs;
     text += exposeMetric("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(confirmationAgeMs), true);
-    text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(daemonCount(context)), true);
+    text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(context.m_coldMembers.count(steadyMs())), true);
     text += exposeMetric("knapweedslip_running", "Requests being served", static_cast<double>(context.m_running.size()), true);
     return text;
 }
@@ -140,6 +140,7 @@
     const std::int64_t limitMs = startedMs + static_cast<std::int64_t>(StopLimitFraction * static_cast<double>(context.m_settings.m_stopGraceMs));
     logEvent(LogEvent::ProcessStopping, {{"running", static_cast<std::int64_t>(context.m_running.size())}});
     context.m_stopping = true;
+    context.m_coldMembers.withdraw();
     context.m_shutdownDeadlines = {startedMs + StopAcceptMs, limitMs};
     server.closeAfterResponses();
     co_await releaseLeadership(context);
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -158,7 +158,7 @@
               {"send", static_cast<std::int64_t>(call.m_sends + 1)},
               {"expected_ms", expectedMs},
               {"cold_left_ms", std::max<std::int64_t>(0, coldUntilMs - steadyMs())},
-              {"daemons", static_cast<std::int64_t>(daemonCount(call.m_context))},
+              {"daemons", static_cast<std::int64_t>(call.m_context.m_coldMembers.count(steadyMs()))},
               {"left_ms", timeLeftMs(call)},
               {"proof_age_ms", steadyMs() - call.m_context.m_confirmedMs}});
 }
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -22,6 +22,7 @@
     : m_io(io)
     , m_settings(std::move(settings))
     , m_random(randomId())
+    , m_coldMembers(m_settings.m_name, ColdLimiter::WindowMs)
 {
     m_store.m_address = m_settings.m_storeAddress;
 }
@@ -116,6 +117,7 @@
     if (context.m_config == nullptr) {
         return;
     }
+    context.m_coldLimiter.removeIdle(steadyMs());
     const int daemons = daemonCount(context);
     for (const std::pair<const std::string, CallService> &entry : context.m_config->m_services) {
         context.m_resendBudgets[entry.first].setLimits(context.m_settings.m_resends, daemons);
@@ -135,12 +137,10 @@
 bool allowColdRequest(EntryContext &context, const std::string &upstream, std::int64_t coldUntilMs, double coldPerSecond, std::int64_t nowMs)
 {
     if (coldUntilMs <= nowMs || coldPerSecond <= 0.0) {
-        context.m_coldLimiters.erase(upstream);
         return true;
     }
-    ColdRateLimiter &limiter = context.m_coldLimiters[upstream];
-    limiter.setLimits(coldPerSecond * context.m_settings.m_coldShare, daemonCount(context));
-    const bool allowed = limiter.trySend(nowMs);
+    const double limit = coldPerSecond * context.m_settings.m_coldShare;
+    const bool allowed = context.m_coldLimiter.trySend(context.m_coldMembers, upstream, limit, context.m_confirmedMs, nowMs);
     ++(allowed ? context.m_metrics.m_coldSent : context.m_metrics.m_coldWithheld);
     return allowed;
 }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -2,6 +2,7 @@
 
 #include "daemons/entrysettings.h"
 #include "kernel/callconfig.h"
+#include "kernel/coldlimiter.h"
 #include "kernel/loadreport.h"
 #include "kernel/replicareconciler.h"
 #include "kernel/replicaselector.h"
@@ -138,7 +139,9 @@
     LoadReportTable m_loadReports;
     UpstreamSelector m_upstreamSelector;
     std::map<std::string, ResendBudget> m_resendBudgets;
-    std::map<std::string, ColdRateLimiter> m_coldLimiters;
+    /** The daemons that share the limits of cold upstreams. */
+    SharedLimitMembers m_coldMembers;
+    ColdLimiter m_coldLimiter;
     ReplicaReconciler m_reconciler;
     Leadership m_leadership;
     /** A client's request has been received, here or at another daemon. */
@@ -170,6 +173,6 @@
 /** Returns the resend budget of @p service. */
 ResendBudget &resendBudget(EntryContext &context, const std::string &service);
 
-/** Returns true if @p upstream is warm, or if it is cold and its rate limit allows one more request, which is then counted. */
+/** Returns true if @p upstream is warm, or if it is cold and this daemon's share of its limit allows one more request, which is then counted. */
 bool allowColdRequest(EntryContext &context, const std::string &upstream, std::int64_t coldUntilMs, double coldPerSecond, std::int64_t nowMs);
 }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -124,7 +124,6 @@
 {
     if (context.m_upstreams.erase(id) > 0) {
         context.m_reconciler.markUnlisted(id);
-        context.m_coldLimiters.erase(id);
         logEvent(LogEvent::UpstreamChanged, {{"upstream", id}, {"change", std::string(why)}});
     }
 }
@@ -191,7 +190,9 @@
 {
     if (item.m_deleted) {
         context.m_peers.erase(name);
+        context.m_coldMembers.remove(name, steadyMs());
     } else {
+        context.m_coldMembers.add(name, steadyMs());
         const json::object object = parseJsonObject(item.m_value);
         context.m_peers[name] = {name, stringField(object, "address"), stringField(object, "availability_zone"), doubleField(object, "cpu_share")};
     }
--- a/kernel/resendbudget.cpp
+++ b/kernel/resendbudget.cpp
@@ -1,5 +1,4 @@
-// Problem: resends, and requests to cold upstreams, are limited in total over all daemons and in sliding windows, but daemons cannot
-// coordinate on every request.
+// Problem: resends are limited in total over all daemons and in sliding windows, but daemons cannot coordinate on every request.
 // Approach: each daemon keeps to its own share of the limit, so the total holds without any messages.
 // A shared counter would cost a message per resend, and would be wrong while daemons cannot reach each other.
 
@@ -12,7 +11,6 @@
 namespace
 {
 constexpr std::int64_t SliceMs = 100;
-constexpr double MsPerSecond = 1'000.0;
 }
 
 void ResendBudget::setLimits(const ResendLimits &limits, int daemons)
@@ -58,26 +56,4 @@
     ++slice(nowMs).m_resends;
     return true;
 }
-
-void ColdRateLimiter::setLimits(double perSecond, int daemons)
-{
-    m_perSecond = perSecond / std::max(daemons, 1);
-}
-
-bool ColdRateLimiter::trySend(std::int64_t nowMs)
-{
-    // The bucket holds the requests of a quarter of a second, but at least one.
-    const double burst = std::max(1.0, m_perSecond / 4.0);
-    if (m_lastRefillMs < 0) {
-        m_tokens = 1.0;
-    } else {
-        m_tokens = std::min(burst, m_tokens + m_perSecond * static_cast<double>(nowMs - m_lastRefillMs) / MsPerSecond);
-    }
-    m_lastRefillMs = nowMs;
-    if (m_tokens < 1.0) {
-        return false;
-    }
-    m_tokens -= 1.0;
-    return true;
-}
 }
--- a/kernel/resendbudget.h
+++ b/kernel/resendbudget.h
@@ -53,20 +53,4 @@
     int m_daemons = 1;
     std::deque<Slice> m_slices;
 };
-
-/** Token bucket that limits the requests to one cold upstream; holds this daemon's equal share of the limit for all daemons. */
-class ColdRateLimiter
-{
-public:
-    /** @param perSecond requests per second that the upstream can take from all daemons together. */
-    void setLimits(double perSecond, int daemons);
-    /** Returns whether a request may be sent at @p nowMs, and if so takes a token for it. */
-    bool trySend(std::int64_t nowMs);
-
-private:
-    double m_perSecond = 0.0;
-    double m_tokens = 0.0;
-    /** Time of the last refill; negative before the first. */
-    std::int64_t m_lastRefillMs = -1;
-};
 }
