Resends: shares hold while daemons restart, leave, or lose their registrations

What callers would see: BUDGET broken, that is upstreams that get more repeats than the operators allow while they are in trouble already.

Cause: after an outage of the store in which leases run out all registrations vanish for a moment, each daemon divides the extra resends by one or a few, and all of them together may send up to 61 times the limit at 410 daemons, 12 at 79. A process that starts again may spend a whole share that its predecessor spent already: 1.3 times the limit when all daemons restart once, 9 times when they do so again and again.

The bound is the platform's: the requests counted are those of the window, the one half a window earlier or the one before.

Change: the daemons to divide by are SharedLimitMembers', which count who has left for 15 s more; a daemon with a view older than 5 s, or which stops, uses no extra resends; a process uses only the margin of its ratio in its first window. The budget keeps running sums.

Cost for callers (worked out): a daemon has about a third of its resends in its first 10 s, and none of the extra ones in outages longer than 5 s.

--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -141,6 +141,8 @@
     logEvent(LogEvent::ProcessStopping, {{"running", static_cast<std::int64_t>(context.m_running.size())}});
     context.m_stopping = true;
     context.m_coldMembers.withdraw();
+    context.m_resendMembers.withdraw();
+    refreshSelectors(context);
     context.m_shutdownDeadlines = {startedMs + StopAcceptMs, limitMs};
     server.closeAfterResponses();
     co_await releaseLeadership(context);
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -6,6 +6,15 @@
 
 namespace knapweedslip
 {
+namespace
+{
+/**
+ * Oldest view of the other daemons, in ms, with which this one uses its part of the extra resends. Most outages of the store are shorter, and
+ * resends are needed most while nobody can repair replicas.
+ */
+constexpr std::int64_t MaxResendViewAgeMs = 5'000;
+}
+
 void abortAttempt(RunningCall &call, AbortCause cause)
 {
     if (call.m_cause != AbortCause::None) {
@@ -22,6 +31,7 @@
     : m_io(io)
     , m_settings(std::move(settings))
     , m_random(randomId())
+    , m_resendMembers(m_settings.m_name, m_settings.m_resends.m_windowMs, MaxResendViewAgeMs)
     , m_coldMembers(m_settings.m_name, ColdLimiter::WindowMs)
 {
     m_store.m_address = m_settings.m_storeAddress;
@@ -117,10 +127,16 @@
     if (context.m_config == nullptr) {
         return;
     }
-    context.m_coldLimiter.removeIdle(steadyMs());
-    const int daemons = daemonCount(context);
+    const std::int64_t nowMs = steadyMs();
+    context.m_coldLimiter.removeIdle(nowMs);
+    const int daemons = context.m_resendMembers.count(nowMs);
+    ResendLimits limits = context.m_settings.m_resends;
+    if (!context.m_resendMembers.isCurrent(context.m_confirmedMs, nowMs)) {
+        // The other daemons may divide the extra resends without this one.
+        limits.m_extra = 0.0;
+    }
     for (const std::pair<const std::string, CallService> &entry : context.m_config->m_services) {
-        context.m_resendBudgets[entry.first].setLimits(context.m_settings.m_resends, daemons);
+        context.m_resendBudgets[entry.first].setLimits(limits, daemons, nowMs);
         if (entry.second.m_engines) {
             refreshReplicas(context, entry.second);
         } else {
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -139,6 +139,8 @@
     LoadReportTable m_loadReports;
     UpstreamSelector m_upstreamSelector;
     std::map<std::string, ResendBudget> m_resendBudgets;
+    /** The daemons that share the limits on resends. */
+    SharedLimitMembers m_resendMembers;
     /** The daemons that share the limits of cold upstreams. */
     SharedLimitMembers m_coldMembers;
     ColdLimiter m_coldLimiter;
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -191,8 +191,10 @@
     if (item.m_deleted) {
         context.m_peers.erase(name);
         context.m_coldMembers.remove(name, steadyMs());
+        context.m_resendMembers.remove(name, steadyMs());
     } else {
         context.m_coldMembers.add(name, steadyMs());
+        context.m_resendMembers.add(name, steadyMs());
         const json::object object = parseJsonObject(item.m_value);
         context.m_peers[name] = {name, stringField(object, "address"), stringField(object, "availability_zone"), doubleField(object, "cpu_share")};
     }
--- a/kernel/resendbudget.cpp
+++ b/kernel/resendbudget.cpp
@@ -1,5 +1,6 @@
 // Problem: resends are limited in total over all daemons and in sliding windows, but daemons cannot coordinate on every request.
-// Approach: each daemon keeps to its own share of the limit, so the total holds without any messages.
+// Approach: each daemon keeps to its own share of the limit, so the total holds without any messages. Daemons that left are counted for a
+// while, and a process that has just started uses less.
 // A shared counter would cost a message per resend, and would be wrong while daemons cannot reach each other.
 
 #include "kernel/resendbudget.h"
@@ -13,8 +14,9 @@
 constexpr std::int64_t SliceMs = 100;
 }
 
-void ResendBudget::setLimits(const ResendLimits &limits, int daemons)
+void ResendBudget::setLimits(const ResendLimits &limits, int daemons, std::int64_t nowMs)
 {
+    m_startedMs = m_startedMs.value_or(nowMs);
     m_limits = limits;
     m_daemons = std::max(daemons, 1);
 }
@@ -22,6 +24,8 @@
 ResendBudget::Slice &ResendBudget::slice(std::int64_t nowMs)
 {
     while (!m_slices.empty() && nowMs - m_slices.front().m_startMs >= m_limits.m_windowMs + SliceMs) {
+        m_requests -= m_slices.front().m_requests;
+        m_resends -= m_slices.front().m_resends;
         m_slices.pop_front();
     }
     const std::int64_t startMs = nowMs - nowMs % SliceMs;
@@ -34,18 +38,16 @@
 void ResendBudget::request(std::int64_t nowMs)
 {
     ++slice(nowMs).m_requests;
+    ++m_requests;
 }
 
 double ResendBudget::available(std::int64_t nowMs)
 {
     slice(nowMs);
-    int requests = 0;
-    int resends = 0;
-    for (const Slice &entry : m_slices) {
-        requests += entry.m_requests;
-        resends += entry.m_resends;
+    if (!m_startedMs || nowMs - *m_startedMs < m_limits.m_windowMs) {
+        return (1.0 - m_limits.m_usedFraction) * m_limits.m_ratio * m_requests - m_resends;
     }
-    return m_limits.m_usedFraction * (m_limits.m_ratio * requests + m_limits.m_extra / m_daemons) - resends;
+    return m_limits.m_usedFraction * (m_limits.m_ratio * m_requests + m_limits.m_extra / m_daemons) - m_resends;
 }
 
 bool ResendBudget::trySpend(std::int64_t nowMs)
@@ -54,6 +56,7 @@
         return false;
     }
     ++slice(nowMs).m_resends;
+    ++m_resends;
     return true;
 }
 }
--- a/kernel/resendbudget.h
+++ b/kernel/resendbudget.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace knapweedslip
 {
@@ -15,21 +16,29 @@
     /** Length of the sliding window. */
     std::int64_t m_windowMs = 10'000;
     /**
-     * Fraction of the limits that is used. The rest is a margin: a restarted daemon does not know what it spent before, and the daemons'
-     * windows do not begin at the same time.
+     * Fraction of the limits that is used. The rest is left for processes that have just started, which do not know what their predecessors
+     * spent.
      */
     double m_usedFraction = 0.7;
 };
 
 /**
  * This daemon's share of the limit on resends: the ratio applied to its own requests, plus an equal share of the extra resends. The sum
- * over all daemons stays within the limit in every window, however unevenly clients are spread. Memory: one entry per 100 ms of the window.
+ * over all daemons stays within the limit in every window, however unevenly clients are spread.
+ *
+ * A process may have had a predecessor that spent its whole share just before the process started. So in its first window a process uses only
+ * the fraction that the others leave, and of the ratio only: then the sum holds however often processes start again.
+ *
+ * Memory: one entry per 100 ms of the window.
  */
 class ResendBudget
 {
 public:
-    /** @param daemons number of daemons that share the limits, this one included. */
-    void setLimits(const ResendLimits &limits, int daemons);
+    /**
+     * @param daemons number of daemons that share the limits, this one included, and those that left within the last window. The process
+     * counts as started at the first call.
+     */
+    void setLimits(const ResendLimits &limits, int daemons, std::int64_t nowMs);
     /** Records the arrival of a client's request. */
     void request(std::int64_t nowMs);
     /** Returns whether a resend is allowed now, and if so records it. */
@@ -51,6 +60,11 @@
 
     ResendLimits m_limits;
     int m_daemons = 1;
+    /** When the process started; empty before the first call of setLimits(). */
+    std::optional<std::int64_t> m_startedMs;
     std::deque<Slice> m_slices;
+    /** Sums over m_slices. */
+    int m_requests = 0;
+    int m_resends = 0;
 };
 }
--- a/kernel/sharedlimitmembers.cpp
+++ b/kernel/sharedlimitmembers.cpp
@@ -8,13 +8,13 @@
 #include "kernel/hashing.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace knapweedslip
 {
-SharedLimitMembers::SharedLimitMembers(std::string self, std::int64_t windowMs)
+SharedLimitMembers::SharedLimitMembers(std::string self, std::int64_t windowMs, std::int64_t maxViewAgeMs)
     : m_self(std::move(self))
     , m_windowMs(windowMs)
+    , m_maxViewAgeMs(maxViewAgeMs)
 {
 }
 
@@ -36,8 +36,8 @@
     if (found == m_countedUntilMs.end() || found->second >= 0) {
         return;
     }
-    found->second = nowMs + MaxViewAgeMs + m_windowMs;
-    m_nextExpiryMs = m_nextExpiryMs < 0 ? found->second : std::min(m_nextExpiryMs, found->second);
+    found->second = nowMs + m_maxViewAgeMs + m_windowMs;
+    m_removed.emplace_back(found->second, daemon);
     if (daemon == m_self) {
         m_listedSinceMs = -1;
     }
@@ -48,10 +48,14 @@
     m_withdrawn = true;
 }
 
+bool SharedLimitMembers::isCurrent(std::int64_t viewMs, std::int64_t nowMs) const
+{
+    return !m_withdrawn && m_listedSinceMs >= 0 && viewMs >= 0 && nowMs - viewMs <= m_maxViewAgeMs;
+}
+
 bool SharedLimitMembers::mayUseShare(std::int64_t viewMs, std::int64_t nowMs) const
 {
-    const bool isCurrent = viewMs >= 0 && nowMs - viewMs <= MaxViewAgeMs;
-    return !m_withdrawn && isCurrent && m_listedSinceMs >= 0 && nowMs - m_listedSinceMs >= MaxViewAgeMs + m_windowMs;
+    return isCurrent(viewMs, nowMs) && nowMs - m_listedSinceMs >= m_maxViewAgeMs + m_windowMs;
 }
 
 int SharedLimitMembers::count(std::int64_t nowMs)
@@ -79,20 +83,13 @@
 
 void SharedLimitMembers::removeExpired(std::int64_t nowMs)
 {
-    if (m_nextExpiryMs < 0 || nowMs < m_nextExpiryMs) {
-        return;
-    }
-    m_nextExpiryMs = -1;
-    for (auto it = m_countedUntilMs.begin(); it != m_countedUntilMs.end();) {
-        if (it->second >= 0 && it->second <= nowMs) {
-            it = m_countedUntilMs.erase(it);
+    while (!m_removed.empty() && m_removed.front().first <= nowMs) {
+        const auto found = m_countedUntilMs.find(m_removed.front().second);
+        if (found != m_countedUntilMs.end() && found->second == m_removed.front().first) {
+            m_countedUntilMs.erase(found);
             ++m_version;
-            continue;
-        }
-        if (it->second >= 0) {
-            m_nextExpiryMs = m_nextExpiryMs < 0 ? it->second : std::min(m_nextExpiryMs, it->second);
         }
-        ++it;
+        m_removed.pop_front();
     }
 }
 }
