A permit for a cold replica is taken only for a request that is sent

Callers saw nothing by itself: a request whose first event would come too late was refused after it had taken one of the few permits of a cold replica, which then stayed unused for a second.

Cause: waitForReplica() asked the limit first and the expectation afterwards. The order is now in a function of the kernel, chooseReplica(). The test fails with the old order (1 permit taken, 0 expected).

--- a/autotests/replicaselectortest.cpp
+++ b/autotests/replicaselectortest.cpp
@@ -1,9 +1,9 @@
 // Pattern: streams with prompts of very different lengths share replicas with the streams of other gateways. A replica fails, or is only busy with
 // prefill.
 
-#include "kernel/replicaselector.h"
 #include "autotests/entryfixtures.h"
 #include "kernel/loadreport.h"
+#include "kernel/replicachoice.h"
 
 #include <catch2/catch.hpp>
 
@@ -214,3 +214,38 @@
         CHECK(reports.countLiveSenders(1'010 + LoadReportTable::ExpiryMs + 2) == 1);
     }
 }
+
+// Guards against permits for cold replicas that are spent on requests which are then refused as too late.
+TEST_CASE("a permit for a cold replica is taken only for a request that is sent", "[entry][book]")
+{
+    struct Row
+    {
+        const char *m_name;
+        double m_maxExpectedMs;
+        int m_permits;
+        ReplicaChoiceOutcome m_outcome;
+        int m_asked;
+    };
+    const std::vector<Row> rows{
+        {"too late", 10.0, 2, ReplicaChoiceOutcome::TooLate, 0},
+        {"in time", 10'000.0, 2, ReplicaChoiceOutcome::Chosen, 1},
+        {"no permit for either replica", 10'000.0, 0, ReplicaChoiceOutcome::NoneAvailable, 2},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.m_name);
+        ReplicaSelector selector = selectorWith({group("big", 1), group("big", 2)});
+        selector.begin(*selector.find({"big.1", 1}), 20'000, 0);
+        selector.begin(*selector.find({"big.2", 2}), 20'000, 0);
+        int asked = 0;
+        const ReplicaChoice choice = chooseReplica(
+            selector,
+            {"big", 1'000, "a", row.m_maxExpectedMs},
+            [&row, &asked](const TrackedReplica &) {
+                return ++asked <= row.m_permits;
+            },
+            1);
+        CHECK(choice.m_outcome == row.m_outcome);
+        CHECK(asked == row.m_asked);
+        CHECK((choice.m_replica != nullptr) == (row.m_outcome == ReplicaChoiceOutcome::Chosen));
+    }
+}
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -8,6 +8,7 @@
 
 #include "kernel/attemptcounter.h"
 #include "kernel/eventreassembler.h"
+#include "kernel/replicachoice.h"
 #include "net/logging.h"
 
 #include <utility>
@@ -262,25 +263,24 @@
  */
 awaitable<const TrackedReplica *> waitForReplica(EntryCall &call, const GenerationState &state)
 {
-    const std::int64_t holdMs = static_cast<std::int64_t>(MaxHoldFraction * static_cast<double>(call.m_admission.m_route->m_latencyTargetMs));
+    const double targetMs = static_cast<double>(call.m_admission.m_route->m_latencyTargetMs);
+    const std::int64_t holdMs = static_cast<std::int64_t>(MaxHoldFraction * targetMs);
+    EntryContext &context = call.m_context;
+    ReplicaQuery query;
+    query.m_model = call.m_caller.m_model;
+    query.m_promptTokens = call.m_caller.m_promptTokens;
+    query.m_ownZone = context.m_settings.m_availabilityZone;
+    if (call.m_sends == 0) {
+        query.m_maxExpectedMs = MaxExpectedFraction * targetMs;
+    }
     while (true) {
         const std::int64_t nowMs = steadyMs();
-        std::set<ReplicaRef> excluded;
-        while (true) {
-            const TrackedReplica *chosen = call.m_context.m_replicaSelector.choose(
-                call.m_caller.m_model, call.m_caller.m_promptTokens, call.m_context.m_settings.m_availabilityZone, excluded, nowMs);
-            if (chosen == nullptr || allowColdRequest(call.m_context, chosen->m_head, chosen->m_coldUntilMs, call.m_service->m_coldRequestsPerSecond, nowMs)) {
-                if (chosen != nullptr) {
-                    const double target = static_cast<double>(call.m_admission.m_route->m_latencyTargetMs);
-                    const double expected = call.m_context.m_replicaSelector.expectedMs(*chosen, call.m_caller.m_promptTokens);
-                    if (call.m_sends == 0 && expected > MaxExpectedFraction * target) {
-                        co_return nullptr;
-                    }
-                    co_return chosen;
-                }
-                break;
-            }
-            excluded.insert(chosen->m_ref);
+        const auto takePermit = [&call, &context, nowMs](const TrackedReplica &replica) {
+            return allowColdRequest(context, replica.m_head, replica.m_coldUntilMs, call.m_service->m_coldRequestsPerSecond, nowMs);
+        };
+        const ReplicaChoice choice = chooseReplica(context.m_replicaSelector, query, takePermit, nowMs);
+        if (choice.m_outcome != ReplicaChoiceOutcome::NoneAvailable) {
+            co_return choice.m_replica;
         }
         const bool over = timeLeftMs(call) <= 0 || call.m_exchange.callerDisconnected();
         if (over || (!state.m_headerSent && nowMs - call.m_arrivedMs >= holdMs)) {
--- /dev/null
+++ b/kernel/replicachoice.cpp
@@ -0,0 +1,27 @@
+// Problem: a cold replica takes few requests, so a permit for one must not be spent on a request that is not sent.
+// Approach: everything else is decided before the permit is taken.
+// Returning unused permits would need a second call on each way out.
+
+#include "kernel/replicachoice.h"
+
+namespace knapweedslip
+{
+ReplicaChoice
+chooseReplica(ReplicaSelector &selector, const ReplicaQuery &query, const std::function<bool(const TrackedReplica &)> &takePermit, std::int64_t nowMs)
+{
+    std::set<ReplicaRef> excluded;
+    while (true) {
+        const TrackedReplica *best = selector.choose(query.m_model, query.m_promptTokens, query.m_ownZone, excluded, nowMs);
+        if (best == nullptr) {
+            return {ReplicaChoiceOutcome::NoneAvailable, nullptr};
+        }
+        if (selector.expectedMs(*best, query.m_promptTokens) > query.m_maxExpectedMs) {
+            return {ReplicaChoiceOutcome::TooLate, nullptr};
+        }
+        if (takePermit(*best)) {
+            return {ReplicaChoiceOutcome::Chosen, best};
+        }
+        excluded.insert(best->m_ref);
+    }
+}
+}
