Failing test: an upstream that has just become warm is flooded by many gateways

The class of incident FAILBACK in the gateway of this project's own interface, which does not run on the hosting platform: a share of a limit that is never below one request. 90 gateways send 90 requests, 410 send 410, at the moment at which an upstream of 26 becomes warm; at 8 they send 8.

--- a/autotests/schedulertest.cpp
+++ b/autotests/schedulertest.cpp
@@ -345,6 +345,28 @@
     CHECK(dispatchCount(actions) == 64);
 }
 
+// Guards against a flood of an upstream that has just become warm: every gateway may send one request at once, however many gateways there are.
+TEST_CASE("an upstream that has just become warm gets no more than it can take from all gateways", "[scheduler]")
+{
+    constexpr int Limit = 26;
+    for (const int gateways : {8, 90, 410}) {
+        CAPTURE(gateways);
+        int dispatched = 0;
+        for (int gateway = 0; gateway < gateways; ++gateway) {
+            SchedulerSettings settings;
+            settings.m_self = "gateway-" + std::to_string(gateway);
+            settings.m_gateways = gateways;
+            const std::unique_ptr<Scheduler> scheduler = makeScheduler(settings);
+            Actions actions;
+            scheduler->setTable(RouteTableBuilder().model("m").workspace("w").upstream("u", Limit, GroupPhase::Cold, "another").build(), 0, actions);
+            scheduler->setTable(RouteTableBuilder().model("m").workspace("w").upstream("u", Limit, GroupPhase::Warm).build(), 100, actions);
+            scheduler->addRequest(makeRequest(1), 100, actions);
+            dispatched += static_cast<int>(dispatchCount(actions));
+        }
+        CHECK(dispatched <= Limit);
+    }
+}
+
 TEST_CASE("the list of available upstreams agrees with a scan of all of them", "[scheduler]")
 {
     rc::prop("list of available upstreams against a scan", []() {
