--- a/autotests/coldlimittest.cpp
+++ b/autotests/coldlimittest.cpp
@@ -15,11 +15,11 @@
 /** The operators tolerate this many times as many, plus five in any second. */
 constexpr double Overage = 1.5;
 constexpr std::ptrdiff_t MaxPerSecond = 44;
-constexpr std::int64_t StepMs = 5;
+constexpr std::int64_t StepMs = 10;
 /** Longest time between the decision to send a request and its sending, in ms: a connection is made first. */
 constexpr std::int64_t MaxConnectMs = 150;
 /** Time at which the upstream opens to all daemons. Everybody has been running for long by then. */
-constexpr std::int64_t OpeningMs = 20'000;
+constexpr std::int64_t OpeningMs = 9'000;
 constexpr std::int64_t EndMs = OpeningMs + 12'000;
 
 const FleetCourse &nothingHappens()
