Test of shared resends: the daemon's own maximum age of a view

The test of let daemons use views of at most 2 s, while the entry daemon uses 5 s for resends: it did not show what runs. Found on reading the changed tests once more.

--- a/autotests/daemonfleet.h
+++ b/autotests/daemonfleet.h
@@ -28,9 +28,9 @@
     /** Time from the start of a process until it has read the store and is registered, in ms. */
     static constexpr std::int64_t StartMs = 200;
 
-    FleetDaemon(const std::string &name, std::int64_t windowMs)
+    FleetDaemon(const std::string &name, std::int64_t windowMs, std::int64_t maxViewAgeMs)
         : m_name(name)
-        , m_members(name, windowMs)
+        , m_members(name, windowMs, maxViewAgeMs)
     {
     }
 
@@ -68,10 +68,11 @@
     /** The daemons hear of changes up to this late, in ms. */
     static constexpr std::int64_t MaxViewLagMs = 1'200;
 
-    /** @param windowMs window of the limit that the daemons share. */
-    DaemonFleet(int daemons, std::int64_t windowMs, unsigned seed)
+    /** @param windowMs window of the limit that the daemons share. @param maxViewAgeMs see SharedLimitMembers. */
+    DaemonFleet(int daemons, std::int64_t windowMs, unsigned seed, std::int64_t maxViewAgeMs = SharedLimitMembers::DefaultMaxViewAgeMs)
         : m_random(seed)
         , m_windowMs(windowMs)
+        , m_maxViewAgeMs(maxViewAgeMs)
     {
         for (int i = 0; i < daemons; ++i) {
             start("daemon-" + std::to_string(i), 0);
@@ -81,7 +82,7 @@
     /** Starts a process, in place of the one with its name if there is one. It reads the store and is registered a moment later. */
     void start(const std::string &name, std::int64_t nowMs)
     {
-        FleetDaemon daemon(name, m_windowMs);
+        FleetDaemon daemon(name, m_windowMs, m_maxViewAgeMs);
         daemon.m_process = ++m_processes;
         daemon.m_startedMs = nowMs;
         daemon.m_viewLagMs = static_cast<std::int64_t>(m_random() % MaxViewLagMs);
@@ -185,6 +186,7 @@
 
     std::mt19937 m_random;
     std::int64_t m_windowMs;
+    std::int64_t m_maxViewAgeMs;
     int m_processes = 0;
     std::map<std::string, FleetDaemon> m_daemons;
     /** Changes of the registrations to come, and those that the store has. */
--- a/autotests/resendbudgettest.cpp
+++ b/autotests/resendbudgettest.cpp
@@ -90,6 +90,8 @@
 {
     constexpr std::int64_t StepMs = 100;
     constexpr std::int64_t WindowMs = 10'000;
+    // As in the entry daemon.
+    constexpr std::int64_t MaxViewAgeMs = 5'000;
     constexpr std::int64_t MomentMs = 24'000;
     constexpr std::int64_t EndMs = MomentMs + 28'000;
     struct Row
@@ -104,7 +106,7 @@
         const ResendLimits limits{0.2, row.m_extra, WindowMs};
         for (const FleetCourse &course : fleetCourses()) {
             CAPTURE(row.m_daemons, row.m_requestsPerSecond, course.m_name);
-            DaemonFleet fleet(row.m_daemons, WindowMs, 7);
+            DaemonFleet fleet(row.m_daemons, WindowMs, 7, MaxViewAgeMs);
             std::map<int, ResendBudget> budgets;
             std::vector<int> requests;
             std::vector<int> resends;
