Stand-in of the hosting platform: its store, and upstreams that a request can end

No test started knapweedslip-entry with a store. standin-hosting serves the store's HTTP interface (range, watch, transactions, leases) and, on loopback addresses, engines in groups of one member and upstreams of a plain service, through the names and decoders of platform/. A request with the word CRASH ends the upstream that begins to run it: connections are reset, nothing listens until it comes back under another id, its entry stays for three heartbeats. ENDLESS-HEAD and ENDLESS-BODY are answered with bytes without end. examples/hosting.sh starts daemons and sends requests.

--- /dev/null
+++ b/examples/hosting.sh
@@ -0,0 +1,147 @@
+# Sourced by scripts that run knapweedslip-entry on loopback against the stand-in of the hosting platform. BUILD must name the build folder. Every
+# process is started here and killed by id. Addresses are 127.A.x.y with a random A, so that parallel runs do not collide.
+
+hosting_pids=()
+KEY=caller-key
+
+hosting_cleanup() {
+    [ ${#hosting_pids[@]} -eq 0 ] || kill -KILL "${hosting_pids[@]}" 2>/dev/null || true
+    [ ${#hosting_pids[@]} -eq 0 ] || wait "${hosting_pids[@]}" 2>/dev/null || true
+}
+
+start() { # log-name command...
+    local log=$1
+    shift
+    "$@" >>"$RUN/$log.log" 2>&1 &
+    hosting_pids+=($!)
+    eval "pid_${log//[^a-zA-Z0-9]/_}=$!"
+}
+
+pid_of() { # log-name
+    local variable="pid_${1//[^a-zA-Z0-9]/_}"
+    echo "${!variable}"
+}
+
+wait_until() { # seconds description command...; returns 1 on timeout
+    local limit=$((SECONDS + $1)) what=$2
+    shift 2
+    until "$@" >/dev/null 2>&1; do
+        if [ $SECONDS -ge $limit ]; then
+            echo "FAILED: $what (not within the time limit)"
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+entry_ip() { # number, from 1
+    echo "$PREFIX.$((1 + ($1 - 1) / 200)).$((($1 - 1) % 200 + 1))"
+}
+
+start_entry() { # number
+    local ip
+    ip=$(entry_ip "$1")
+    cat >"$RUN/entry-$1.yaml" <<END
+name: entry-$1
+availability_zone: zone-$((($1 - 1) % 3 + 1))
+listen: "$ip:7000"
+readiness_listen: "$ip:7001"
+metrics_listen: "$ip:7002"
+peer_listen: "$ip:7003"
+cpu_share: 0.25
+store_address: "$PREFIX.9.1:8500"
+max_key_age_ms: 5000
+resend_ratio: 0.2
+resend_extra: 132
+resend_window_s: 10
+cold_share: 1.5
+stop_grace_s: 8
+address_reuse_s: 2
+END
+    start "entry-$1" "$BUILD/daemons/knapweedslip-entry" --settings "$RUN/entry-$1.yaml"
+}
+
+config() { # prints the operators' configuration
+    cat <<END
+{"version":1,"limits":{},
+"routes":[
+{"name":"stream","host":"api","pathPrefix":"/stream/","routeType":"streaming","service":"llm","timeoutMs":8000,"latencyTargetMs":1000,"maxAttempts":3,"resumable":true},
+{"name":"once","host":"api","pathPrefix":"/once/","routeType":"non_idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":500,"maxAttempts":2},
+{"name":"read","host":"api","pathPrefix":"/read/","routeType":"idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":500,"maxAttempts":3}],
+"services":[{"name":"app"},
+{"name":"llm","backend":{"slots":26,"kvCapacity":1590000,"stride":4,"step_ms":5.95,"per_seq_ms":0.1,"context_per_k":0.01,"read_per_s":50700,"pairs_per_m":0.01,
+"chunk":512,"loadsPerS":10,"loads_at_once":4,"formMs":100,"usual":{"prompt":100,"answer":100},
+"modelList":[{"name":"model","size":1,"share":1.0,"loadS":1,"warmupS":0.1}]}}],
+"tenants":[{"name":"caller","apiKeys":["$KEY"]},{"name":"other","apiKeys":["other-key"]}]}
+END
+}
+
+start_hosting() { # entries, then options of the stand-in
+    local entries=$1 n
+    shift
+    RUN=$(mktemp -d)
+    PREFIX=127.$((RANDOM % 200 + 20))
+    trap hosting_cleanup EXIT
+    ENTRIES=$entries
+    start hosting "$BUILD/standins/standin-hosting" --listen "$PREFIX.9.1:8500" --ip "$PREFIX.8.1" --zone zone-1 zone-2 zone-3 "$@"
+    wait_until 10 "the stand-in listens" curl -sf "http://$PREFIX.9.1:8500/standin/counts" || return 1
+    config | curl -sf -X PUT --data-binary @- "http://$PREFIX.9.1:8500/standin/key?key=op/config" >/dev/null
+    for n in $(seq 1 "$entries"); do
+        start_entry "$n"
+    done
+    wait_until 30 "all daemons are ready" all_ready
+}
+
+all_ready() {
+    local n
+    for n in $(seq 1 "$ENTRIES"); do
+        curl -sf -o /dev/null "http://$(entry_ip "$n"):7001/-/readyz" || return 1
+    done
+}
+
+send() { # entry path body [curl options]; prints the status
+    local n=$1 path=$2 body=$3
+    shift 3
+    curl -s -o /dev/null -w '%{http_code}\n' -X POST -H "Host: api" -H "Authorization: Bearer $KEY" -H "Attempt-Id: $RANDOM$RANDOM$RANDOM" -H "Deadline-Ms: 8000" \
+        -H "Model: model" -H "Token-Usage: 100,100" -d "$body" --max-time 12 "$@" "http://$(entry_ip "$n"):7000$path"
+}
+
+history() {
+    curl -sf "http://$PREFIX.9.1:8500/standin/history"
+}
+
+serves() { # path; all daemons serve it
+    local n
+    for n in $(seq 1 "$ENTRIES"); do
+        [ "$(send "$n" "$1" "first")" = 200 ] || return 1
+    done
+}
+
+# Sends innocent requests through all daemons until $RUN/stop exists: COUNT at a time, each with a body of its own, on the paths given in turn. Prints
+# "status path" for each answer into $RUN/innocent.
+start_innocents() { # count path...
+    local count=$1
+    shift
+    (
+        round=0
+        while [ ! -e "$RUN/stop" ]; do
+            round=$((round + 1))
+            for i in $(seq 1 "$count"); do
+                path=${*:$((i % $# + 1)):1}
+                [ "$i" = 1 ] || echo next
+                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer other-key"\nheader = "Attempt-Id: r%s-%s-%s"\n' \
+                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$$" "$round" "$i"
+                printf 'header = "Deadline-Ms: 8000"\nheader = "Model: model"\nheader = "Token-Usage: 100,100"\ndata = "innocent %s %s"\n' "$round" "$i"
+                printf 'output = "/dev/null"\nsilent\nmax-time = 12\nwrite-out = "%%{http_code} %s\\n"\n' "$path"
+            done >"$RUN/innocent.curl"
+            curl -Z --parallel-max "$count" -K "$RUN/innocent.curl" >>"$RUN/innocent" 2>/dev/null
+        done
+    ) &
+    INNOCENTS=$!
+    hosting_pids+=("$INNOCENTS")
+}
+
+stop_innocents() {
+    touch "$RUN/stop"
+    wait "$INNOCENTS"
+}
--- /dev/null
+++ b/standins/hosting.cpp
@@ -0,0 +1,117 @@
+// Problem: the entry daemon is what runs on the hosting platform, and tests of real processes need that platform.
+// Approach: the store and all upstreams in one process on one thread. PUT /standin/key?key=K writes a key as the operators do,
+// PUT /standin/faults {"store_down_ms":n} makes the store unavailable, GET /standin/history returns what reached the upstreams.
+
+#include "net/jsonfields.h"
+#include "platform/names.h"
+#include "standins/hostingengine.h"
+#include "standins/serve.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+namespace knapweedslip::standin
+{
+namespace json = boost::json;
+
+namespace
+{
+struct HostingOptions
+{
+    std::string m_storeListen;
+    std::string m_upstreamIp;
+    std::vector<std::string> m_zones;
+    int m_engines = 0;
+    int m_serviceUpstreams = 0;
+    HostingEngineTimes m_times;
+};
+
+awaitable<void> serve(HostingStore &store, History &history, HttpExchange &exchange)
+{
+    const HttpRequest &request = exchange.request();
+    const std::string path(pathOf(request.m_target));
+    if (path == "/standin/key") {
+        hostingPut(store, queryValue(request.m_target, "key"), request.m_body);
+        co_await exchange.respond(jsonReply(200, "{}"));
+    } else if (path == "/standin/faults") {
+        store.m_downUntilMs = steadyMs() + integerField(parseJsonObject(request.m_body), "store_down_ms");
+        co_await exchange.respond(jsonReply(200, "{}"));
+    } else if (path == "/standin/counts") {
+        json::object counts;
+        for (const std::pair<const std::string, std::uint64_t> &calls : store.m_calls) {
+            counts[calls.first] = calls.second;
+        }
+        counts["bytes"] = store.m_bytes;
+        co_await exchange.respond(jsonReply(200, json::serialize(counts)));
+    } else if (path == "/standin/history") {
+        co_await exchange.respond(jsonReply(200, dumpHistory(history)));
+    } else {
+        co_await serveHostingStore(store, exchange);
+    }
+}
+
+awaitable<void> expireLeases(HostingStore &store)
+{
+    constexpr std::int64_t PollMs = 50;
+    while (true) {
+        hostingExpireLeases(store, steadyMs());
+        co_await sleepFor(PollMs);
+    }
+}
+
+int run(const HostingOptions &options)
+{
+    constexpr int FirstPort = 8001;
+    constexpr int EnginesPerDomain = 9;
+    constexpr int Slots = 26;
+    HostingStore store;
+    History history;
+    IoThreads threads(0);
+    std::vector<std::shared_ptr<HttpServer>> servers;
+    const bool listens = listenOn(
+        threads,
+        options.m_storeListen,
+        [&store, &history](HttpExchange &exchange) {
+            return serve(store, history, exchange);
+        },
+        servers);
+    if (!listens) {
+        return 2;
+    }
+    std::vector<std::unique_ptr<HostingEngine>> upstreams;
+    for (int i = 0; i < options.m_engines + options.m_serviceUpstreams; ++i) {
+        const bool isEngine = i < options.m_engines;
+        UpstreamEntry entry;
+        entry.m_service = isEngine ? "llm" : "app";
+        entry.m_availabilityZone = options.m_zones.at(static_cast<std::size_t>(i) % options.m_zones.size());
+        entry.m_slots = Slots;
+        if (isEngine) {
+            entry.m_domain = "domain-" + std::to_string(i / EnginesPerDomain);
+            entry.m_stagedModels = {"model"};
+        }
+        upstreams.push_back(std::make_unique<HostingEngine>(
+            threads.control(), store, history, options.m_upstreamIp + ":" + std::to_string(FirstPort + i), std::move(entry), options.m_times));
+        asio::co_spawn(threads.control(), upstreams.back()->run(), asio::detached);
+    }
+    asio::co_spawn(threads.control(), expireLeases(store), asio::detached);
+    runUntilSignal(threads);
+    return 0;
+}
+}
+}
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stand-in for the hosting platform: its store, model engines and upstreams of a plain service");
+    knapweedslip::standin::HostingOptions options;
+    app.add_option("--listen", options.m_storeListen, "ip:port of the store")->required();
+    app.add_option("--ip", options.m_upstreamIp, "address of all upstreams, which listen on ports from 8001")->required();
+    app.add_option("--zone", options.m_zones, "availability zones")->required();
+    app.add_option("--engines", options.m_engines, "model engines, of the service llm");
+    app.add_option("--services", options.m_serviceUpstreams, "upstreams of the plain service app");
+    app.add_option("--restart-ms", options.m_times.m_restartMs, "how long an upstream that has crashed stays away");
+    app.add_option("--events", options.m_times.m_events, "events of each stream");
+    CLI11_PARSE(app, argc, argv);
+    return knapweedslip::standin::run(options);
+}
--- /dev/null
+++ b/standins/hostingengine.cpp
@@ -0,0 +1,340 @@
+// Problem: tests need upstreams that a request ends, as processes see it: connections reset, the address not listening, another id afterwards.
+// Approach: sockets of its own instead of HttpServer, so that a crash can reset all of them and an answer can break the protocol.
+
+#include "standins/hostingengine.h"
+
+#include "net/jsonfields.h"
+#include "platform/callheaders.h"
+#include "platform/names.h"
+
+#include <array>
+#include <utility>
+
+namespace knapweedslip::standin
+{
+namespace json = boost::json;
+
+namespace
+{
+constexpr unsigned NotExecutedStatus = 503;
+constexpr unsigned MisdirectedStatus = 421;
+constexpr const char *CrashWord = "CRASH";
+constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
+constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
+
+bool contains(const std::string &text, const char *word)
+{
+    return text.find(word) != std::string::npos;
+}
+
+std::string describeRequest(const HttpRequest &request, const std::string &engine)
+{
+    return "\"engine\":\"" + engine + "\",\"attempt\":\"" + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\",\"path\":\""
+           + request.m_target + "\",\"crashes\":" + (contains(request.m_body, CrashWord) ? "true" : "false");
+}
+}
+
+struct HostingEngine::Connection
+{
+    explicit Connection(Tcp::socket socket)
+        : m_stream(std::move(socket))
+    {
+    }
+
+    awaitable<bool> write(std::string text)
+    {
+        const auto [error, size] = co_await asio::async_write(m_stream, asio::buffer(text), UseTuple);
+        co_return !error;
+    }
+
+    awaitable<bool> respond(const HttpReply &reply, const HttpRequest &request)
+    {
+        http::response<http::string_body> message(static_cast<http::status>(reply.m_status), 11);
+        message.set(platform::header::RequestId, std::string(headerValue(request.m_headers, platform::header::RequestId)));
+        for (const std::pair<std::string, std::string> &field : reply.m_headers) {
+            message.set(field.first, field.second);
+        }
+        message.body() = reply.m_body;
+        message.prepare_payload();
+        const auto [error, size] = co_await http::async_write(m_stream, message, UseTuple);
+        co_return !error;
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+};
+
+HostingEngine::HostingEngine(
+    asio::io_context &io, HostingStore &store, History &history, const std::string &address, UpstreamEntry entry, HostingEngineTimes times)
+    : m_io(io)
+    , m_store(store)
+    , m_history(history)
+    , m_address(address)
+    , m_entry(std::move(entry))
+    , m_times(times)
+{
+}
+
+std::string HostingEngine::entryText() const
+{
+    json::object object{{"service", m_entry.m_service},
+                        {"address", m_address},
+                        {"zone", m_entry.m_availabilityZone},
+                        {"version", "1"},
+                        {"slots", m_entry.m_slots},
+                        {"state", "ready"},
+                        {"coldLeftMs", 0},
+                        {"born", m_entry.m_startedMs},
+                        {"seq", m_orders}};
+    if (!m_entry.m_domain.empty()) {
+        object["domain"] = m_entry.m_domain;
+        object["modelList"] = json::array();
+        json::array staged;
+        for (const std::string &model : m_entry.m_stagedModels) {
+            staged.emplace_back(model);
+        }
+        object["staged"] = std::move(staged);
+        if (!m_entry.m_replica.empty()) {
+            object["group"] = json::object{{"name", m_entry.m_replica.m_name},
+                                           {"epoch", m_entry.m_replica.m_epoch},
+                                           {"rank", m_entry.m_rank},
+                                           {"state", std::string(enumName(MemberPhaseNames, m_entry.m_phase))}};
+        }
+    }
+    return json::serialize(object);
+}
+
+void HostingEngine::publish()
+{
+    hostingPut(m_store, std::string(platform::key::Upstream) + m_entry.m_id, entryText());
+}
+
+void HostingEngine::beginLifetime()
+{
+    ++m_lifetime;
+    m_alive = true;
+    m_orders = 0;
+    m_entry.m_id = "i-" + toHex(randomId());
+    m_entry.m_startedMs = unixSeconds() * 1'000;
+    m_entry.m_replica = {};
+    m_entry.m_rank = -1;
+    m_entry.m_phase = MemberPhase::None;
+    const Tcp::endpoint endpoint = valueOf(parseEndpoint(m_address));
+    m_acceptor = std::make_shared<Tcp::acceptor>(m_io, endpoint, true);
+    record(m_history, "started", "\"engine\":\"" + m_entry.m_id + "\"");
+    publish();
+    asio::co_spawn(m_io, acceptConnections(m_acceptor, m_lifetime), asio::detached);
+}
+
+void HostingEngine::crash(const HttpRequest &cause)
+{
+    record(m_history, "ended", describeRequest(cause, m_entry.m_id) + ",\"connections\":" + std::to_string(m_connections.size()));
+    m_alive = false;
+    boost::system::error_code ignored;
+    m_acceptor->close(ignored);
+    for (const ConnectionPtr &connection : m_connections) {
+        connection->m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        connection->m_stream.socket().close(ignored);
+    }
+    m_connections.clear();
+}
+
+awaitable<void> HostingEngine::run()
+{
+    constexpr int HeartbeatsUntilRemoval = 3;
+    constexpr std::int64_t PollMs = 20;
+    while (true) {
+        beginLifetime();
+        std::int64_t heartbeatMs = steadyMs();
+        while (m_alive) {
+            co_await sleepFor(PollMs);
+            if (m_alive && steadyMs() - heartbeatMs >= m_times.m_heartbeatMs) {
+                heartbeatMs = steadyMs();
+                publish();
+            }
+        }
+        // The entry of an engine that has crashed stays in the list until its heartbeats are missed.
+        const std::string key = std::string(platform::key::Upstream) + m_entry.m_id;
+        asio::co_spawn(
+            m_io,
+            [](HostingStore &store, std::string gone, std::int64_t afterMs) -> awaitable<void> {
+                co_await sleepFor(afterMs);
+                hostingRemove(store, gone);
+            }(m_store, key, HeartbeatsUntilRemoval * m_times.m_heartbeatMs),
+            asio::detached);
+        co_await sleepFor(m_times.m_restartMs);
+    }
+}
+
+awaitable<void> HostingEngine::acceptConnections(std::shared_ptr<Tcp::acceptor> acceptor, std::uint64_t lifetime)
+{
+    while (true) {
+        auto [error, socket] = co_await acceptor->async_accept(UseTuple);
+        if (error) {
+            co_return;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        const ConnectionPtr connection = std::make_shared<Connection>(std::move(socket));
+        m_connections.insert(connection);
+        asio::co_spawn(m_io, serve(connection, lifetime), asio::detached);
+    }
+}
+
+awaitable<void> HostingEngine::serve(ConnectionPtr connection, std::uint64_t lifetime)
+{
+    while (lifetime == m_lifetime && m_alive) {
+        http::request_parser<http::string_body> parser;
+        const auto [error, size] = co_await http::async_read(connection->m_stream, connection->m_buffer, parser, UseTuple);
+        if (error) {
+            break;
+        }
+        HttpRequest request;
+        request.m_method = std::string(parser.get().method_string());
+        request.m_target = std::string(parser.get().target());
+        for (const http::fields::value_type &field : parser.get()) {
+            request.m_headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        request.m_body = parser.get().body();
+        co_await serveRequest(*connection, request, lifetime);
+    }
+    m_connections.erase(connection);
+}
+
+HttpReply HostingEngine::executeOrder(const std::string &body)
+{
+    const json::object order = parseJsonObject(body);
+    const std::string kind = stringField(order, "op");
+    const ReplicaRef replica{stringField(order, "group"), static_cast<std::uint64_t>(integerField(order, "epoch"))};
+    ++m_orders;
+    const auto later = [this](MemberPhase phase, std::int64_t afterMs) {
+        const std::uint64_t lifetime = m_lifetime;
+        const ReplicaRef ref = m_entry.m_replica;
+        asio::co_spawn(
+            m_io,
+            [](HostingEngine &engine, MemberPhase next, std::int64_t waitMs, std::uint64_t inLifetime, ReplicaRef of) -> awaitable<void> {
+                co_await sleepFor(waitMs);
+                if (engine.m_alive && engine.m_lifetime == inLifetime && engine.m_entry.m_replica == of) {
+                    engine.m_entry.m_phase = next;
+                    engine.publish();
+                }
+            }(*this, phase, afterMs, lifetime, ref),
+            asio::detached);
+    };
+    if (kind == "join") {
+        if (m_entry.m_replica == replica) {
+            return jsonReply(m_entry.m_phase == MemberPhase::Joining ? 202 : 200, "{}");
+        }
+        m_entry.m_replica = replica;
+        m_entry.m_rank = 0;
+        m_entry.m_phase = MemberPhase::Joining;
+        later(MemberPhase::Ready, m_times.m_joinMs);
+        return jsonReply(202, "{}");
+    }
+    if (kind == "phase") {
+        m_entry.m_stagedModels = {stringField(order, "modelName")};
+        publish();
+        return jsonReply(200, "{}");
+    }
+    if (!(m_entry.m_replica == replica)) {
+        return jsonReply(409, "{}");
+    }
+    if (kind == "open") {
+        if (m_entry.m_phase == MemberPhase::Open) {
+            return jsonReply(200, "{}");
+        }
+        if (m_entry.m_phase != MemberPhase::Ready) {
+            return jsonReply(409, "{}");
+        }
+        later(MemberPhase::Open, m_times.m_openMs);
+        return jsonReply(202, "{}");
+    }
+    if (kind == "close") {
+        m_entry.m_phase = MemberPhase::Ready;
+    } else {
+        m_entry.m_replica = {};
+        m_entry.m_phase = MemberPhase::None;
+    }
+    publish();
+    return jsonReply(200, "{}");
+}
+
+awaitable<void> HostingEngine::streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime)
+{
+    const platform::CallerHeaders caller = platform::decodeCallerHeaders(request);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + std::string(platform::header::RequestId)
+                             + ": " + caller.m_requestId + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n";
+    bool open = co_await connection.write(head);
+    for (std::int64_t event = caller.m_lastEventId.value_or(-1) + 1; open && event < m_times.m_events; ++event) {
+        const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+        std::array<char, 32> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+        open = co_await connection.write(size.data() + text + "\r\n");
+        co_await sleepFor(m_times.m_eventMs);
+        if (lifetime != m_lifetime || !m_alive) {
+            co_return;
+        }
+    }
+    if (open) {
+        co_await connection.write("0\r\n\r\n");
+    }
+}
+
+awaitable<void> HostingEngine::serveRequest(Connection &connection, const HttpRequest &request, std::uint64_t lifetime)
+{
+    const std::string path(pathOf(request.m_target));
+    const std::string_view expected = headerValue(request.m_headers, platform::header::ExpectUpstream);
+    HttpReply reply;
+    if (!expected.empty() && expected != m_entry.m_id) {
+        reply.m_status = MisdirectedStatus;
+        co_await connection.respond(reply, request);
+        co_return;
+    }
+    if (path == platform::path::Report) {
+        co_await connection.respond(jsonReply(200, entryText()), request);
+        co_return;
+    }
+    if (path == platform::path::Order) {
+        reply = executeOrder(request.m_body);
+        co_await connection.respond(reply, request);
+        co_return;
+    }
+    if (!m_entry.m_domain.empty() && m_entry.m_phase != MemberPhase::Open) {
+        reply.m_status = NotExecutedStatus;
+        reply.m_headers.emplace_back(platform::header::NotRun, "1");
+        co_await connection.respond(reply, request);
+        co_return;
+    }
+    record(m_history, "arrived", describeRequest(request, m_entry.m_id));
+    co_await sleepFor(m_times.m_prefillMs);
+    if (lifetime != m_lifetime || !m_alive) {
+        co_return;
+    }
+    if (contains(request.m_body, CrashWord)) {
+        crash(request);
+        co_return;
+    }
+    if (contains(request.m_body, EndlessHeadWord) || contains(request.m_body, EndlessBodyWord)) {
+        const std::string block(16 * 1024, 'x');
+        bool open =
+            co_await connection.write(contains(request.m_body, EndlessHeadWord) ? std::string("HTTP/1.1 200 OK\r\nX-Filler: ")
+                                                                                : "HTTP/1.1 200 OK\r\n" + std::string(platform::header::RequestId) + ": "
+                                                                                      + std::string(headerValue(request.m_headers, platform::header::RequestId))
+                                                                                      + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n");
+        std::uint64_t bytes = 0;
+        while (open && lifetime == m_lifetime && m_alive) {
+            open = co_await connection.write(block);
+            bytes += open ? block.size() : 0;
+        }
+        record(m_history, "endless", describeRequest(request, m_entry.m_id) + ",\"bytes\":" + std::to_string(bytes));
+        co_return;
+    }
+    if (!m_entry.m_domain.empty()) {
+        co_await streamEvents(connection, request, lifetime);
+        co_return;
+    }
+    reply = jsonReply(200, R"({"done":true})");
+    reply.m_headers.emplace_back(platform::header::Signature, "stand-in");
+    co_await connection.respond(reply, request);
+}
+}
--- /dev/null
+++ b/standins/hostingengine.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "kernel/upstreams.h"
+#include "net/http.h"
+#include "standins/history.h"
+#include "standins/hostingstore.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace knapweedslip::standin
+{
+/** Times of an engine, in ms. */
+struct HostingEngineTimes
+{
+    /** From the arrival of a request until it begins to run. */
+    std::int64_t m_prefillMs = 60;
+    /** Between two events of a stream. */
+    std::int64_t m_eventMs = 40;
+    int m_events = 25;
+    /** How long the engine stays away after it has crashed. */
+    std::int64_t m_restartMs = 2'000;
+    std::int64_t m_heartbeatMs = 1'200;
+    /** Forming a group of one member: joining, then opening. */
+    std::int64_t m_joinMs = 100;
+    std::int64_t m_openMs = 100;
+};
+
+/**
+ * One upstream of the hosting platform, an engine that serves groups of one member or an upstream of a plain service. Words in the body of a
+ * request choose what it does: CRASH ends the upstream when the request begins to run, ENDLESS-HEAD and ENDLESS-BODY are answered with bytes
+ * without end. An upstream that has ended closes all its connections and comes back under another id.
+ */
+class HostingEngine
+{
+public:
+    HostingEngine(asio::io_context &io, HostingStore &store, History &history, const std::string &address, UpstreamEntry entry, HostingEngineTimes times);
+
+    /** Serves, publishes its entry, and starts anew after each crash; does not return. */
+    awaitable<void> run();
+
+private:
+    struct Connection;
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    awaitable<void> acceptConnections(std::shared_ptr<Tcp::acceptor> acceptor, std::uint64_t lifetime);
+    awaitable<void> serve(ConnectionPtr connection, std::uint64_t lifetime);
+    awaitable<void> serveRequest(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
+    awaitable<void> streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
+    HttpReply executeOrder(const std::string &body);
+    /** Ends this lifetime: every connection is reset, and nothing listens until the next one. */
+    void crash(const HttpRequest &cause);
+    void beginLifetime();
+    std::string entryText() const;
+    void publish();
+
+    asio::io_context &m_io;
+    HostingStore &m_store;
+    History &m_history;
+    std::string m_address;
+    UpstreamEntry m_entry;
+    HostingEngineTimes m_times;
+    std::uint64_t m_lifetime = 0;
+    bool m_alive = false;
+    std::int64_t m_orders = 0;
+    std::shared_ptr<Tcp::acceptor> m_acceptor;
+    std::set<ConnectionPtr> m_connections;
+};
+}
--- /dev/null
+++ b/standins/hostingstore.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "net/httpserver.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace knapweedslip::standin
+{
+/** One key of the hosting platform's store, or its removal. */
+struct HostingStoreItem
+{
+    std::string m_key;
+    std::string m_value;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_created = 0;
+    std::uint64_t m_lease = 0;
+    bool m_deleted = false;
+};
+
+struct HostingLease
+{
+    std::int64_t m_ttlMs = 0;
+    std::int64_t m_endsMs = 0;
+};
+
+/** The hosting platform's store: items under one revision counter, their history, and leases. Times are of steadyMs(). */
+struct HostingStore
+{
+    static constexpr std::size_t MaxHistory = 20'000;
+
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_nextLease = 1;
+    std::map<std::string, HostingStoreItem> m_items;
+    /** The last changes, oldest first. */
+    std::deque<HostingStoreItem> m_history;
+    std::map<std::uint64_t, HostingLease> m_leases;
+    /** All calls are answered with 503 until this time. */
+    std::int64_t m_downUntilMs = 0;
+    /** Number of calls of each kind, and of bytes in their bodies, both ways. */
+    std::map<std::string, std::uint64_t> m_calls;
+    std::uint64_t m_bytes = 0;
+};
+
+/** Writes @p key as a platform's own writer does, without conditions. */
+void hostingPut(HostingStore &store, const std::string &key, const std::string &value);
+/** Removes @p key if it exists. */
+void hostingRemove(HostingStore &store, const std::string &key);
+/** Ends the leases that are over. Leases pause while the store is down. */
+void hostingExpireLeases(HostingStore &store, std::int64_t nowMs);
+/** Serves one call of the store's HTTP interface. */
+awaitable<void> serveHostingStore(HostingStore &store, HttpExchange &exchange);
+}
