Logs recognise a request that is sent again, and attempts that may have run

The logs named attempts by the client's id, which is new each time, so the hypotheses could not be told apart. call-sent and attempt-failed now name the request's fingerprint (workspace, target, body), attempt-failed whether the upstream may have run the attempt, and a stream that breaks midway is logged as well. No decision depends on any of it.

--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -6,6 +6,7 @@
 #include "daemons/entrycall.h"
 
 #include "daemons/entryloadreports.h"
+#include "kernel/requestfingerprint.h"
 #include "net/logging.h"
 
 #include <algorithm>
@@ -153,6 +154,7 @@
 {
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
+              {"fingerprint", toHex(call.m_fingerprint)},
               {"upstream", upstream},
               {"group", group},
               {"send", static_cast<std::int64_t>(call.m_sends + 1)},
@@ -163,10 +165,15 @@
               {"proof_age_ms", steadyMs() - call.m_context.m_confirmedMs}});
 }
 
-void logAttemptFailed(const EntryCall &call, const std::string &upstream, const std::string &what)
+void logAttemptFailed(const EntryCall &call, const std::string &upstream, AttemptOutcome outcome, const std::string &what)
 {
     logEvent(LogEvent::AttemptFailed,
-             {{"request", call.m_caller.m_requestId}, {"upstream", upstream}, {"what", what}, {"after_ms", steadyMs() - call.m_arrivedMs}});
+             {{"request", call.m_caller.m_requestId},
+              {"fingerprint", toHex(call.m_fingerprint)},
+              {"upstream", upstream},
+              {"may_have_run", outcome == AttemptOutcome::MayHaveRun},
+              {"what", what},
+              {"after_ms", steadyMs() - call.m_arrivedMs}});
 }
 
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs)
@@ -214,6 +221,7 @@
         co_return;
     }
     context.m_serving = true;
+    call.m_fingerprint = requestFingerprint(workspaceName(call), exchange.request().m_target, exchange.request().m_body);
     std::uniform_real_distribution<double> uniform(0.0, 1.0);
     call.m_service = chooseService(*call.m_config, *call.m_admission.m_route, uniform(context.m_random));
     if (call.m_service == nullptr) {
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -2,6 +2,7 @@
 
 #include "daemons/entrycontext.h"
 #include "kernel/admitcall.h"
+#include "kernel/attemptcounter.h"
 #include "platform/callheaders.h"
 
 #include <functional>
@@ -26,6 +27,8 @@
     /** Owns the route, workspace and service that the members below point to. */
     CallConfigPtr m_config;
     CallAdmission m_admission;
+    /** See requestFingerprint(); 0 until the request is admitted. */
+    std::uint64_t m_fingerprint = 0;
     const CallService *m_service = nullptr;
     std::int64_t m_arrivedMs = 0;
     /** When the final answer is due. */
@@ -103,8 +106,8 @@
 void logCallEnd(const EntryCall &call, const char *outcome, unsigned status, const std::string &detail);
 /** Logs that the request is about to be sent to @p upstream, cold until @p coldUntilMs; @p group is empty for a plain service. */
 void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs, std::int64_t coldUntilMs);
-/** Logs that the attempt at @p upstream failed, and why. */
-void logAttemptFailed(const EntryCall &call, const std::string &upstream, const std::string &what);
+/** Logs that the attempt at @p upstream failed, and why; @p outcome tells whether the upstream may have run it. */
+void logAttemptFailed(const EntryCall &call, const std::string &upstream, AttemptOutcome outcome, const std::string &what);
 
 /** Serves a call to a plain service. */
 awaitable<void> relayServiceCall(EntryCall &call);
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -130,6 +130,7 @@
     while (true) {
         const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
         if (failed(piece)) {
+            logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, describe(errorOf(piece)));
             co_return AttemptResult::Failed;
         }
         if (valueOf(piece).empty()) {
@@ -137,7 +138,7 @@
         }
         const EventBatch events = state.m_reassembler.feed(valueOf(piece));
         if (state.m_reassembler.state() == EventReassemblyState::Broken) {
-            logAttemptFailed(call, call.m_running->m_replica.m_name, "an event is missing or cannot be read");
+            logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "an event is missing or cannot be read");
             co_return AttemptResult::Failed;
         }
         if (events.m_events == 0) {
@@ -165,7 +166,7 @@
         }
     }
     if (state.m_reassembler.hasPartialEvent()) {
-        logAttemptFailed(call, call.m_running->m_replica.m_name, "the answer ended inside an event");
+        logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "the answer ended inside an event");
         co_return AttemptResult::Failed;
     }
     attempt.finish();
@@ -200,7 +201,7 @@
     state.m_reassembler.startAttempt();
     const OpenResult opened = co_await attempt.open(std::move(target), state.m_reassembler.lastEventId(), 0);
     if (opened != OpenResult::Answered) {
-        logAttemptFailed(call, head, attempt.error());
+        logAttemptFailed(call, head, opened == OpenResult::NotSent ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun, attempt.error());
         if (call.m_running->m_cause == AbortCause::None) {
             context.m_replicaSelector.avoid(replica, steadyMs(), AvoidUnreachableMs);
         }
@@ -218,12 +219,12 @@
             context.m_replicaSelector.markFull(replica, steadyMs());
         }
         state.m_refusedFull = true;
-        logAttemptFailed(call, head, "refused with status " + std::to_string(attempt.status()));
+        logAttemptFailed(call, head, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
         co_return AttemptResult::NotRun;
     }
     state.m_mayHaveRun = true;
     if (attempt.status() != Ok || !attempt.isAuthentic()) {
-        logAttemptFailed(call, head, "answered with status " + std::to_string(attempt.status()));
+        logAttemptFailed(call, head, AttemptOutcome::MayHaveRun, "answered with status " + std::to_string(attempt.status()));
         co_return co_await readFailure(attempt, state);
     }
     co_return co_await relayEvents(call, attempt, state, registration);
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -86,14 +86,14 @@
     const std::int64_t nowMs = steadyMs();
     if (opened != OpenResult::Answered) {
         call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Lost, -1, nowMs);
-        logAttemptFailed(call, upstream, attempt.error());
+        logAttemptFailed(call, upstream, opened == OpenResult::NotSent ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun, attempt.error());
         co_return opened == OpenResult::NotSent ? AttemptResult::NotRun : AttemptResult::Unknown;
     }
     HttpReply reply;
     const bool isComplete = co_await readBody(attempt, reply.m_body);
     if (attempt.answer().m_notRun) {
         call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Refused, attempt.answer().m_load, steadyMs());
-        logAttemptFailed(call, upstream, "refused with status " + std::to_string(attempt.status()));
+        logAttemptFailed(call, upstream, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
         attempt.finish();
         co_return AttemptResult::NotRun;
     }
@@ -101,6 +101,7 @@
         call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Lost, -1, steadyMs());
         logAttemptFailed(call,
                          upstream,
+                         AttemptOutcome::MayHaveRun,
                          isComplete ? "the answer is not signed, was altered, or belongs to another request"
                                     : "the connection broke before the end of the answer");
         co_return AttemptResult::Unknown;
