--- a/autotests/admitcalltest.cpp
+++ b/autotests/admitcalltest.cpp
@@ -169,5 +169,6 @@
         INFO(enumName(RefusalReasonNames, reason));
         CHECK(reasonAfterDispatch(reason, false) == reason);
         CHECK(refusalStatus(reasonAfterDispatch(reason, true)) != 503);
+        CHECK(refusalStatus(reasonAfterDispatch(reason, true)) != 429);
     }
 }
--- a/autotests/processes/crashingrequest.sh
+++ b/autotests/processes/crashingrequest.sh
@@ -11,22 +11,17 @@
     wait_until 20 "$path is served by all daemons" serves "$path" || exit 1
 done
 start_innocents "${INNOCENTS_AT_ONCE:-60}" "${paths[@]}"
-send_often() { # path
-    local i
-    for i in $(seq 1 "${SENDS:-20}"); do
-        echo "$1 $(send $((i % ENTRIES + 1)) "$1" "CRASH $1")" >>"$RUN/crashing"
-        sleep 0.4
+# One after the other, so that none of them is on an upstream that another one ends.
+for i in $(seq 1 "${SENDS:-20}"); do
+    for path in "${paths[@]}"; do
+        echo "$path $(send $((i % ENTRIES + 1)) "$path" "CRASH $path")" >>"$RUN/crashing"
+        sleep 0.13
     done
-}
-senders=()
-for path in "${paths[@]}"; do
-    send_often "$path" &
-    senders+=($!)
 done
-wait "${senders[@]}"
 # Processes that have lost their memory must learn of the requests from what lasts.
 for n in $(seq 1 "$ENTRIES"); do
     kill -KILL "$(pid_of "entry-$n")"
+    wait "$(pid_of "entry-$n")" 2>/dev/null
 done
 for n in $(seq 1 "$ENTRIES"); do
     start_entry "$n"
--- a/autotests/replicaselectortest.cpp
+++ b/autotests/replicaselectortest.cpp
@@ -2,6 +2,7 @@
 // prefill.
 
 #include "autotests/entryfixtures.h"
+#include "kernel/hashing.h"
 #include "kernel/loadreport.h"
 #include "kernel/replicachoice.h"
 
@@ -249,3 +250,43 @@
         CHECK((choice.m_replica != nullptr) == (row.m_outcome == ReplicaChoiceOutcome::Chosen));
     }
 }
+
+// Guards against innocent requests that follow the cause of an upstream's end from one upstream to the next (incident BUDGET).
+TEST_CASE("requests under which upstreams ended part, and go to the next replica by hash if one is not available", "[entry][crash]")
+{
+    const std::function<bool(const TrackedReplica &)> always = [](const TrackedReplica &) {
+        return true;
+    };
+    std::vector<TrackedReplica> groups;
+    for (std::uint64_t epoch = 1; epoch <= 4; ++epoch) {
+        groups.push_back(group("big", epoch));
+    }
+    ReplicaSelector selector = selectorWith(groups);
+    std::map<ReplicaRef, int> chosen;
+    constexpr int Requests = 400;
+    for (std::uint64_t key = 0; key < Requests; ++key) {
+        ReplicaQuery query{"big", 1'000, "a", 10'000.0};
+        query.m_partByKey = hash64("request", key);
+        const ReplicaChoice first = chooseReplica(selector, query, always, 0);
+        REQUIRE(first.m_outcome == ReplicaChoiceOutcome::Chosen);
+        CHECK(chooseReplica(selector, query, always, 0).m_replica == first.m_replica);
+        ++chosen[first.m_replica->m_ref];
+        const ReplicaRef denied = first.m_replica->m_ref;
+        const ReplicaChoice second = chooseReplica(
+            selector,
+            query,
+            [&denied](const TrackedReplica &replica) {
+                return !(replica.m_ref == denied);
+            },
+            0);
+        REQUIRE(second.m_outcome == ReplicaChoiceOutcome::Chosen);
+        CHECK_FALSE(second.m_replica->m_ref == denied);
+    }
+    CHECK(chosen.size() == groups.size());
+    for (const std::pair<const ReplicaRef, int> &entry : chosen) {
+        CHECK(entry.second < Requests / 2);
+    }
+    ReplicaQuery impossible{"big", 1'000, "a", 0.0};
+    impossible.m_partByKey = 1;
+    CHECK(chooseReplica(selector, impossible, always, 0).m_outcome == ReplicaChoiceOutcome::TooLate);
+}
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -4,6 +4,7 @@
 // Separate processes for gateway and controller would each need memory and a copy of the deployment's state on every one of these VMs.
 
 #include "daemons/entrycall.h"
+#include "daemons/entrycrashes.h"
 #include "daemons/entryloadreports.h"
 #include "daemons/entryreconciler.h"
 #include "daemons/entrystore.h"
@@ -67,6 +68,7 @@
     add("knapweedslip_silences_total", "Groups found silent", metrics.m_silences);
     add("knapweedslip_cold_sent_total", "Requests sent to cold upstreams", metrics.m_coldSent);
     add("knapweedslip_cold_withheld_total", "Choices of a cold upstream that its rate limit did not allow", metrics.m_coldWithheld);
+    add("knapweedslip_upstreams_ended_total", "Upstreams that ended while a request of this daemon had just begun to run there", metrics.m_upstreamsEnded);
     add("knapweedslip_orders_total", "Orders given to engines", metrics.m_orders);
     add("knapweedslip_probes_total", "Engines asked for a report", metrics.m_probes);
     add("knapweedslip_store_calls_total", "Calls to the platform's store", context.m_store.m_calls);
@@ -79,6 +81,10 @@
     const std::int64_t confirmationAgeMs = context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs;
     text += exposeMetric("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(confirmationAgeMs), true);
     text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(context.m_coldMembers.count(steadyMs())), true);
+    text += exposeMetric("knapweedslip_crash_observations",
+                         "Observations of all daemons about requests under which upstreams ended",
+                         static_cast<double>(context.m_crashLedger.size()),
+                         true);
     text += exposeMetric("knapweedslip_running", "Requests being served", static_cast<double>(context.m_running.size()), true);
     return text;
 }
@@ -219,6 +225,7 @@
     logEvent(LogEvent::ProcessStarted, {{"availability_zone", settings.m_availabilityZone}, {"listen", settings.m_listen}});
     asio::co_spawn(io, followStore(context), asio::detached);
     asio::co_spawn(io, maintainRegistration(context), asio::detached);
+    asio::co_spawn(io, publishCrashes(context), asio::detached);
     asio::co_spawn(io, runLeaderElection(context), asio::detached);
     asio::co_spawn(io, runReconciler(context), asio::detached);
     asio::co_spawn(io, superviseLoop(context), asio::detached);
@@ -231,6 +238,9 @@
         context.m_sendLoadReport = [&exchange]() {
             exchange.sendNow();
         };
+        context.m_sendCrashes = [&exchange]() {
+            exchange.sendCrashes();
+        };
         asio::co_spawn(io, exchange.sendLoop(), asio::detached);
         asio::co_spawn(io, exchange.receiveLoop(), asio::detached);
     }
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -18,6 +18,9 @@
 /** When a client should retry if this daemon has no configuration, or none that is confirmed to be current, in ms: other daemons may have one. */
 constexpr std::int64_t NoConfigurationRetryMs = 300;
 
+/** Longest time by which a request that waited for a crash verdict goes on later, in ms: several times the time in which an upstream begins to run it. */
+constexpr std::int64_t CrashSpreadMs = 1'000;
+
 /** When a client should retry if this daemon is stopping, in ms: another daemon accepts its new connection at once. */
 constexpr std::int64_t DrainingRetryMs = 20;
 
@@ -45,6 +48,11 @@
 awaitable<OpenResult> EntryAttempt::open(AttemptTarget target, std::optional<std::int64_t> lastEventId, std::int64_t maxIdleMs)
 {
     EntryContext &context = m_call.m_context;
+    m_upstream = {target.m_upstream, target.m_address, 0};
+    const auto listed = context.m_upstreams.find(target.m_upstream);
+    if (listed != context.m_upstreams.end()) {
+        m_upstream.m_startedMs = listed->second.m_startedMs;
+    }
     m_call.m_running->m_cause = m_call.m_running->m_cause == AbortCause::CallerLeft ? AbortCause::CallerLeft : AbortCause::None;
     m_connection = context.m_connections.take(context.m_io.get_executor(), target.m_address, target.m_upstream);
     if (m_connection != nullptr && maxIdleMs > 0 && steadyMs() - m_connection->m_idleSinceMs >= maxIdleMs) {
@@ -81,8 +89,10 @@
     const Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
     if (failed(opened)) {
         m_error = describe(errorOf(opened));
+        handleBrokenConnection();
         co_return OpenResult::Lost;
     }
+    m_answeredMs = steadyMs();
     m_status = m_stream->status();
     m_headers = m_stream->headers();
     m_answer = platform::decodeResponseHeaders(m_status, m_headers);
@@ -120,6 +130,16 @@
     return m_error;
 }
 
+void EntryAttempt::handleBrokenConnection()
+{
+    const bool ranOn = m_answeredMs >= 0 && steadyMs() - m_answeredMs > CrashWindowMs;
+    if (m_call.m_running->m_cause != AbortCause::None || ranOn) {
+        return;
+    }
+    m_call.m_mayEndUpstreams = true;
+    checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_fingerprint);
+}
+
 void EntryAttempt::finish()
 {
     m_call.m_running->m_connection = nullptr;
@@ -176,12 +196,37 @@
               {"after_ms", steadyMs() - call.m_arrivedMs}});
 }
 
+CrashVerdict crashVerdict(const EntryCall &call)
+{
+    return call.m_context.m_crashLedger.verdict(call.m_fingerprint, steadyMs());
+}
+
+awaitable<CrashVerdict> waitForCrashVerdict(EntryCall &call)
+{
+    constexpr std::int64_t PollMs = 20;
+    // Copies of a request that wait at several daemons go on at different times, so that the fate of the first stops the others.
+    std::uniform_int_distribution<std::int64_t> spreadMs(PollMs, CrashSpreadMs);
+    while (crashVerdict(call) == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
+        while (crashVerdict(call) == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
+            co_await sleepFor(PollMs);
+        }
+        co_await sleepFor(crashVerdict(call) == CrashVerdict::MaySend ? spreadMs(call.m_context.m_random) : 0);
+    }
+    co_return crashVerdict(call);
+}
+
+std::int64_t poisonRetryAfterMs(const EntryCall &call)
+{
+    return call.m_context.m_crashLedger.remainingMs(call.m_fingerprint, steadyMs());
+}
+
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs)
 {
     const unsigned status = refusalStatus(reason);
     ++call.m_context.m_metrics.m_refused.at(static_cast<std::size_t>(reason));
     logEvent(LogEvent::RequestRefused,
              {{"request", call.m_caller.m_requestId},
+              {"fingerprint", toHex(call.m_fingerprint)},
               {"route", call.m_admission.m_route == nullptr ? std::string() : call.m_admission.m_route->m_name},
               {"workspace", workspaceName(call)},
               {"reason", std::string(enumName(RefusalReasonNames, reason))},
@@ -222,6 +267,10 @@
     }
     context.m_serving = true;
     call.m_fingerprint = requestFingerprint(workspaceName(call), exchange.request().m_target, exchange.request().m_body);
+    if (crashVerdict(call) == CrashVerdict::Poison) {
+        co_await refuseCall(call, RefusalReason::PoisonRequest, poisonRetryAfterMs(call));
+        co_return;
+    }
     std::uniform_real_distribution<double> uniform(0.0, 1.0);
     call.m_service = chooseService(*call.m_config, *call.m_admission.m_route, uniform(context.m_random));
     if (call.m_service == nullptr) {
@@ -251,6 +300,9 @@
 void superviseCalls(EntryContext &context)
 {
     applyLoadReports(context);
+    if (context.m_sendCrashes) {
+        context.m_sendCrashes();
+    }
     const std::int64_t nowMs = steadyMs();
     const std::vector<ReplicaRef> silent = context.m_replicaSelector.findSilentReplicas(nowMs);
     for (const ReplicaRef &replica : silent) {
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemons/entrycontext.h"
+#include "daemons/entrycrashes.h"
 #include "kernel/admitcall.h"
 #include "kernel/attemptcounter.h"
 #include "platform/callheaders.h"
@@ -29,6 +30,8 @@
     CallAdmission m_admission;
     /** See requestFingerprint(); 0 until the request is admitted. */
     std::uint64_t m_fingerprint = 0;
+    /** The connection of an attempt broke soon after the request had been sent, so that the request may be what ended the upstream. */
+    bool m_mayEndUpstreams = false;
     const CallService *m_service = nullptr;
     std::int64_t m_arrivedMs = 0;
     /** When the final answer is due. */
@@ -81,11 +84,16 @@
     bool isAuthentic() const;
     /** Returns what went wrong, for the log. */
     const std::string &error() const;
+    /** Must be called when the connection broke before the end of the answer. Finds out whether the request may have ended the upstream. */
+    void handleBrokenConnection();
     /** Must be called when the answer was read to its end. Returns the connection to the pool if it can be reused. */
     void finish();
 
 private:
     EntryCall &m_call;
+    UpstreamInstance m_upstream;
+    /** Time at which the answer began, and with it the run; -1 before. */
+    std::int64_t m_answeredMs = -1;
     HttpConnectionPtr m_connection;
     std::unique_ptr<HttpStream> m_stream;
     HeaderFields m_headers;
@@ -100,6 +108,13 @@
 /** Returns the time until the final answer is due, in ms; negative when it is overdue. */
 std::int64_t timeLeftMs(const EntryCall &call);
 
+/** Returns whether the request may be sent (again), as far as is known of upstreams that ended under it. */
+CrashVerdict crashVerdict(const EntryCall &call);
+/** Waits while that is undecided. Returns Undecided only if the time is over or the client has left. */
+awaitable<CrashVerdict> waitForCrashVerdict(EntryCall &call);
+/** Returns how long a poison request is refused, in ms. */
+std::int64_t poisonRetryAfterMs(const EntryCall &call);
+
 /** Answers the request with the status of @p reason and logs the reason. No time to retry is given if @p retryAfterMs is 0. */
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs);
 /** Logs the end of a request. */
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -3,6 +3,7 @@
 #include "daemons/entrysettings.h"
 #include "kernel/callconfig.h"
 #include "kernel/coldlimiter.h"
+#include "kernel/crashledger.h"
 #include "kernel/loadreport.h"
 #include "kernel/replicareconciler.h"
 #include "kernel/replicaselector.h"
@@ -89,6 +90,8 @@
     std::uint64_t m_orders = 0;
     std::uint64_t m_probes = 0;
     std::uint64_t m_silences = 0;
+    /** Upstreams that ended while a request of this daemon had just begun to run there. */
+    std::uint64_t m_upstreamsEnded = 0;
     /** Requests for store updates that other daemons sent to this one, and that this one sent to others. */
     std::uint64_t m_updatesServed = 0;
     std::uint64_t m_updatesRequested = 0;
@@ -144,6 +147,12 @@
     /** The daemons that share the limits of cold upstreams. */
     SharedLimitMembers m_coldMembers;
     ColdLimiter m_coldLimiter;
+    /** What all daemons observed about requests under which upstreams ended. */
+    CrashLedger m_crashLedger;
+    /** Upstreams that may have ended, by lifetime, with the fingerprints of the requests whose connections to them broke. */
+    std::map<std::uint64_t, std::set<std::uint64_t>> m_endChecks;
+    /** This process has stored its observations. */
+    bool m_crashesStored = false;
     ReplicaReconciler m_reconciler;
     Leadership m_leadership;
     /** A client's request has been received, here or at another daemon. */
@@ -154,6 +163,8 @@
     std::set<ReplicaRef> m_reportedSilent;
     /** Sends a load report to the other daemons at once; empty if load reports cannot be sent. */
     std::function<void()> m_sendLoadReport;
+    /** Sends new observations of upstreams that ended to the other daemons; empty if that is not possible. */
+    std::function<void()> m_sendCrashes;
     EntryMetrics m_metrics;
     bool m_stopping = false;
     /** Set when a planned stop begins. */
--- /dev/null
+++ b/daemons/entrycrashes.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "daemons/entrycontext.h"
+
+namespace knapweedslip
+{
+/** One lifetime of an upstream to which a request was sent. */
+struct UpstreamInstance
+{
+    std::string m_id;
+    std::string m_address;
+    std::int64_t m_startedMs = 0;
+};
+
+/**
+ * Must be called when the connection of an attempt at @p upstream broke before the request had run there for CrashWindowMs. Finds out, in the
+ * background, whether the upstream has ended, and records that in the crash ledger. Costs at most two connections for each upstream at a time.
+ */
+void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint);
+
+/** A request that ran on an upstream for longer than this, in ms, is not what ended it. */
+inline constexpr std::int64_t CrashWindowMs = 1'000;
+
+/** Applies the observations that the daemon @p name has stored. */
+void applyStoredCrashes(EntryContext &context, const std::string &name, const StoreItem &item);
+
+/** Stores this daemon's observations whenever they change, until it stops. */
+awaitable<void> publishCrashes(EntryContext &context);
+
+/** Key prefix of the observations; the name of the daemon follows. */
+inline constexpr std::string_view CrashesPrefix = "knapweedslip/crashes/";
+}
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -107,6 +107,7 @@
     while (true) {
         const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
         if (failed(piece)) {
+            attempt.handleBrokenConnection();
             co_return AttemptResult::Failed;
         }
         if (valueOf(piece).empty()) {
@@ -131,6 +132,7 @@
         const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
         if (failed(piece)) {
             logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, describe(errorOf(piece)));
+            attempt.handleBrokenConnection();
             co_return AttemptResult::Failed;
         }
         if (valueOf(piece).empty()) {
@@ -170,6 +172,7 @@
         co_return AttemptResult::Failed;
     }
     attempt.finish();
+    call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
     if (!state.m_headerSent) {
         const Result<Done> sent = co_await sendHeader(call, attempt, state);
         if (failed(sent)) {
@@ -276,6 +279,10 @@
     }
     while (true) {
         const std::int64_t nowMs = steadyMs();
+        const int upstreamsEnded = context.m_crashLedger.upstreamsEnded(call.m_fingerprint);
+        if (call.m_mayEndUpstreams || upstreamsEnded > 0) {
+            query.m_partByKey = partingKey(call.m_fingerprint, upstreamsEnded);
+        }
         const auto takePermit = [&call, &context, nowMs](const TrackedReplica &replica) {
             return allowColdRequest(context, replica.m_head, replica.m_coldUntilMs, call.m_service->m_coldRequestsPerSecond, nowMs);
         };
@@ -297,6 +304,10 @@
     GenerationState state(call.m_caller.m_lastEventId);
     const CallRoute &route = *call.m_admission.m_route;
     while (true) {
+        if (co_await waitForCrashVerdict(call) == CrashVerdict::Poison) {
+            co_await giveUp(call, state, RefusalReason::PoisonRequest, poisonRetryAfterMs(call));
+            co_return;
+        }
         const TrackedReplica *chosen = co_await waitForReplica(call, state);
         if (chosen == nullptr) {
             const RefusalReason reason = timeLeftMs(call) <= 0 ? RefusalReason::TimeOver
@@ -305,6 +316,10 @@
             co_await giveUp(call, state, reason, NoReplicaRetryMs);
             co_return;
         }
+        if (crashVerdict(call) != CrashVerdict::MaySend && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
+            // Upstreams ended under the request while it waited.
+            continue;
+        }
         const bool paid = std::exchange(call.m_running->m_resendPaid, false);
         if (call.m_sends > 0 && !paid && !resendBudget(call.m_context, call.m_service->m_name).trySpend(steadyMs())) {
             co_await giveUp(call, state, RefusalReason::AttemptsSpent, NoReplicaRetryMs);
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -19,6 +19,18 @@
 constexpr std::int64_t LoadReportIntervalMs = 100;
 /** Largest number of datagrams that one daemon sends per second, however many daemons there are. */
 constexpr std::int64_t MaxLoadReportsPerSecond = 180;
+/**
+ * Datagrams with the same observations of upstreams that ended, and the pauses between them, in ms: the first ones come before the request can be
+ * elsewhere, the others also reach a daemon that was suspended or cut off for some seconds.
+ */
+constexpr int QuickCrashRepeats = 3;
+constexpr int CrashRepeats = 8;
+constexpr std::int64_t QuickCrashPauseMs = 250;
+constexpr std::int64_t CrashPauseMs = 1'500;
+/** Observations older than this are not repeated, in ms. */
+constexpr std::int64_t CrashRepeatMs = 10'000;
+/** Keeps a report within one packet: each takes about 30 bytes. */
+constexpr std::size_t MaxCrashesInReport = 32;
 constexpr std::size_t MaxDatagramBytes = 60 * 1024;
 }
 
@@ -53,8 +65,31 @@
 void LoadReportExchange::sendNow()
 {
     const std::int64_t nowMs = steadyMs();
-    const std::string bytes =
-        encodeLoadReport(makeLoadReport(m_context.m_settings.m_name, ++m_sequenceNumber, m_context.m_serving, m_context.m_replicaSelector, nowMs));
+    sendToAll(makeLoadReport(m_context.m_settings.m_name, ++m_sequenceNumber, m_context.m_serving, m_context.m_replicaSelector, nowMs));
+}
+
+void LoadReportExchange::sendCrashes()
+{
+    const std::int64_t nowMs = steadyMs();
+    const std::uint64_t version = m_context.m_crashLedger.ownVersion();
+    m_crashRepeats = version == m_sentCrashes ? m_crashRepeats : CrashRepeats;
+    m_sentCrashes = version;
+    const std::int64_t pauseMs = m_crashRepeats > CrashRepeats - QuickCrashRepeats ? QuickCrashPauseMs : CrashPauseMs;
+    if (m_crashRepeats == 0 || nowMs - m_crashesSentMs < pauseMs) {
+        return;
+    }
+    --m_crashRepeats;
+    m_crashesSentMs = nowMs;
+    DaemonLoadReport report;
+    report.m_sender = m_context.m_settings.m_name;
+    report.m_crashes = m_context.m_crashLedger.ownObservations(MaxCrashesInReport, CrashRepeatMs, nowMs);
+    report.m_crashesOnly = true;
+    sendToAll(report);
+}
+
+void LoadReportExchange::sendToAll(const DaemonLoadReport &report)
+{
+    const std::string bytes = encodeLoadReport(report);
     for (const std::pair<const std::string, EntryPeer> &peer : m_context.m_peers) {
         const Result<Tcp::endpoint> parsed = parseEndpoint(peer.second.m_address);
         if (peer.first == m_context.m_settings.m_name || failed(parsed)) {
@@ -93,7 +128,10 @@
             logEvent(LogEvent::PeerRejected, {{"error", describe(errorOf(report))}});
             continue;
         }
-        m_context.m_loadReports.take(valueOf(report), steadyMs());
+        if (!valueOf(report).m_crashesOnly) {
+            m_context.m_loadReports.take(valueOf(report), steadyMs());
+        }
+        m_context.m_crashLedger.merge(valueOf(report).m_crashes, false, steadyMs());
     }
 }
 
--- a/daemons/entryloadreports.h
+++ b/daemons/entryloadreports.h
@@ -17,6 +17,8 @@
     awaitable<void> receiveLoop();
     /** Sends a load report to each other daemon at once. */
     void sendNow();
+    /** Sends new observations of upstreams that ended to each other daemon, several times. Must be called often; sends at most four times a second. */
+    void sendCrashes();
 
 private:
     explicit LoadReportExchange(EntryContext &context);
@@ -25,6 +27,12 @@
     asio::ip::udp::socket m_socket;
     /** Number of the last load report. */
     std::uint64_t m_sequenceNumber = 0;
+    /** Version of the observations that were sent, how often they are still to be sent, and when that happened last. */
+    std::uint64_t m_sentCrashes = 0;
+    int m_crashRepeats = 0;
+    std::int64_t m_crashesSentMs = 0;
+
+    void sendToAll(const DaemonLoadReport &report);
 };
 
 /** Passes what the other daemons reported to the replica selector and, if this daemon leads, to the reconciler. */
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -28,7 +28,7 @@
     OrderReply reply = OrderReply::Unanswered;
     if (!failed(answer)) {
         reply = platform::decodeOrderReply(valueOf(answer).m_status);
-    } else if (errorOf(answer).m_code == ErrorCode::ConnectFailed && errorOf(answer).m_detail.find("refused") != std::string::npos) {
+    } else if (isConnectionRefused(errorOf(answer))) {
         reply = OrderReply::NotListening;
     }
     logEvent(reply == OrderReply::Done || reply == OrderReply::Begun ? LogEvent::OrderGiven : LogEvent::OrderFailed,
@@ -61,7 +61,7 @@
     const std::int64_t nowMs = steadyMs();
     constexpr unsigned Ok = 200;
     if (failed(answer) || valueOf(answer).m_status != Ok) {
-        const bool refused = failed(answer) ? errorOf(answer).m_detail.find("refused") != std::string::npos : true;
+        const bool refused = failed(answer) ? isConnectionRefused(errorOf(answer)) : true;
         logEvent(LogEvent::EngineSilent,
                  {{"engine", engine}, {"error", failed(answer) ? describe(errorOf(answer)) : "status " + std::to_string(valueOf(answer).m_status)}});
         context.m_reconciler.probeFailed(engine, refused, nowMs);
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -97,6 +97,9 @@
         attempt.finish();
         co_return AttemptResult::NotRun;
     }
+    if (!isComplete) {
+        attempt.handleBrokenConnection();
+    }
     if (!isComplete || !attempt.isAuthentic()) {
         call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Lost, -1, steadyMs());
         logAttemptFailed(call,
@@ -109,6 +112,7 @@
     reply.m_status = attempt.status();
     reply.m_headers = attempt.headers();
     attempt.finish();
+    call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
     const bool failure = reply.m_status >= FirstServerError;
     call.m_context.m_upstreamSelector.end(service, upstream, failure ? CallOutcome::Failed : CallOutcome::Answered, attempt.answer().m_load, steadyMs());
     if (failure && repeatable) {
@@ -131,7 +135,7 @@
     } else if (state.m_unknown) {
         co_await refuseCall(call, timeLeftMs(call) <= 0 ? RefusalReason::TimeOver : RefusalReason::OutcomeUnknown, 0);
     } else {
-        co_await refuseCall(call, reason, RetryAfterMs);
+        co_await refuseCall(call, reason, reason == RefusalReason::PoisonRequest ? poisonRetryAfterMs(call) : RetryAfterMs);
     }
 }
 }
@@ -143,6 +147,10 @@
     CallState state;
     while (true) {
         call.m_running->m_attemptDeadlineMs = 0;
+        if (co_await waitForCrashVerdict(call) == CrashVerdict::Poison) {
+            co_await giveUp(call, state, RefusalReason::PoisonRequest);
+            co_return;
+        }
         if (call.m_exchange.callerDisconnected() || timeLeftMs(call) <= 0) {
             co_await giveUp(call, state, RefusalReason::NoTime);
             co_return;
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -7,6 +7,7 @@
 
 #include "daemons/entrystore.h"
 
+#include "daemons/entrycrashes.h"
 #include "daemons/entrystoreupdates.h"
 #include "net/jsonfields.h"
 #include "net/logging.h"
@@ -215,6 +216,8 @@
         changed = applyUpstream(context, followState, item.m_key.substr(platform::key::Upstream.size()), item);
     } else if (startsWith(item.m_key, DaemonPrefix)) {
         applyDaemon(context, item.m_key.substr(DaemonPrefix.size()), item);
+    } else if (startsWith(item.m_key, CrashesPrefix)) {
+        applyStoredCrashes(context, item.m_key.substr(CrashesPrefix.size()), item);
     } else if (item.m_key == LeaderKey) {
         context.m_leader = item.m_deleted ? std::string() : item.m_value;
         logEvent(LogEvent::LeaderSeen, {{"leader", context.m_leader}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
--- a/kernel/admitcall.cpp
+++ b/kernel/admitcall.cpp
@@ -22,6 +22,8 @@
         return 502;
     case RefusalReason::TimeOver:
         return 504;
+    case RefusalReason::PoisonRequest:
+        return 429;
     case RefusalReason::None:
     case RefusalReason::NoConfiguration:
     case RefusalReason::StaleKeys:
@@ -37,8 +39,9 @@
 
 RefusalReason reasonAfterDispatch(RefusalReason reason, bool mayHaveRun)
 {
-    constexpr unsigned NotExecutedStatus = 503;
-    return mayHaveRun && refusalStatus(reason) == NotExecutedStatus ? RefusalReason::OutcomeUnknown : reason;
+    const unsigned status = refusalStatus(reason);
+    const bool promisesNotRun = status == 429 || status == 503;
+    return mayHaveRun && promisesNotRun ? RefusalReason::OutcomeUnknown : reason;
 }
 
 bool acceptsDuringShutdown(const ShutdownDeadlines &deadlines, CallKind kind, std::int64_t nowMs, std::int64_t callEndMs)
--- a/kernel/admitcall.h
+++ b/kernel/admitcall.h
@@ -32,9 +32,11 @@
     TimeOver,
     /** This daemon is shutting down and would stop before the request could finish. */
     Draining,
+    /** The request ended every upstream that ran it. */
+    PoisonRequest,
 };
 
-inline constexpr EnumNames<12> RefusalReasonNames{"none",
+inline constexpr EnumNames<13> RefusalReasonNames{"none",
                                                   "no-configuration",
                                                   "stale-keys",
                                                   "unknown-route",
@@ -45,9 +47,10 @@
                                                   "attempts-spent",
                                                   "outcome-unknown",
                                                   "time-over",
-                                                  "draining"};
+                                                  "draining",
+                                                  "poison-request"};
 
-/** Returns the HTTP status of a refusal. 503 guarantees that the request has not run and will not run; 502 and 504 guarantee nothing. */
+/** Returns the HTTP status of a refusal. 429 and 503 guarantee that the request has not run and will not run; 502 and 504 guarantee nothing. */
 unsigned refusalStatus(RefusalReason reason);
 
 /** Returns @p reason, or OutcomeUnknown when @p mayHaveRun is set and the status of @p reason would claim that the request has not run. */
--- /dev/null
+++ b/kernel/crashledger.cpp
@@ -0,0 +1,179 @@
+// Problem: a request that ends each upstream which runs it comes again through any daemon, and an innocent request must not be refused in its place.
+// Approach: all daemons collect which requests ran on which upstreams when these ended. The cause is the request that was at more ends than any
+// other; a request that finishes is cleared.
+// Counting ends for each request alone would refuse innocent requests that were moved together with the cause from one upstream to the next.
+
+#include "kernel/crashledger.h"
+
+#include "kernel/hashing.h"
+
+#include <algorithm>
+#include <string>
+
+namespace knapweedslip
+{
+std::uint64_t upstreamLifetime(const std::string &id, std::int64_t startedMs)
+{
+    return hash64(id, static_cast<std::uint64_t>(startedMs));
+}
+
+std::uint64_t partingKey(std::uint64_t request, int upstreams)
+{
+    return hash64(std::to_string(upstreams), request);
+}
+
+void CrashLedger::erase(const Key &key)
+{
+    const auto found = m_entries.find(key);
+    m_byAge.erase({found->second.m_observedMs, key});
+    m_ownByAge.erase({found->second.m_observedMs, key});
+    m_entries.erase(found);
+    const auto at = m_requestsAt.find(key.second);
+    at->second.erase(key.first);
+    if (at->second.empty()) {
+        m_requestsAt.erase(at);
+    }
+}
+
+void CrashLedger::dropOldest()
+{
+    erase(m_byAge.begin()->second);
+}
+
+void CrashLedger::dropExpired(std::int64_t nowMs)
+{
+    while (!m_byAge.empty() && nowMs - m_byAge.begin()->first > RetentionMs) {
+        dropOldest();
+    }
+}
+
+void CrashLedger::store(const Key &key, std::int64_t observedMs, bool refuted, bool own)
+{
+    const auto known = m_entries.find(key);
+    Entry entry{observedMs, refuted, own};
+    if (known != m_entries.end()) {
+        const Entry &old = known->second;
+        entry = {refuted && !old.m_refuted ? observedMs : old.m_observedMs, refuted || old.m_refuted, own || old.m_own};
+        if (entry.m_refuted == old.m_refuted && entry.m_own == old.m_own) {
+            return;
+        }
+        erase(key);
+    }
+    m_entries[key] = entry;
+    m_requestsAt[key.second].insert(key.first);
+    m_byAge.insert({entry.m_observedMs, key});
+    if (entry.m_own) {
+        m_ownByAge.insert({entry.m_observedMs, key});
+        ++m_ownVersion;
+        if (m_ownByAge.size() > MaxOwn) {
+            const Key oldest = m_ownByAge.begin()->second;
+            m_entries.at(oldest).m_own = false;
+            m_ownByAge.erase(m_ownByAge.begin());
+        }
+    }
+    if (m_entries.size() > MaxObservations) {
+        dropOldest();
+    }
+}
+
+void CrashLedger::recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
+{
+    dropExpired(nowMs);
+    store({request, upstream}, nowMs, false, true);
+}
+
+void CrashLedger::recordFinish(std::uint64_t request, std::int64_t nowMs)
+{
+    dropExpired(nowMs);
+    std::vector<Key> keys;
+    for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
+        if (!it->second.m_refuted) {
+            keys.push_back(it->first);
+        }
+    }
+    for (const Key &key : keys) {
+        store(key, nowMs, true, true);
+    }
+}
+
+void CrashLedger::merge(const std::vector<CrashObservation> &observations, bool own, std::int64_t nowMs)
+{
+    dropExpired(nowMs);
+    for (const CrashObservation &observation : observations) {
+        const std::int64_t ageMs = std::max<std::int64_t>(0, observation.m_ageMs);
+        if (ageMs <= RetentionMs) {
+            store({observation.m_request, observation.m_upstream}, nowMs - ageMs, observation.m_refuted, own);
+        }
+    }
+}
+
+int CrashLedger::upstreamsEnded(std::uint64_t request) const
+{
+    int ended = 0;
+    for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
+        ended += it->second.m_refuted ? 0 : 1;
+    }
+    return ended;
+}
+
+bool CrashLedger::isMostSuspiciousAt(std::uint64_t request, std::uint64_t upstream, int upstreams) const
+{
+    const int mostOfOthers = upstreams >= MaxUpstreams ? upstreams : upstreams - 1;
+    const std::set<std::uint64_t> &others = m_requestsAt.at(upstream);
+    return std::all_of(others.begin(), others.end(), [this, request, mostOfOthers](std::uint64_t other) {
+        return other == request || upstreamsEnded(other) <= mostOfOthers;
+    });
+}
+
+CrashVerdict CrashLedger::verdict(std::uint64_t request, std::int64_t nowMs)
+{
+    dropExpired(nowMs);
+    const int upstreams = upstreamsEnded(request);
+    if (upstreams < UpstreamsUntilPoison) {
+        return CrashVerdict::MaySend;
+    }
+    bool isMostSuspicious = false;
+    for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
+        if (it->second.m_refuted) {
+            continue;
+        }
+        if (nowMs - it->second.m_observedMs < SettleMs) {
+            return CrashVerdict::Undecided;
+        }
+        isMostSuspicious = isMostSuspicious || isMostSuspiciousAt(request, it->first.second, upstreams);
+    }
+    return isMostSuspicious ? CrashVerdict::Poison : CrashVerdict::MaySend;
+}
+
+std::int64_t CrashLedger::remainingMs(std::uint64_t request, std::int64_t nowMs) const
+{
+    std::int64_t oldestMs = nowMs;
+    bool found = false;
+    for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
+        if (!it->second.m_refuted) {
+            oldestMs = std::min(oldestMs, it->second.m_observedMs);
+            found = true;
+        }
+    }
+    return found ? std::max<std::int64_t>(0, oldestMs + RetentionMs - nowMs) : 0;
+}
+
+std::vector<CrashObservation> CrashLedger::ownObservations(std::size_t maxCount, std::int64_t maxAgeMs, std::int64_t nowMs) const
+{
+    std::vector<CrashObservation> observations;
+    for (auto it = m_ownByAge.rbegin(); it != m_ownByAge.rend() && observations.size() < maxCount && nowMs - it->first <= maxAgeMs; ++it) {
+        observations.push_back({it->second.first, it->second.second, nowMs - it->first, m_entries.at(it->second).m_refuted});
+    }
+    return observations;
+}
+
+std::uint64_t CrashLedger::ownVersion() const
+{
+    return m_ownVersion;
+}
+
+std::size_t CrashLedger::size() const
+{
+    return m_entries.size();
+}
+}
--- /dev/null
+++ b/kernel/crashledger.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace knapweedslip
+{
+/** An upstream ended while a request ran on it, or the finding that the request was not the cause. */
+struct CrashObservation
+{
+    /** See requestFingerprint(). */
+    std::uint64_t m_request = 0;
+    /** The upstream's lifetime, see upstreamLifetime(). */
+    std::uint64_t m_upstream = 0;
+    /** How long ago the upstream ended, or the finding was made, in ms. */
+    std::int64_t m_ageMs = 0;
+    /** The request has finished on an upstream since, so it does not end those that run it. */
+    bool m_refuted = false;
+};
+
+/** What is known of a request and the upstreams that ended under it. */
+enum class CrashVerdict {
+    /** The request may be sent. */
+    MaySend,
+    /** Enough upstreams ended, but observations of other requests there may still be on their way. Ends after CrashLedger::SettleMs. */
+    Undecided,
+    /** The request ends the upstreams that run it. */
+    Poison,
+};
+
+/** Identifies one lifetime of an upstream: an upstream that starts again under its id is another one. The same on every daemon. */
+std::uint64_t upstreamLifetime(const std::string &id, std::int64_t startedMs);
+
+/**
+ * Returns the key by whose hash the upstream of a request is chosen after @p upstreams ended under it. It changes with each end: two requests that
+ * prefer the same upstream once must not meet again whenever that is back.
+ */
+std::uint64_t partingKey(std::uint64_t request, int upstreams);
+
+/**
+ * Finds the requests that end every upstream which runs them, from what all daemons observed. An upstream that ends takes dozens of requests with
+ * it, of which at most one is the cause, and the others must not be refused. So a request is poison when at least UpstreamsUntilPoison upstreams
+ * ended under it and at one of those no other request is as suspicious: a request that was merely there has been at fewer ends than the cause.
+ * From MaxUpstreams on, several requests that were at the same ends all count as poison. This is decided SettleMs after the last end, when the other
+ * requests there are known; until then the request should wait. At a tie before MaxUpstreams it may be sent, so that the next end decides.
+ * A request that finishes is cleared of all that happened before.
+ *
+ * The ledgers of all daemons hold sets of observations. Merging is a union in which a refuted observation stays refuted, so observations may
+ * arrive late, in any order, or more than once. A daemon publishes its own observations as a whole; nothing is lost with a message.
+ *
+ * Memory: at most MaxObservations, the oldest are dropped first; of its own a daemon publishes at most MaxOwn.
+ */
+class CrashLedger
+{
+public:
+    static constexpr int UpstreamsUntilPoison = 3;
+    static constexpr int MaxUpstreams = 6;
+    /** Time in which the observations of an end reach every daemon through the store, in ms: it is written within 0.5 s and read within 1.2 s. */
+    static constexpr std::int64_t SettleMs = 2'000;
+    /** Observations older than this are dropped, in ms. */
+    static constexpr std::int64_t RetentionMs = 10 * 60 * 1'000;
+    static constexpr std::size_t MaxObservations = 16'384;
+    static constexpr std::size_t MaxOwn = 256;
+
+    /** Records this daemon's own observation that @p upstream ended under @p request. */
+    void recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
+    /** Records that @p request has finished: it did not end the upstreams that are known so far. Does nothing if none are. */
+    void recordFinish(std::uint64_t request, std::int64_t nowMs);
+    /** Merges observations of another daemon, or of an earlier process of this one, whose observations then are published again (@p own). */
+    void merge(const std::vector<CrashObservation> &observations, bool own, std::int64_t nowMs);
+
+    /** Returns the number of upstreams that ended under @p request and are not refuted. */
+    int upstreamsEnded(std::uint64_t request) const;
+    /** Returns whether @p request may be sent to an upstream. Costs a lookup unless upstreams have ended under the request. */
+    CrashVerdict verdict(std::uint64_t request, std::int64_t nowMs);
+    /** Returns how long the oldest observation of @p request is still kept, in ms; 0 if there is none. */
+    std::int64_t remainingMs(std::uint64_t request, std::int64_t nowMs) const;
+
+    /** Returns the last @p maxCount own observations that are not older than @p maxAgeMs, the latest first. */
+    std::vector<CrashObservation> ownObservations(std::size_t maxCount, std::int64_t maxAgeMs, std::int64_t nowMs) const;
+    /** Returns a number that grows with each change of ownObservations() other than by age. */
+    std::uint64_t ownVersion() const;
+    /** Returns the number of observations. */
+    std::size_t size() const;
+
+private:
+    using Key = std::pair<std::uint64_t, std::uint64_t>;
+    struct Entry
+    {
+        std::int64_t m_observedMs = 0;
+        bool m_refuted = false;
+        bool m_own = false;
+    };
+
+    void store(const Key &key, std::int64_t observedMs, bool refuted, bool own);
+    void erase(const Key &key);
+    void dropOldest();
+    void dropExpired(std::int64_t nowMs);
+    bool isMostSuspiciousAt(std::uint64_t request, std::uint64_t upstream, int upstreams) const;
+
+    /** Observations by request and upstream. */
+    std::map<Key, Entry> m_entries;
+    /** Requests under which each upstream ended. */
+    std::map<std::uint64_t, std::set<std::uint64_t>> m_requestsAt;
+    /** The observations by age, oldest first; the own ones also in m_ownByAge. */
+    std::set<std::pair<std::int64_t, Key>> m_byAge;
+    std::set<std::pair<std::int64_t, Key>> m_ownByAge;
+    std::uint64_t m_ownVersion = 0;
+};
+}
--- a/kernel/loadreport.h
+++ b/kernel/loadreport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/crashledger.h"
 #include "kernel/replicaselector.h"
 
 #include <cstdint>
@@ -29,6 +30,10 @@
     /** The daemon has received requests from clients. */
     bool m_serving = false;
     std::vector<GroupLoadReport> m_groups;
+    /** The report is no load report: it holds only m_crashes. */
+    bool m_crashesOnly = false;
+    /** The sender's latest observations of upstreams that ended. */
+    std::vector<CrashObservation> m_crashes;
 };
 
 /** Sum of the load reports of the other daemons. */
--- a/kernel/logevents.cpp
+++ b/kernel/logevents.cpp
@@ -67,6 +67,7 @@
         {LogEvent::CallEnded, 1212, LogLevel::Info, "call-ended", "A request has its final answer, or none can be given; the outcome is given."},
         {LogEvent::CallerLeft, 1213, LogLevel::Info, "caller-left", "The caller closed its connection; its work was stopped."},
         {LogEvent::ReplicaSilent, 1214, LogLevel::Warning, "replica-silent", "A replica makes no progress; its streams continue on other replicas."},
+        {LogEvent::UpstreamEnded, 1215, LogLevel::Warning, "upstream-ended", "An upstream ended while the request ran there; the count is given."},
         {LogEvent::DomainClaimed, 1301, LogLevel::Info, "domain-claimed", "This controller now holds a fabric domain."},
         {LogEvent::DomainReleased, 1302, LogLevel::Info, "domain-released", "This controller released a fabric domain."},
         {LogEvent::DomainLost, 1303, LogLevel::Warning, "domain-lost", "This controller's lease on a fabric domain expired."},
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -49,6 +49,7 @@
     CallEnded,
     CallerLeft,
     ReplicaSilent,
+    UpstreamEnded,
     DomainClaimed,
     DomainReleased,
     DomainLost,
--- a/kernel/replicachoice.cpp
+++ b/kernel/replicachoice.cpp
@@ -10,13 +10,21 @@
 chooseReplica(ReplicaSelector &selector, const ReplicaQuery &query, const std::function<bool(const TrackedReplica &)> &takePermit, std::int64_t nowMs)
 {
     std::set<ReplicaRef> excluded;
+    ReplicaChoiceOutcome outcome = ReplicaChoiceOutcome::NoneAvailable;
     while (true) {
-        const TrackedReplica *best = selector.choose(query.m_model, query.m_promptTokens, query.m_ownZone, excluded, nowMs);
+        const TrackedReplica *best = query.m_partByKey ? selector.chooseByHash(query.m_model, *query.m_partByKey, excluded, nowMs)
+                                                       : selector.choose(query.m_model, query.m_promptTokens, query.m_ownZone, excluded, nowMs);
         if (best == nullptr) {
-            return {ReplicaChoiceOutcome::NoneAvailable, nullptr};
+            return {outcome, nullptr};
         }
         if (selector.expectedMs(*best, query.m_promptTokens) > query.m_maxExpectedMs) {
-            return {ReplicaChoiceOutcome::TooLate, nullptr};
+            if (!query.m_partByKey) {
+                return {ReplicaChoiceOutcome::TooLate, nullptr};
+            }
+            // The next replica by hash may be less busy.
+            outcome = ReplicaChoiceOutcome::TooLate;
+            excluded.insert(best->m_ref);
+            continue;
         }
         if (takePermit(*best)) {
             return {ReplicaChoiceOutcome::Chosen, best};
--- a/kernel/replicachoice.h
+++ b/kernel/replicachoice.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <limits>
+#include <optional>
 
 namespace knapweedslip
 {
@@ -16,6 +17,11 @@
     std::string m_ownZone;
     /** The request is not sent if its first event is expected later than this, in ms. */
     double m_maxExpectedMs = std::numeric_limits<double>::infinity();
+    /**
+     * Upstreams ended under the request, or under others that ran beside it: the replica is chosen by the hash of this key instead of by load, so that
+     * those requests part and the cause becomes known.
+     */
+    std::optional<std::uint64_t> m_partByKey = std::nullopt;
 };
 
 enum class ReplicaChoiceOutcome {
--- a/kernel/replicaselector.cpp
+++ b/kernel/replicaselector.cpp
@@ -7,6 +7,8 @@
 
 #include "kernel/replicaselector.h"
 
+#include "kernel/hashing.h"
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -86,8 +88,7 @@
     return m_service.m_engines ? firstEventMs(*m_service.m_engines, sum(replica.m_ownLoad, replica.m_peerLoad), promptTokens, paceOf(replica)) : 0.0;
 }
 
-const TrackedReplica *ReplicaSelector::choose(
-    const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs)
+std::vector<const TrackedReplica *> ReplicaSelector::candidates(const std::string &model, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
 {
     std::vector<const TrackedReplica *> candidates;
     for (const std::pair<const ReplicaRef, TrackedReplica> &entry : m_replicas) {
@@ -96,9 +97,28 @@
             candidates.push_back(&replica);
         }
     }
+    return candidates;
+}
+
+const TrackedReplica *ReplicaSelector::chooseByHash(const std::string &model, std::uint64_t key, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
+{
+    const auto weight = [key](const TrackedReplica *replica) {
+        return hash64(replica->m_ref.m_name, key ^ replica->m_ref.m_epoch);
+    };
+    const std::vector<const TrackedReplica *> usable = candidates(model, excluded, nowMs);
+    const auto best = std::max_element(usable.begin(), usable.end(), [&weight](const TrackedReplica *a, const TrackedReplica *b) {
+        return weight(a) < weight(b);
+    });
+    return best == usable.end() ? nullptr : *best;
+}
+
+const TrackedReplica *ReplicaSelector::choose(
+    const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs)
+{
+    const std::vector<const TrackedReplica *> usable = candidates(model, excluded, nowMs);
     std::vector<double> costs;
     double least = std::numeric_limits<double>::max();
-    for (const TrackedReplica *replica : candidates) {
+    for (const TrackedReplica *replica : usable) {
         const double ms = expectedMs(*replica, promptTokens) + (replica->m_availabilityZone == ownZone ? 0.0 : m_settings.m_crossZoneMs);
         costs.push_back(ms);
         least = std::min(least, ms);
@@ -109,14 +129,14 @@
                                  : 0.0;
     const TrackedReplica *best = nullptr;
     std::uint32_t similar = 0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
+    for (std::size_t i = 0; i < usable.size(); ++i) {
         if (costs[i] > least + tolerance) {
             continue;
         }
         // Reservoir sampling: each candidate within the tolerance is drawn with the same probability.
         ++similar;
         if (m_random() % similar == 0) {
-            best = candidates[i];
+            best = usable[i];
         }
     }
     return best;
--- a/kernel/replicaselector.h
+++ b/kernel/replicaselector.h
@@ -118,6 +118,11 @@
      */
     const TrackedReplica *
     choose(const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs);
+    /**
+     * Returns a usable replica of @p model by the hash of @p key alone, or null: requests with different keys go to different replicas, whatever the
+     * load. Leaves out the same replicas as choose().
+     */
+    const TrackedReplica *chooseByHash(const std::string &model, std::uint64_t key, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
     /** Returns the expected time to the first event on @p replica, in ms, or 0 if the timing of the engines is not published. */
     double expectedMs(const TrackedReplica &replica, std::int64_t promptTokens) const;
 
@@ -149,6 +154,8 @@
     const std::unordered_map<std::uint64_t, TrackedStream> &streams() const;
 
 private:
+    /** Returns the replicas of @p model that may get a request now. */
+    std::vector<const TrackedReplica *> candidates(const std::string &model, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
     /** Returns the factor by which @p replica is slower than the published timing: the pace of its model times its measured slowness. */
     double paceOf(const TrackedReplica &replica) const;
 
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -134,6 +134,12 @@
     co_return std::move(connection);
 }
 
+bool isConnectionRefused(const Error &error)
+{
+    const boost::system::error_code refused = asio::error::connection_refused;
+    return error.m_code == ErrorCode::ConnectFailed && error.m_detail.find(refused.message()) != std::string::npos;
+}
+
 awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs)
 {
     const http::request<http::string_body> message = toMessage(connection, request);
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -63,6 +63,9 @@
 /** Connects within @p timeoutMs. Fails with ConnectFailed, or with InvalidArgument for a bad address; nothing was sent then. */
 awaitable<Result<HttpConnectionPtr>> httpConnect(std::string address, std::int64_t timeoutMs);
 
+/** Returns whether @p error says that nothing listens at the address: the process that listened there has ended. */
+bool isConnectionRefused(const Error &error);
+
 /** Stores the idle timeout that a Keep-Alive field among @p headers announces for @p connection. */
 void recordKeepAlive(HttpConnection &connection, const HeaderFields &headers);
 
--- a/net/loadreportcodec.cpp
+++ b/net/loadreportcodec.cpp
@@ -3,6 +3,7 @@
 
 #include "net/loadreportcodec.h"
 
+#include "net/crashcodec.h"
 #include "wire/pulse_generated.h"
 
 #include <algorithm>
@@ -32,7 +33,13 @@
                                                 static_cast<std::int32_t>(group.m_progressAgeMs),
                                                 group.m_silent));
     }
-    builder.Finish(wire::CreatePulse(builder, builder.CreateString(report.m_sender), report.m_number, report.m_serving, builder.CreateVector(groups)));
+    builder.Finish(wire::CreatePulse(builder,
+                                     builder.CreateString(report.m_sender),
+                                     report.m_number,
+                                     report.m_serving,
+                                     builder.CreateVector(groups),
+                                     encodeCrashItems(builder, report.m_crashes),
+                                     report.m_crashesOnly));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -60,6 +67,8 @@
             report.m_groups.push_back(decoded);
         }
     }
+    report.m_crashes = decodeCrashItems(root->crashes());
+    report.m_crashesOnly = root->crashes_only();
     return report;
 }
 }
--- a/tools/explain.cpp
+++ b/tools/explain.cpp
@@ -37,6 +37,7 @@
         {"time-over", "its deadline had passed"},
         {"no-time", "its deadline had passed on arrival"},
         {"draining", "the daemon was shutting down"},
+        {"poison-request", "upstreams ended whenever they ran it; the lines upstream-ended with its fingerprint name them"},
         {"unknown-route", "the configuration in force has no such route"},
         {"unknown-key", "the configuration in force does not contain its key"},
     };
--- a/wire/pulse_generated.h
+++ b/wire/pulse_generated.h
@@ -13,6 +13,8 @@
               FLATBUFFERS_VERSION_REVISION == 8,
              "Non-compatible flatbuffers version included");
 
+#include "crashes_generated.h"
+
 namespace knapweedslip {
 namespace wire {
 
@@ -148,6 +150,8 @@
   uint64_t number = 0;
   bool serving = false;
   std::vector<std::unique_ptr<knapweedslip::wire::GroupPulseT>> groups{};
+  std::vector<std::unique_ptr<knapweedslip::wire::CrashT>> crashes{};
+  bool crashes_only = false;
   PulseT() = default;
   PulseT(const PulseT &o);
   PulseT(PulseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -161,7 +165,9 @@
     VT_SENDER = 4,
     VT_NUMBER = 6,
     VT_SERVING = 8,
-    VT_GROUPS = 10
+    VT_GROUPS = 10,
+    VT_CRASHES = 12,
+    VT_CRASHES_ONLY = 14
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -175,6 +181,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *groups() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *>(VT_GROUPS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *>(VT_CRASHES);
+  }
+  bool crashes_only() const {
+    return GetField<uint8_t>(VT_CRASHES_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -184,6 +196,10 @@
            VerifyOffset(verifier, VT_GROUPS) &&
            verifier.VerifyVector(groups()) &&
            verifier.VerifyVectorOfTables(groups()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHES_ONLY, 1) &&
            verifier.EndTable();
   }
   PulseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -207,6 +223,12 @@
   void add_groups(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>> groups) {
     fbb_.AddOffset(Pulse::VT_GROUPS, groups);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>>> crashes) {
+    fbb_.AddOffset(Pulse::VT_CRASHES, crashes);
+  }
+  void add_crashes_only(bool crashes_only) {
+    fbb_.AddElement<uint8_t>(Pulse::VT_CRASHES_ONLY, static_cast<uint8_t>(crashes_only), 0);
+  }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -223,11 +245,15 @@
     flatbuffers::Offset<flatbuffers::String> sender = 0,
     uint64_t number = 0,
     bool serving = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>> groups = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>> groups = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>>> crashes = 0,
+    bool crashes_only = false) {
   PulseBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_crashes(crashes);
   builder_.add_groups(groups);
   builder_.add_sender(sender);
+  builder_.add_crashes_only(crashes_only);
   builder_.add_serving(serving);
   return builder_.Finish();
 }
@@ -237,15 +263,20 @@
     const char *sender = nullptr,
     uint64_t number = 0,
     bool serving = false,
-    const std::vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *groups = nullptr) {
+    const std::vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *groups = nullptr,
+    const std::vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *crashes = nullptr,
+    bool crashes_only = false) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>(*groups) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>>(*crashes) : 0;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       sender__,
       number,
       serving,
-      groups__);
+      groups__,
+      crashes__,
+      crashes_only);
 }
 
 flatbuffers::Offset<Pulse> CreatePulse(flatbuffers::FlatBufferBuilder &_fbb, const PulseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -297,9 +328,12 @@
 inline PulseT::PulseT(const PulseT &o)
       : sender(o.sender),
         number(o.number),
-        serving(o.serving) {
+        serving(o.serving),
+        crashes_only(o.crashes_only) {
   groups.reserve(o.groups.size());
   for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new knapweedslip::wire::GroupPulseT(*groups_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new knapweedslip::wire::CrashT(*crashes_) : nullptr); }
 }
 
 inline PulseT &PulseT::operator=(PulseT o) FLATBUFFERS_NOEXCEPT {
@@ -307,6 +341,8 @@
   std::swap(number, o.number);
   std::swap(serving, o.serving);
   std::swap(groups, o.groups);
+  std::swap(crashes, o.crashes);
+  std::swap(crashes_only, o.crashes_only);
   return *this;
 }
 
@@ -323,6 +359,8 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = serving(); _o->serving = _e; }
   { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<knapweedslip::wire::GroupPulseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<knapweedslip::wire::CrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes_only(); _o->crashes_only = _e; }
 }
 
 inline flatbuffers::Offset<Pulse> Pulse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PulseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -337,12 +375,16 @@
   auto _number = _o->number;
   auto _serving = _o->serving;
   auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPulse(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes_only = _o->crashes_only;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       _sender,
       _number,
       _serving,
-      _groups);
+      _groups,
+      _crashes,
+      _crashes_only);
 }
 
 inline const knapweedslip::wire::Pulse *GetPulse(const void *buf) {
