Failing test: answers without end fill a daemon's memory

Upstreams answer with bytes without end, in the head and in the body, of a stream, an idempotent call and a call that may run once. Bounds: the client's deadline and 0.5 s, the memory of the smallest entry VM (160 MB), every other request answered.

Heads end at the parser's limit. A stream's body costs no memory to speak of (10 MB), but all of the processor: each piece is searched from the beginning again.

--- /dev/null
+++ b/autotests/processes/endless.sh
@@ -0,0 +1,54 @@
+# An upstream that answers with bytes without end, in the head or in the body, costs a request its time at most, and the daemon little memory; other
+# requests are served. Guards against a daemon that collects what it cannot use until its VM has no memory left.
+set -u
+. "$(dirname "$0")/../../examples/hosting.sh"
+# Time that the client gives, in ms, what the answer may take beyond it, and the memory of the smallest entry VM, in KB.
+DEADLINE_MS=2000
+SLACK_MS=500
+MEMORY_KB=$((160 * 1024))
+start_hosting 2 --engines 4 --services 4 || exit 1
+paths=(/stream/a /read/a /once/a)
+for path in "${paths[@]}"; do
+    wait_until 20 "$path is served by all daemons" serves "$path" || exit 1
+done
+start_innocents 10 "${paths[@]}"
+# One at a time, so that each has the whole processor and connection, then all at once.
+ask() { # path word entry
+    local started answer
+    started=$(date +%s%3N)
+    answer=$(DEADLINE_HEADER=$DEADLINE_MS send "$3" "$1" "$2")
+    echo "$1 $2 $answer $(($(date +%s%3N) - started))" >>"$RUN/answers"
+}
+for path in "${paths[@]}"; do
+    for word in ENDLESS-HEAD ENDLESS-BODY; do
+        ask "$path" "$word" 1
+    done
+done
+senders=()
+for path in "${paths[@]}"; do
+    for word in ENDLESS-HEAD ENDLESS-BODY; do
+        for i in 1 2 3 4; do
+            ask "$path" "$word" 2 &
+            senders+=($!)
+        done
+    done
+done
+wait "${senders[@]}"
+stop_innocents
+sort "$RUN/answers" | awk '{print $1, $2, $3}' | uniq -c
+status=0
+slowest=$(awk '{print $4}' "$RUN/answers" | sort -n | tail -1)
+echo "slowest answer $slowest ms"
+[ "$slowest" -le $((DEADLINE_MS + SLACK_MS)) ] || { echo "FAILED: an answer took $slowest ms"; status=1; }
+echo "answers to other callers: $(sort "$RUN/innocent" | uniq -c | tr '\n' ';')"
+others=$(grep -vc '^200' "$RUN/innocent")
+[ "$others" -eq 0 ] || { echo "FAILED: $others other requests were not answered"; status=1; }
+for n in $(seq 1 "$ENTRIES"); do
+    peak=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/$(pid_of "entry-$n")/status")
+    echo "entry-$n: peak memory ${peak:-none} KB"
+    [ "${peak:-$((MEMORY_KB + 1))}" -le "$MEMORY_KB" ] || { echo "FAILED: entry-$n ended or used more than $MEMORY_KB KB"; status=1; }
+done
+for path in "${paths[@]}"; do
+    wait_until 5 "$path is served by all daemons afterwards" serves "$path" || status=1
+done
+exit $status
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -102,7 +102,7 @@
 send() { # entry path body [curl options]; prints the status
     local n=$1 path=$2 body=$3
     shift 3
-    curl -s -o /dev/null -w '%{http_code}\n' -X POST -H "Host: api" -H "Authorization: Bearer $KEY" -H "Attempt-Id: $RANDOM$RANDOM$RANDOM" -H "Deadline-Ms: 8000" \
+    curl -s -o /dev/null -w '%{http_code}\n' -X POST -H "Host: api" -H "Authorization: Bearer $KEY" -H "Attempt-Id: $RANDOM$RANDOM$RANDOM" -H "Deadline-Ms: ${DEADLINE_HEADER:-8000}" \
         -H "Model: model" -H "Token-Usage: 100,100" -d "$body" --max-time 12 "$@" "http://$(entry_ip "$n"):7000$path"
 }
 
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -269,14 +269,16 @@
         const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
         std::array<char, 32> size{};
         std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-        open = co_await connection.write(size.data() + text + "\r\n");
+        const std::string chunk = size.data() + text + "\r\n";
+        open = co_await connection.write(chunk);
         co_await sleepFor(m_times.m_eventMs);
         if (lifetime != m_lifetime || !m_alive) {
             co_return;
         }
     }
     if (open) {
-        co_await connection.write("0\r\n\r\n");
+        const std::string last = "0\r\n\r\n";
+        co_await connection.write(last);
     }
 }
 
@@ -291,7 +293,8 @@
         co_return;
     }
     if (path == platform::path::Report) {
-        co_await connection.respond(jsonReply(200, entryText()), request);
+        reply = jsonReply(200, entryText());
+        co_await connection.respond(reply, request);
         co_return;
     }
     if (path == platform::path::Order) {
@@ -316,11 +319,12 @@
     }
     if (contains(request.m_body, EndlessHeadWord) || contains(request.m_body, EndlessBodyWord)) {
         const std::string block(16 * 1024, 'x');
-        bool open =
-            co_await connection.write(contains(request.m_body, EndlessHeadWord) ? std::string("HTTP/1.1 200 OK\r\nX-Filler: ")
-                                                                                : "HTTP/1.1 200 OK\r\n" + std::string(platform::header::RequestId) + ": "
-                                                                                      + std::string(headerValue(request.m_headers, platform::header::RequestId))
-                                                                                      + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n");
+        std::string head = "HTTP/1.1 200 OK\r\nX-Filler: ";
+        if (contains(request.m_body, EndlessBodyWord)) {
+            head = "HTTP/1.1 200 OK\r\n" + std::string(platform::header::RequestId) + ": "
+                + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n";
+        }
+        bool open = co_await connection.write(head);
         std::uint64_t bytes = 0;
         while (open && lifetime == m_lifetime && m_alive) {
             open = co_await connection.write(block);
