Answers without end are cut off at a bound

What callers saw: an upstream that sends bytes without end in a body filled the daemon's memory until the VM ended the process, and with it all requests of that daemon; in a stream it took all of the processor, so that the others waited.

Cause: answers of plain services and error answers were collected without a bound, since the time limit was taken for one: within 1.5 s 254 MB arrived. Events were searched for their end from the beginning with each piece. Ruled out: heads, which the parser bounds at 8 KB.

Change: 4 MiB for an answer and 40 MiB for all that are being read, 256 KiB for an event, each byte examined once; 256 KiB for an engine's report, 64 MiB for what the store and other daemons send. A too long answer ends the attempt like one that is cut. It does not count as a lost connection, so the upstream is not asked for its end.

Why it works: memory is bounded by the two sums, whatever the upstreams send, and time by the bound divided by the rate, or the request's own limit.

--- a/autotests/eventreassemblertest.cpp
+++ b/autotests/eventreassemblertest.cpp
@@ -81,3 +81,45 @@
         CHECK(reassembler.hasPartialEvent() == row.m_hasPartialEvent);
     }
 }
+
+// Guards against an upstream that sends bytes without end: they filled the memory, or took all of the processor since they were searched again and again.
+TEST_CASE("an event that does not end breaks the attempt, and its bytes are bounded", "[entry][stream]")
+{
+    struct Row
+    {
+        const char *m_name;
+        std::string m_piece;
+    };
+    const std::vector<Row> rows{
+        {"no line end", std::string(8 * 1024, 'x')},
+        {"lines without an empty one", "data: " + std::string(1'000, 'x') + "\n"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.m_name);
+        EventReassembler reassembler;
+        std::size_t fed = 0;
+        while (reassembler.state() == EventReassemblyState::Good && fed < 10 * EventReassembler::MaxEventBytes) {
+            CHECK(reassembler.feed(row.m_piece).m_events == 0);
+            fed += row.m_piece.size();
+        }
+        CHECK(reassembler.state() == EventReassemblyState::Broken);
+        CHECK(fed <= EventReassembler::MaxEventBytes + row.m_piece.size());
+        // Another attempt goes on.
+        reassembler.startAttempt();
+        CHECK(reassembler.feed("id: 0\ndata: a\n\n").m_events == 1);
+    }
+}
+
+TEST_CASE("events are recognised however their bytes are divided into pieces", "[entry][stream]")
+{
+    const std::string text = "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\n\r\nid: 2\ndata: c\ndata: d\n\n";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        EventReassembler reassembler;
+        std::string forwarded;
+        for (std::size_t start = 0; start < text.size(); start += size) {
+            forwarded += reassembler.feed(std::string_view(text).substr(start, size)).m_bytes;
+        }
+        CHECK(forwarded == text);
+        CHECK_FALSE(reassembler.hasPartialEvent());
+    }
+}
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -43,6 +43,7 @@
 EntryAttempt::~EntryAttempt()
 {
     m_call.m_running->m_connection = nullptr;
+    m_call.m_context.m_bufferedAnswerBytes -= m_bufferedBytes;
 }
 
 awaitable<OpenResult> EntryAttempt::open(AttemptTarget target, std::optional<std::int64_t> lastEventId, std::int64_t maxIdleMs)
@@ -89,7 +90,9 @@
     const Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
     if (failed(opened)) {
         m_error = describe(errorOf(opened));
-        handleBrokenConnection();
+        if (errorOf(opened).m_code == ErrorCode::ConnectionLost) {
+            handleBrokenConnection();
+        }
         co_return OpenResult::Lost;
     }
     m_answeredMs = steadyMs();
@@ -130,6 +133,28 @@
     return m_error;
 }
 
+awaitable<Result<Done>> EntryAttempt::readBody(std::string &body)
+{
+    EntryContext &context = m_call.m_context;
+    while (true) {
+        const Result<std::string_view> piece = co_await m_stream->read(HttpStream::NoTimeout);
+        if (failed(piece)) {
+            handleBrokenConnection();
+            co_return errorOf(piece);
+        }
+        const std::string_view bytes = valueOf(piece);
+        if (bytes.empty()) {
+            co_return Done{};
+        }
+        m_bufferedBytes += bytes.size();
+        context.m_bufferedAnswerBytes += bytes.size();
+        if (m_bufferedBytes > MaxAnswerBytes || context.m_bufferedAnswerBytes > MaxBufferedAnswerBytes) {
+            co_return Error{ErrorCode::ProtocolViolation, "the answer is too long"};
+        }
+        body.append(bytes);
+    }
+}
+
 void EntryAttempt::handleBrokenConnection()
 {
     const bool ranOn = m_answeredMs >= 0 && steadyMs() - m_answeredMs > CrashWindowMs;
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -84,6 +84,11 @@
     bool isAuthentic() const;
     /** Returns what went wrong, for the log. */
     const std::string &error() const;
+    /**
+     * Reads the rest of the answer into @p body. Fails with ProtocolViolation once it is longer than MaxAnswerBytes, or the answers that are being read
+     * are together longer than MaxBufferedAnswerBytes. What was read counts as long as this object exists.
+     */
+    awaitable<Result<Done>> readBody(std::string &body);
     /** Must be called when the connection broke before the end of the answer. Finds out whether the request may have ended the upstream. */
     void handleBrokenConnection();
     /** Must be called when the answer was read to its end. Returns the connection to the pool if it can be reused. */
@@ -100,8 +105,14 @@
     platform::ResponseHeaders m_answer;
     unsigned m_status = 0;
     std::string m_error;
+    /** This attempt's part of EntryContext::m_bufferedAnswerBytes. */
+    std::size_t m_bufferedBytes = 0;
 };
 
+/** Longest answer of a plain service, and the sum over all that are being read: a quarter of the smallest VM's memory. */
+inline constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t MaxBufferedAnswerBytes = 40 * 1024 * 1024;
+
 /** Longest wait for a new connection, in ms: connecting takes a few ms within a region, and a lost first packet is sent again after a second. */
 inline constexpr std::int64_t ConnectTimeoutMs = 150;
 
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -159,6 +159,8 @@
     bool m_serving = false;
 
     std::set<std::shared_ptr<RunningCall>> m_running;
+    /** Bytes of answers that are being read as a whole, of all calls. */
+    std::size_t m_bufferedAnswerBytes = 0;
     /** Silent replicas that were already logged and reported to the other daemons. */
     std::set<ReplicaRef> m_reportedSilent;
     /** Sends a load report to the other daemons at once; empty if load reports cannot be sent. */
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -104,16 +104,9 @@
     HttpReply reply;
     reply.m_status = attempt.status();
     reply.m_headers = endToEndHeaders(attempt.headers());
-    while (true) {
-        const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
-        if (failed(piece)) {
-            attempt.handleBrokenConnection();
-            co_return AttemptResult::Failed;
-        }
-        if (valueOf(piece).empty()) {
-            break;
-        }
-        reply.m_body.append(valueOf(piece));
+    const Result<Done> read = co_await attempt.readBody(reply.m_body);
+    if (failed(read)) {
+        co_return AttemptResult::Failed;
     }
     attempt.finish();
     if (!attempt.isAuthentic()) {
@@ -140,7 +133,7 @@
         }
         const EventBatch events = state.m_reassembler.feed(valueOf(piece));
         if (state.m_reassembler.state() == EventReassemblyState::Broken) {
-            logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "an event is missing or cannot be read");
+            logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "an event is missing, cannot be read or does not end");
             co_return AttemptResult::Failed;
         }
         if (events.m_events == 0) {
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -18,13 +18,15 @@
 constexpr std::int64_t OrderTimeoutMs = 250;
 /** Longest wait for the answer to a probe, in ms. */
 constexpr std::int64_t ProbeTimeoutMs = 110;
+/** Longest answer of an engine to an order or a probe: a report has a few hundred bytes. */
+constexpr std::size_t MaxEngineReplyBytes = 256 * 1024;
 
 awaitable<void> sendOrder(EntryContext &context, EngineOrder order)
 {
     const std::uint64_t fence = context.m_leadership.m_fence;
     ++context.m_metrics.m_orders;
     HttpRequest request = platform::makeOrderRequest(order);
-    const Result<HttpReply> answer = co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs);
+    const Result<HttpReply> answer = co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxEngineReplyBytes);
     OrderReply reply = OrderReply::Unanswered;
     if (!failed(answer)) {
         reply = platform::decodeOrderReply(valueOf(answer).m_status);
@@ -57,7 +59,7 @@
     const std::string address = found->second.m_address;
     ++context.m_metrics.m_probes;
     HttpRequest request = platform::makeReportRequest(engine);
-    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs);
+    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxEngineReplyBytes);
     const std::int64_t nowMs = steadyMs();
     constexpr unsigned Ok = 200;
     if (failed(answer) || valueOf(answer).m_status != Ok) {
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -54,21 +54,6 @@
     ++call.m_context.m_metrics.m_answered;
 }
 
-/** Reads the rest of the answer. Returns false if the connection breaks before its end. */
-awaitable<bool> readBody(EntryAttempt &attempt, std::string &body)
-{
-    while (true) {
-        const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
-        if (failed(piece)) {
-            co_return false;
-        }
-        if (valueOf(piece).empty()) {
-            co_return true;
-        }
-        body.append(valueOf(piece));
-    }
-}
-
 awaitable<AttemptResult> tryOnce(EntryCall &call, CallState &state, const TrackedUpstream &chosen, bool repeatable)
 {
     const std::string service = call.m_service->m_name;
@@ -90,23 +75,19 @@
         co_return opened == OpenResult::NotSent ? AttemptResult::NotRun : AttemptResult::Unknown;
     }
     HttpReply reply;
-    const bool isComplete = co_await readBody(attempt, reply.m_body);
+    const Result<Done> read = co_await attempt.readBody(reply.m_body);
     if (attempt.answer().m_notRun) {
         call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Refused, attempt.answer().m_load, steadyMs());
         logAttemptFailed(call, upstream, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
         attempt.finish();
         co_return AttemptResult::NotRun;
     }
-    if (!isComplete) {
-        attempt.handleBrokenConnection();
-    }
-    if (!isComplete || !attempt.isAuthentic()) {
+    if (failed(read) || !attempt.isAuthentic()) {
         call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Lost, -1, steadyMs());
         logAttemptFailed(call,
                          upstream,
                          AttemptOutcome::MayHaveRun,
-                         isComplete ? "the answer is not signed, was altered, or belongs to another request"
-                                    : "the connection broke before the end of the answer");
+                         failed(read) ? describe(errorOf(read)) : "the answer is not signed, was altered, or belongs to another request");
         co_return AttemptResult::Unknown;
     }
     reply.m_status = attempt.status();
--- a/kernel/eventreassembler.cpp
+++ b/kernel/eventreassembler.cpp
@@ -11,20 +11,22 @@
 {
 namespace
 {
-/** Returns the length of the event at the start of @p text including its empty line, or 0 if it is incomplete. */
-std::size_t completeEventLength(std::string_view text)
+/**
+ * Returns the length of the event at the start of @p text including its empty line, or 0 if it is incomplete. @p line is the start of the first line
+ * that was not examined before, and is moved to the start of the first incomplete line.
+ */
+std::size_t completeEventLength(std::string_view text, std::size_t &line)
 {
-    std::size_t line = 0;
     while (line < text.size()) {
         const std::size_t end = text.find('\n', line);
         if (end == std::string_view::npos) {
             return 0;
         }
         const bool emptyLine = end == line || (end == line + 1 && text[line] == '\r');
+        line = end + 1;
         if (emptyLine) {
             return end + 1;
         }
-        line = end + 1;
     }
     return 0;
 }
@@ -62,6 +64,7 @@
 void EventReassembler::startAttempt()
 {
     m_partialEvent.clear();
+    m_lineStart = 0;
     m_state = EventReassemblyState::Good;
 }
 
@@ -73,9 +76,10 @@
     }
     m_partialEvent.append(bytes);
     std::string_view left = m_partialEvent;
-    for (std::size_t length = completeEventLength(left); length > 0; length = completeEventLength(left)) {
+    for (std::size_t length = completeEventLength(left, m_lineStart); length > 0; length = completeEventLength(left, m_lineStart)) {
         const std::string_view event = left.substr(0, length);
         left.remove_prefix(length);
+        m_lineStart = 0;
         const std::optional<std::int64_t> number = parseEventId(event);
         if (!number || (m_lastEventId && *number > *m_lastEventId + 1)) {
             m_state = EventReassemblyState::Broken;
@@ -89,6 +93,9 @@
         ++batch.m_events;
     }
     m_partialEvent.erase(0, m_partialEvent.size() - left.size());
+    if (m_partialEvent.size() > MaxEventBytes) {
+        m_state = EventReassemblyState::Broken;
+    }
     return batch;
 }
 
--- a/kernel/eventreassembler.h
+++ b/kernel/eventreassembler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,17 +19,20 @@
 
 enum class EventReassemblyState {
     Good,
-    /** An event is missing or has no valid id; the attempt must be ended. */
+    /** An event is missing, has no valid id or does not end; the attempt must be ended. */
     Broken,
 };
 
 /**
  * Combines the server-sent events of several attempts into one stream: complete events only, each id once, in order. An event that an
- * attempt left incomplete is discarded. Memory: the bytes of one incomplete event.
+ * attempt left incomplete is discarded. Memory: at most MaxEventBytes of one incomplete event. Each byte is examined once.
  */
 class EventReassembler
 {
 public:
+    /** Events that are longer than this count as unreadable. An event holds a few tokens. */
+    static constexpr std::size_t MaxEventBytes = 256 * 1024;
+
     /** @param lastEventId id of the last event that the client has received; empty if it has received none. */
     explicit EventReassembler(std::optional<std::int64_t> lastEventId = std::nullopt);
 
@@ -45,6 +49,8 @@
 private:
     std::optional<std::int64_t> m_lastEventId;
     std::string m_partialEvent;
+    /** Start of the last line in m_partialEvent, which is not complete. */
+    std::size_t m_lineStart = 0;
     EventReassemblyState m_state = EventReassemblyState::Good;
 };
 
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -50,6 +50,9 @@
     if (error == beast::error::timeout) {
         return Error{ErrorCode::Timeout, "no answer in time"};
     }
+    if (error == http::error::body_limit || error == http::error::header_limit) {
+        return Error{ErrorCode::ProtocolViolation, "the answer is too long"};
+    }
     return Error{ErrorCode::ConnectionLost, error.message()};
 }
 
@@ -140,7 +143,7 @@
     return error.m_code == ErrorCode::ConnectFailed && error.m_detail.find(refused.message()) != std::string::npos;
 }
 
-awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs)
+awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes)
 {
     const http::request<http::string_body> message = toMessage(connection, request);
     connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
@@ -149,7 +152,7 @@
         co_return toError(writeError);
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
+    parser.body_limit(maxBodyBytes);
     if (request.m_method == "HEAD") {
         parser.skip(true);
     }
@@ -166,12 +169,12 @@
     co_return reply;
 }
 
-awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs)
+awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     HttpConnectionPtr connection = pool.take(executor, address, {});
     if (connection != nullptr) {
-        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
+        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes);
         if (!failed(reply)) {
             if (!connection->m_closing) {
                 pool.give(std::move(connection));
@@ -179,7 +182,7 @@
             co_return reply;
         }
         const bool repeatable = request.m_method == "GET" || request.m_method == "HEAD";
-        if (!repeatable || errorOf(reply).m_code == ErrorCode::Timeout) {
+        if (!repeatable || errorOf(reply).m_code != ErrorCode::ConnectionLost) {
             co_return reply;
         }
     }
@@ -188,7 +191,7 @@
         co_return errorOf(fresh);
     }
     connection = std::move(valueOf(fresh));
-    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs);
+    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes);
     if (!failed(reply) && !connection->m_closing) {
         pool.give(std::move(connection));
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -69,14 +69,22 @@
 /** Stores the idle timeout that a Keep-Alive field among @p headers announces for @p connection. */
 void recordKeepAlive(HttpConnection &connection, const HeaderFields &headers);
 
-/** Sends @p request and reads the complete response, both within @p timeoutMs. After an error the connection must not be used again. */
-awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs);
+/** Longest body of a response that is read as a whole, unless the caller sets another limit. The store's changes and other daemons' snapshots of it fit. */
+inline constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 
 /**
- * Sends @p request over a pooled or a new connection and reads the complete response. If a pooled connection fails other than by timeout, a GET
- * or HEAD request is sent once more over a new connection.
+ * Sends @p request and reads the complete response, both within @p timeoutMs. Fails with ProtocolViolation if its header or body is too long, at the
+ * moment at which that is known. After an error the connection must not be used again.
  */
-awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs);
+awaitable<Result<HttpReply>>
+httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes = MaxResponseBytes);
+
+/**
+ * Sends @p request over a pooled or a new connection and reads the complete response. If a pooled connection is lost, a GET or HEAD request
+ * is sent once more over a new connection.
+ */
+awaitable<Result<HttpReply>>
+httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes = MaxResponseBytes);
 
 /** A response whose body is read incrementally. */
 class HttpStream
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -322,7 +322,7 @@
         std::string head = "HTTP/1.1 200 OK\r\nX-Filler: ";
         if (contains(request.m_body, EndlessBodyWord)) {
             head = "HTTP/1.1 200 OK\r\n" + std::string(platform::header::RequestId) + ": "
-                + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n";
+                   + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n";
         }
         bool open = co_await connection.write(head);
         std::uint64_t bytes = 0;
