--- a/autotests/processes/crashingrequest.sh
+++ b/autotests/processes/crashingrequest.sh
@@ -40,7 +40,8 @@
     third=$(grep '"kind":"ended"' "$RUN/course" | sed -n 's/.*"at_ms":\([0-9]*\).*/\1/p' | sed -n 3p)
     ended=$(grep -c '"kind":"ended"' "$RUN/course")
     later=$(grep '"kind":"arrived"' "$RUN/course" | sed -n 's/.*"at_ms":\([0-9]*\).*/\1/p' | awk -v from="$((${third:-0} + CONTACT_MS))" '$1 > from' | wc -l)
-    echo "$path: upstreams ended $ended, sends later than $CONTACT_MS ms after the third $later, answers $(grep "^$path" "$RUN/crashing" | sort | uniq -c | tr '\n' ';')"
+    last=$(grep '"kind":"arrived"' "$RUN/course" | sed -n 's/.*"at_ms":\([0-9]*\).*/\1/p' | tail -1)
+    echo "$path: upstreams ended $ended, last send $((last - ${third:-0})) ms after the third end, sends later than $CONTACT_MS ms after the third $later, answers $(grep "^$path" "$RUN/crashing" | sort | uniq -c | tr '\n' ';')"
     [ -n "$third" ] || { echo "FAILED: $path: the request ended fewer than three upstreams, so nothing is shown"; status=1; }
     [ "$later" -le "$MAX_SENDS" ] || { echo "FAILED: $path: sent $later times after that, $MAX_SENDS are allowed"; status=1; }
 done
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -229,13 +229,24 @@
 awaitable<CrashVerdict> waitForCrashVerdict(EntryCall &call)
 {
     constexpr std::int64_t PollMs = 20;
-    // Copies of a request that wait at several daemons go on at different times, so that the fate of the first stops the others.
-    std::uniform_int_distribution<std::int64_t> spreadMs(PollMs, CrashSpreadMs);
-    while (crashVerdict(call) == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
-        while (crashVerdict(call) == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
+    const auto mustWait = [&call]() {
+        return crashVerdict(call) == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected();
+    };
+    while (mustWait()) {
+        logEvent(LogEvent::CrashUndecided,
+                 {{"request", call.m_caller.m_requestId},
+                  {"fingerprint", toHex(call.m_fingerprint)},
+                  {"upstreams_ended", static_cast<std::int64_t>(call.m_context.m_crashLedger.upstreamsEnded(call.m_fingerprint))},
+                  {"after_ms", steadyMs() - call.m_arrivedMs}});
+        while (mustWait()) {
             co_await sleepFor(PollMs);
         }
-        co_await sleepFor(crashVerdict(call) == CrashVerdict::MaySend ? spreadMs(call.m_context.m_random) : 0);
+        if (crashVerdict(call) == CrashVerdict::MaySend) {
+            // Copies that wait at several daemons go on at different times, so that the fate of the first one stops the others.
+            std::uniform_int_distribution<std::int64_t> spreadMs(0, CrashSpreadMs);
+            const std::int64_t pauseMs = spreadMs(call.m_context.m_random);
+            co_await sleepFor(pauseMs);
+        }
     }
     co_return crashVerdict(call);
 }
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -12,9 +12,8 @@
 {
 namespace
 {
-constexpr std::int64_t ConnectTimeoutMs = 150;
-/** A process that ends may reset its connections a moment before it stops listening, in ms. */
-constexpr std::int64_t SecondTryMs = 50;
+/** Longest wait for a connection that shows whether the upstream still listens, in ms: connecting takes a few ms within a region. */
+constexpr std::int64_t ProbeConnectTimeoutMs = 150;
 /** How long an upstream that cannot be reached may stay in the list after its end, in ms: three missed heartbeats of 1.2 s and the relay of the update. */
 constexpr std::int64_t ListedAfterEndMs = 6'000;
 constexpr std::int64_t ListPollMs = 100;
@@ -33,19 +32,13 @@
 awaitable<bool> hasEnded(EntryContext &context, UpstreamInstance upstream)
 {
     const std::int64_t startedMs = steadyMs();
-    for (int attempt = 0; attempt < 2; ++attempt) {
-        const Result<HttpConnectionPtr> connection = co_await httpConnect(upstream.m_address, ConnectTimeoutMs);
-        if (failed(connection) && isConnectionRefused(errorOf(connection))) {
-            co_return true;
-        }
-        if (failed(connection)) {
-            // Out of reach: the upstream may live. It has ended if the store removes it.
-            while (!isUnlisted(context, upstream) && steadyMs() - startedMs < ListedAfterEndMs) {
-                co_await sleepFor(ListPollMs);
-            }
-            co_return isUnlisted(context, upstream);
-        }
-        co_await sleepFor(SecondTryMs);
+    const Result<HttpConnectionPtr> connection = co_await httpConnect(upstream.m_address, ProbeConnectTimeoutMs);
+    if (failed(connection) && isConnectionRefused(errorOf(connection))) {
+        co_return true;
+    }
+    // An upstream that is out of reach may live. It has ended if the store removes it.
+    while (failed(connection) && !isUnlisted(context, upstream) && steadyMs() - startedMs < ListedAfterEndMs) {
+        co_await sleepFor(ListPollMs);
     }
     co_return isUnlisted(context, upstream);
 }
@@ -112,7 +105,7 @@
     std::uint64_t lease = 0;
     std::int64_t grantedMs = 0;
     std::uint64_t storedVersion = 0;
-    while (!context.m_stopping) {
+    while (true) {
         if (!context.m_mirrorSynced || context.m_crashLedger.ownVersion() == storedVersion) {
             co_await sleepFor(PublishPollMs);
             continue;
--- a/daemons/entrycrashes.h
+++ b/daemons/entrycrashes.h
@@ -14,7 +14,7 @@
 
 /**
  * Must be called when the connection of an attempt at @p upstream broke before the request had run there for CrashWindowMs. Finds out, in the
- * background, whether the upstream has ended, and records that in the crash ledger. Costs at most two connections for each upstream at a time.
+ * background, whether the upstream has ended, and records that in the crash ledger. Costs at most one connection to each upstream at a time.
  */
 void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint);
 
@@ -24,7 +24,7 @@
 /** Applies the observations that the daemon @p name has stored. */
 void applyStoredCrashes(EntryContext &context, const std::string &name, const StoreItem &item);
 
-/** Stores this daemon's observations whenever they change, until it stops. */
+/** Stores this daemon's observations whenever they change, also during a planned stop; does not return. */
 awaitable<void> publishCrashes(EntryContext &context);
 
 /** Key prefix of the observations; the name of the daemon follows. */
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -50,6 +50,7 @@
     CallerLeft,
     ReplicaSilent,
     UpstreamEnded,
+    CrashUndecided,
     DomainClaimed,
     DomainReleased,
     DomainLost,
