--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -1,6 +1,6 @@
 // Problem: a request that ends every upstream which runs it may come to any daemon, also after a restart or while messages are lost.
 // Approach: a daemon that loses a connection asks the upstream's address whether anything still listens. What it observes goes into the store, under
-// a key of its own that outlives the process, and into the next load reports, which also arrive while the store is down.
+// a key of its own that outlives the process, and into datagrams, which are faster and also arrive while the store is down.
 // The list of upstreams alone shows an end only after three missed heartbeats, which is later than the request may come again.
 
 #include "daemons/entrycrashes.h"
--- a/kernel/crashledger.h
+++ b/kernel/crashledger.h
@@ -53,7 +53,7 @@
  * The ledgers of all daemons hold sets of observations. Merging is a union in which a refuted observation stays refuted, so observations may
  * arrive late, in any order, or more than once. A daemon publishes its own observations as a whole; nothing is lost with a message.
  *
- * Memory: at most MaxObservations, the oldest are dropped first; of its own a daemon publishes at most MaxOwn.
+ * Memory: at most MaxObservations of about 300 bytes, the oldest are dropped first; of its own a daemon publishes at most MaxOwn.
  */
 class CrashLedger
 {
