A stream that ends before its first event is no answer, and does not clear a request of the ends it caused

What callers saw: an answer of status 200 without any event, taken for complete, and a request that ends upstreams without limit: an upstream that exits while it answers without a length closes its connections like one that has finished.

Cause: the end of the connection was taken for the end of the answer, and the request counted as finished, which cleared it of all ends.

Change: without an event the attempt has failed, and the upstream is asked whether it has ended; only an answer that leaves its connection open clears a request. A stream that is continued after its last event may still end without one.

--- a/autotests/processes/crashingrequest.sh
+++ b/autotests/processes/crashingrequest.sh
@@ -6,15 +6,19 @@
 CONTACT_MS=3000
 MAX_SENDS=3
 start_hosting "${ENTRY_VMS:-8}" --engines 6 --services 6 --restart-ms 1000 || exit 1
-paths=(/stream/a /read/a /once/a)
+# The last one's upstream ends after the head of an answer that has no length, so that the end looks like that of an answer.
+paths=(/stream/a /read/a /once/a /stream/exit)
+body_for() { # path
+    [ "$1" = /stream/exit ] && echo CRASH-IN-ANSWER || echo "CRASH $1"
+}
 for path in "${paths[@]}"; do
     wait_until 20 "$path is served by all daemons" serves "$path" || exit 1
 done
-start_innocents "${INNOCENTS_AT_ONCE:-60}" "${paths[@]}"
+start_innocents "${INNOCENTS_AT_ONCE:-60}" "${paths[@]:0:3}"
 # One after the other, so that none of them is on an upstream that another one ends.
 for i in $(seq 1 "${SENDS:-20}"); do
     for path in "${paths[@]}"; do
-        echo "$path $(send $((i % ENTRIES + 1)) "$path" "CRASH $path")" >>"$RUN/crashing"
+        echo "$path $(send $((i % ENTRIES + 1)) "$path" "$(body_for "$path")")" >>"$RUN/crashing"
         sleep 0.13
     done
 done
@@ -29,7 +33,7 @@
 wait_until 30 "all daemons are ready again" all_ready || exit 1
 for path in "${paths[@]}"; do
     for n in $(seq 1 "$ENTRIES"); do
-        echo "$path $(send "$n" "$path" "CRASH $path")" >>"$RUN/crashing"
+        echo "$path $(send "$n" "$path" "$(body_for "$path")")" >>"$RUN/crashing"
     done
 done
 stop_innocents
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -160,12 +160,20 @@
             co_return AttemptResult::Failed;
         }
     }
-    if (state.m_reassembler.hasPartialEvent()) {
-        logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "the answer ended inside an event");
+    // An answer without a length ends with its connection, and so does one whose upstream has ended.
+    const bool hasNoEvents = !state.m_reassembler.lastEventId().has_value();
+    if (state.m_reassembler.hasPartialEvent() || hasNoEvents) {
+        const std::string what = hasNoEvents ? "the answer ended before its first event" : "the answer ended inside an event";
+        logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, what);
+        attempt.handleBrokenConnection();
         co_return AttemptResult::Failed;
     }
+    if (attempt.stream().reusable()) {
+        call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
+    } else if (!counted) {
+        attempt.handleBrokenConnection();
+    }
     attempt.finish();
-    call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
     if (!state.m_headerSent) {
         const Result<Done> sent = co_await sendHeader(call, attempt, state);
         if (failed(sent)) {
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -92,8 +92,10 @@
     }
     reply.m_status = attempt.status();
     reply.m_headers = attempt.headers();
+    if (attempt.stream().reusable()) {
+        call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
+    }
     attempt.finish();
-    call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
     const bool failure = reply.m_status >= FirstServerError;
     call.m_context.m_upstreamSelector.end(service, upstream, failure ? CallOutcome::Failed : CallOutcome::Answered, attempt.answer().m_load, steadyMs());
     if (failure && repeatable) {
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned NotExecutedStatus = 503;
 constexpr unsigned MisdirectedStatus = 421;
 constexpr const char *CrashWord = "CRASH";
+constexpr const char *CrashInAnswerWord = "CRASH-IN-ANSWER";
 constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
 constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
 
@@ -133,7 +134,9 @@
     boost::system::error_code ignored;
     m_acceptor->close(ignored);
     for (const ConnectionPtr &connection : m_connections) {
-        connection->m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        // The system closes the connections of a process that exits; those of one that is killed with unread bytes are reset.
+        const bool resets = !contains(cause.m_body, CrashInAnswerWord);
+        connection->m_stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
         connection->m_stream.socket().close(ignored);
     }
     m_connections.clear();
@@ -313,6 +316,12 @@
     if (lifetime != m_lifetime || !m_alive) {
         co_return;
     }
+    if (contains(request.m_body, CrashInAnswerWord)) {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(platform::header::RequestId) + ": "
+                                 + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature
+                                 + ": stand-in\r\n\r\n";
+        co_await connection.write(head);
+    }
     if (contains(request.m_body, CrashWord)) {
         crash(request);
         co_return;
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -29,7 +29,8 @@
 
 /**
  * One upstream of the hosting platform, an engine that serves groups of one member or an upstream of a plain service. Words in the body of a
- * request choose what it does: CRASH ends the upstream when the request begins to run, ENDLESS-HEAD and ENDLESS-BODY are answered with bytes
+ * request choose what it does: CRASH ends the upstream when the request begins to run, CRASH-IN-ANSWER after the head of an answer without a length, as
+ * an exit does; ENDLESS-HEAD and ENDLESS-BODY are answered with bytes
  * without end. An upstream that has ended closes all its connections and comes back under another id.
  */
 class HostingEngine
