--- a/autotests/processes/flood.sh
+++ b/autotests/processes/flood.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/../../examples/deployment.sh"
 RUN=$(mktemp -d)
 PREFIX=127.$((RANDOM % 200 + 20)).1.1
-trap deployment_cleanup EXIT
+trap end_processes EXIT
 cat >"$RUN/entry.yaml" <<YAML
 name: flooded
 availability_zone: a
@@ -22,10 +22,10 @@
 # The reader keeps the pipe open but reads nothing until it is continued.
 sh -c 'kill -STOP $$; exec cat' <>"$RUN/log" >"$RUN/read.jsonl" &
 reader=$!
-deployment_pids+=("$reader")
+process_pids+=("$reader")
 "$BUILD/daemons/knapweedslip-entry" --settings "$RUN/entry.yaml" >"$RUN/log" 2>"$RUN/errors" &
 daemon=$!
-deployment_pids+=("$daemon")
+process_pids+=("$daemon")
 metric() {
     curl -sf "http://$PREFIX:7002/metrics" | sed -n "s/^$1 //p"
 }
--- a/examples/deployment.sh
+++ b/examples/deployment.sh
@@ -1,42 +1,12 @@
 # Sourced by scripts that run a complete deployment on loopback. BUILD must name the build folder. Every process is started here and killed by id.
 # Addresses are 127.A.x.y with a random A, so that parallel runs do not collide.
 
-deployment_pids=()
-
-deployment_cleanup() {
-    [ ${#deployment_pids[@]} -eq 0 ] || kill -KILL "${deployment_pids[@]}" 2>/dev/null || true
-    [ ${#deployment_pids[@]} -eq 0 ] || wait "${deployment_pids[@]}" 2>/dev/null || true
-}
-
-start() { # log-name command...
-    local log=$1
-    shift
-    "$@" >"$RUN/$log.log" 2>&1 &
-    deployment_pids+=($!)
-    eval "pid_${log//[^a-zA-Z0-9]/_}=$!"
-}
-
-pid_of() {
-    local variable="pid_${1//[^a-zA-Z0-9]/_}"
-    echo "${!variable}"
-}
+. "$(dirname "${BASH_SOURCE[0]}")/processes.sh"
 
 start_daemon() { # role number
     start "$1-$2" "$BUILD/daemons/knapweedslip-$1" --settings "$RUN/$1-$2.yaml"
 }
 
-wait_until() { # seconds description command...; returns 1 on timeout
-    local limit=$((SECONDS + $1)) what=$2
-    shift 2
-    until "$@" >/dev/null 2>&1; do
-        if [ $SECONDS -ge $limit ]; then
-            echo "FAILED: $what (not within the time limit)"
-            return 1
-        fi
-        sleep 0.1
-    done
-}
-
 ctl() {
     "$BUILD/tools/knapweedslipctl" --admin "$PREFIX.1.1:7020" --key-file "$RUN/operator.key" "$@"
 }
@@ -116,5 +86,5 @@
     MODEL=$([ "$1" = tsakalos ] && echo pattern-writer || echo lesson-writer)
     WORKSPACE_KEY=$([ "$1" = tsakalos ] && echo attica-wraps || echo bystrica-tutors)-key-placeholder
     echo "$WORKSPACE_KEY" >"$RUN/workspace.key"
-    trap deployment_cleanup EXIT
+    trap end_processes EXIT
 }
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -1,38 +1,9 @@
 # Sourced by scripts that run knapweedslip-entry on loopback against the stand-in of the hosting platform. BUILD must name the build folder. Every
 # process is started here and killed by id. Addresses are 127.A.x.y with a random A, so that parallel runs do not collide.
 
-hosting_pids=()
-KEY=caller-key
-
-hosting_cleanup() {
-    [ ${#hosting_pids[@]} -eq 0 ] || kill -KILL "${hosting_pids[@]}" 2>/dev/null || true
-    [ ${#hosting_pids[@]} -eq 0 ] || wait "${hosting_pids[@]}" 2>/dev/null || true
-}
-
-start() { # log-name command...
-    local log=$1
-    shift
-    "$@" >>"$RUN/$log.log" 2>&1 &
-    hosting_pids+=($!)
-    eval "pid_${log//[^a-zA-Z0-9]/_}=$!"
-}
+. "$(dirname "${BASH_SOURCE[0]}")/processes.sh"
 
-pid_of() { # log-name
-    local variable="pid_${1//[^a-zA-Z0-9]/_}"
-    echo "${!variable}"
-}
-
-wait_until() { # seconds description command...; returns 1 on timeout
-    local limit=$((SECONDS + $1)) what=$2
-    shift 2
-    until "$@" >/dev/null 2>&1; do
-        if [ $SECONDS -ge $limit ]; then
-            echo "FAILED: $what (not within the time limit)"
-            return 1
-        fi
-        sleep 0.1
-    done
-}
+KEY=caller-key
 
 entry_ip() { # number, from 1
     echo "$PREFIX.$((1 + ($1 - 1) / 200)).$((($1 - 1) % 200 + 1))"
@@ -81,7 +52,7 @@
     shift
     RUN=$(mktemp -d)
     PREFIX=127.$((RANDOM % 200 + 20))
-    trap hosting_cleanup EXIT
+    trap end_processes EXIT
     ENTRIES=$entries
     start hosting "$BUILD/standins/standin-hosting" --listen "$PREFIX.9.1:8500" --ip "$PREFIX.8.1" --zone zone-1 zone-2 zone-3 "$@"
     wait_until 10 "the stand-in listens" curl -sf "http://$PREFIX.9.1:8500/standin/counts" || return 1
@@ -138,7 +109,7 @@
         done
     ) &
     INNOCENTS=$!
-    hosting_pids+=("$INNOCENTS")
+    process_pids+=("$INNOCENTS")
 }
 
 stop_innocents() {
