Crash ledger: the oldest observation is dropped by a copy of its key

Cause: dropOldest() passed erase() a reference to a key inside the set that erase() changes first. The other callers pass keys of their own.

Test: "a request is poison when it is the likely cause of three ends" and "the crash ledger keeps a bounded number of observations, the latest" fail under both sanitizers without the change (heap-use-after-free in CrashLedger::erase).

--- a/kernel/crashledger.cpp
+++ b/kernel/crashledger.cpp
@@ -37,7 +37,9 @@
 
 void CrashLedger::dropOldest()
 {
-    erase(m_byAge.begin()->second);
+    // A copy, since erase() removes the element that holds the key.
+    const Key oldest = m_byAge.begin()->second;
+    erase(oldest);
 }
 
 void CrashLedger::dropExpired(std::int64_t nowMs)
