Failing test: engines that say in their answers that they leave, or turn requests away, get requests all the same

What callers saw: with the store's list silent about it, sends 126 requests through 3 of 8 daemons to a plain upstream later than 2.2 s after it said that it leaves, 8 through 6 daemons to a head of a group. Two upstreams that turn requests away with Retry-After for 4 s get up to 46 requests from one daemon in that time, 12 of 12 pairs of daemon and upstream more than the two that are allowed, and 322 of 1,520 callers are refused although others are free (those include callers refused after the store's outage of the case before). All six of them: 48 of 48 pairs, and callers are told to come back after 0.12 s. Cause: no code reads Server-Leaving, or Retry-After beside an engine's refusal. The stand-in of the platform gains both: PUT /standin/engines.

--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -89,7 +89,7 @@
 }
 
 # Sends innocent requests through all daemons until $RUN/stop exists: COUNT at a time, each with a body of its own, on the paths given in turn. Prints
-# "status path" for each answer into $RUN/innocent.
+# "status path" for each answer into $RUN/innocent. The Attempt-Id begins with "dN-" for daemon N.
 start_innocents() { # count path...
     local count=$1
     shift
@@ -100,8 +100,8 @@
             for i in $(seq 1 "$count"); do
                 path=${*:$((i % $# + 1)):1}
                 [ "$i" = 1 ] || echo next
-                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer other-key"\nheader = "Attempt-Id: r%s-%s-%s"\n' \
-                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$$" "$round" "$i"
+                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer other-key"\nheader = "Attempt-Id: d%s-%s-%s"\n' \
+                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$((i % ENTRIES + 1))" "$round" "$i"
                 printf 'header = "Deadline-Ms: 8000"\nheader = "Model: model"\nheader = "Token-Usage: 100,100"\ndata = "innocent %s %s"\n' "$round" "$i"
                 printf 'output = "/dev/null"\nsilent\nmax-time = 12\nwrite-out = "%%{http_code} %s\\n"\n' "$path"
             done >"$RUN/innocent.curl"
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -1,6 +1,6 @@
 // Problem: the entry daemon is what runs on the hosting platform, and tests of real processes need that platform.
 // Approach: the store and all upstreams in one process on one thread. PUT /standin/key?key=K writes a key as the operators do,
-// PUT /standin/faults {"store_down_ms":n} makes the store unavailable, GET /standin/history returns what reached the upstreams.
+// PUT /standin/faults {"store_down_ms":n} makes the store unavailable, PUT /standin/engines changes what upstreams say of themselves, GET /standin/history returns what reached the upstreams.
 
 #include "net/jsonfields.h"
 #include "platform/names.h"
@@ -9,6 +9,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace knapweedslip::standin
@@ -27,7 +28,28 @@
     HostingEngineTimes m_times;
 };
 
-awaitable<void> serve(HostingStore &store, History &history, HttpExchange &exchange)
+using Upstreams = std::vector<std::unique_ptr<HostingEngine>>;
+
+/** Applies {"first":n,"count":n,"leaving":b,"listed":b,"turn_away_ms":n,"retry_after":s} and returns the ids of the upstreams that it names. */
+std::string applyWords(const Upstreams &upstreams, const std::string &body)
+{
+    const json::object object = parseJsonObject(body);
+    HostingEngineWords words;
+    words.m_leaving = boolField(object, "leaving");
+    words.m_listedAsLeaving = boolField(object, "listed");
+    words.m_turnAwayUntilMs = steadyMs() + integerField(object, "turn_away_ms");
+    words.m_retryAfter = stringField(object, "retry_after");
+    const std::size_t first = static_cast<std::size_t>(integerField(object, "first"));
+    const std::size_t end = std::min(upstreams.size(), first + static_cast<std::size_t>(integerField(object, "count")));
+    json::array ids;
+    for (std::size_t i = first; i < end; ++i) {
+        upstreams[i]->setWords(words);
+        ids.emplace_back(upstreams[i]->entry().m_id);
+    }
+    return json::serialize(ids);
+}
+
+awaitable<void> serve(HostingStore &store, History &history, const Upstreams &upstreams, HttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
     const std::string path(pathOf(request.m_target));
@@ -37,6 +59,8 @@
     } else if (path == "/standin/faults") {
         store.m_downUntilMs = steadyMs() + integerField(parseJsonObject(request.m_body), "store_down_ms");
         co_await exchange.respond(jsonReply(200, "{}"));
+    } else if (path == "/standin/engines") {
+        co_await exchange.respond(jsonReply(200, applyWords(upstreams, request.m_body)));
     } else if (path == "/standin/counts") {
         json::object counts;
         for (const std::pair<const std::string, std::uint64_t> &calls : store.m_calls) {
@@ -67,19 +91,19 @@
     constexpr int Slots = 26;
     HostingStore store;
     History history;
+    Upstreams upstreams;
     IoThreads threads(0);
     std::vector<std::shared_ptr<HttpServer>> servers;
     const bool listens = listenOn(
         threads,
         options.m_storeListen,
-        [&store, &history](HttpExchange &exchange) {
-            return serve(store, history, exchange);
+        [&store, &history, &upstreams](HttpExchange &exchange) {
+            return serve(store, history, upstreams, exchange);
         },
         servers);
     if (!listens) {
         return 2;
     }
-    std::vector<std::unique_ptr<HostingEngine>> upstreams;
     for (int i = 0; i < options.m_engines + options.m_serviceUpstreams; ++i) {
         const bool isEngine = i < options.m_engines;
         UpstreamEntry entry;
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -83,7 +83,7 @@
                         {"zone", m_entry.m_availabilityZone},
                         {"version", "1"},
                         {"slots", m_entry.m_slots},
-                        {"state", "ready"},
+                        {"state", m_words.m_listedAsLeaving ? "draining" : "ready"},
                         {"coldLeftMs", 0},
                         {"born", m_entry.m_startedMs},
                         {"seq", m_orders}};
@@ -105,6 +105,30 @@
     return json::serialize(object);
 }
 
+void HostingEngine::setWords(const HostingEngineWords &words)
+{
+    m_words = words;
+    publish();
+}
+
+const UpstreamEntry &HostingEngine::entry() const
+{
+    return m_entry;
+}
+
+std::string HostingEngine::headerLines() const
+{
+    return m_words.m_leaving ? std::string(platform::header::Leaving) + ": 1\r\n" : std::string();
+}
+
+awaitable<void> HostingEngine::respond(Connection &connection, HttpReply reply, const HttpRequest &request)
+{
+    if (m_words.m_leaving) {
+        reply.m_headers.emplace_back(platform::header::Leaving, "1");
+    }
+    co_await connection.respond(reply, request);
+}
+
 void HostingEngine::publish()
 {
     hostingPut(m_store, std::string(platform::key::Upstream) + m_entry.m_id, entryText());
@@ -115,6 +139,7 @@
     ++m_lifetime;
     m_alive = true;
     m_orders = 0;
+    m_words = {};
     m_entry.m_id = "i-" + toHex(randomId());
     m_entry.m_startedMs = unixSeconds() * 1'000;
     m_entry.m_replica = {};
@@ -266,7 +291,7 @@
 {
     const platform::CallerHeaders caller = platform::decodeCallerHeaders(request);
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + std::string(platform::header::RequestId)
-                             + ": " + caller.m_requestId + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n";
+                             + ": " + caller.m_requestId + "\r\n" + platform::header::Signature + ": stand-in\r\n" + headerLines() + "\r\n";
     bool open = co_await connection.write(head);
     for (std::int64_t event = caller.m_lastEventId.value_or(-1) + 1; open && event < m_times.m_events; ++event) {
         const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
@@ -292,26 +317,37 @@
     HttpReply reply;
     if (!expected.empty() && expected != m_entry.m_id) {
         reply.m_status = MisdirectedStatus;
-        co_await connection.respond(reply, request);
+        co_await respond(connection, std::move(reply), request);
         co_return;
     }
     if (path == platform::path::Report) {
         reply = jsonReply(200, entryText());
-        co_await connection.respond(reply, request);
+        co_await respond(connection, std::move(reply), request);
         co_return;
     }
     if (path == platform::path::Order) {
         reply = executeOrder(request.m_body);
-        co_await connection.respond(reply, request);
+        co_await respond(connection, std::move(reply), request);
         co_return;
     }
     if (!m_entry.m_domain.empty() && m_entry.m_phase != MemberPhase::Open) {
         reply.m_status = NotExecutedStatus;
         reply.m_headers.emplace_back(platform::header::NotRun, "1");
-        co_await connection.respond(reply, request);
+        co_await respond(connection, std::move(reply), request);
         co_return;
     }
     record(m_history, "arrived", describeRequest(request, m_entry.m_id));
+    const std::int64_t turnAwayMs = m_words.m_turnAwayUntilMs - steadyMs();
+    if (turnAwayMs > 0) {
+        reply.m_status = NotExecutedStatus;
+        reply.m_headers.emplace_back(platform::header::NotRun, "1");
+        constexpr double MsPerSecond = 1'000.0;
+        const std::string seconds = std::to_string(static_cast<double>(turnAwayMs) / MsPerSecond);
+        reply.m_headers.emplace_back(platform::header::RetryAfter, m_words.m_retryAfter.empty() ? seconds : m_words.m_retryAfter);
+        record(m_history, "turned-away", describeRequest(request, m_entry.m_id) + ",\"until_ms\":" + std::to_string(m_words.m_turnAwayUntilMs));
+        co_await respond(connection, std::move(reply), request);
+        co_return;
+    }
     co_await sleepFor(m_times.m_prefillMs);
     if (lifetime != m_lifetime || !m_alive) {
         co_return;
@@ -342,12 +378,15 @@
         record(m_history, "endless", describeRequest(request, m_entry.m_id) + ",\"bytes\":" + std::to_string(bytes));
         co_return;
     }
+    if (m_words.m_leaving) {
+        record(m_history, "said-leaving", describeRequest(request, m_entry.m_id));
+    }
     if (!m_entry.m_domain.empty()) {
         co_await streamEvents(connection, request, lifetime);
         co_return;
     }
     reply = jsonReply(200, R"({"done":true})");
     reply.m_headers.emplace_back(platform::header::Signature, "stand-in");
-    co_await connection.respond(reply, request);
+    co_await respond(connection, std::move(reply), request);
 }
 }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -27,6 +27,19 @@
     std::int64_t m_openMs = 100;
 };
 
+/** What an engine says of itself in its answers, beside its entry in the store. */
+struct HostingEngineWords
+{
+    /** All answers say that the engine leaves. */
+    bool m_leaving = false;
+    /** The entry in the store says so too. */
+    bool m_listedAsLeaving = false;
+    /** Requests are turned away until this time, with the time that is left. */
+    std::int64_t m_turnAwayUntilMs = 0;
+    /** Sent as Retry-After instead of the time that is left; empty if unused. */
+    std::string m_retryAfter;
+};
+
 /**
  * One upstream of the hosting platform, an engine that serves groups of one member or an upstream of a plain service. Words in the body of a
  * request choose what it does: CRASH ends the upstream when the request begins to run, CRASH-IN-ANSWER after the head of an answer without a length, as
@@ -40,6 +53,9 @@
 
     /** Serves, publishes its entry, and starts anew after each crash; does not return. */
     awaitable<void> run();
+    /** Changes what the engine says of itself, until its lifetime ends. */
+    void setWords(const HostingEngineWords &words);
+    const UpstreamEntry &entry() const;
 
 private:
     struct Connection;
@@ -50,6 +66,10 @@
     awaitable<void> serveRequest(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
     awaitable<void> streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
     HttpReply executeOrder(const std::string &body);
+    /** Adds the fields of all answers to @p reply and sends it. */
+    awaitable<void> respond(Connection &connection, HttpReply reply, const HttpRequest &request);
+    /** Returns the fields of all answers, as lines of a header. */
+    std::string headerLines() const;
     /** Ends this lifetime: every connection is reset, and nothing listens until the next one. */
     void crash(const HttpRequest &cause);
     void beginLifetime();
@@ -65,6 +85,7 @@
     std::uint64_t m_lifetime = 0;
     bool m_alive = false;
     std::int64_t m_orders = 0;
+    HostingEngineWords m_words;
     std::shared_ptr<Tcp::acceptor> m_acceptor;
     std::set<ConnectionPtr> m_connections;
 };
