Move: models of whole deployments in virtual time get a folder of their own

simulation/crashdeployment.h and simulation/daemonfleet.h were in autotests/, and a benchmark included one of them.

--- a/autotests/crashledgertest.cpp
+++ b/autotests/crashledgertest.cpp
@@ -1,6 +1,6 @@
 // Guards against requests that end one upstream after another (incident BUDGET), and against refusing the requests that merely ran beside them.
 
-#include "autotests/crashdeployment.h"
+#include "simulation/crashdeployment.h"
 #include "kernel/requestfingerprint.h"
 #include "net/crashcodec.h"
 #include "net/loadreportcodec.h"
--- a/autotests/resendbudgettest.cpp
+++ b/autotests/resendbudgettest.cpp
@@ -1,7 +1,7 @@
 // Pattern: many requests are resent at the same time by daemons that cannot coordinate.
 
 #include "kernel/resendbudget.h"
-#include "autotests/daemonfleet.h"
+#include "simulation/daemonfleet.h"
 
 #include <catch2/catch.hpp>
 #include <numeric>
--- a/benchmarks/crashfigures.cpp
+++ b/benchmarks/crashfigures.cpp
@@ -1,6 +1,6 @@
 // Prints the figures of docs/MEASUREMENTS.md on requests that end upstreams: the worst of ten seeds for each course and number of daemons.
 
-#include "autotests/crashdeployment.h"
+#include "simulation/crashdeployment.h"
 
 #include <iostream>
 
