--- a/autotests/coldlimittest.cpp
+++ b/autotests/coldlimittest.cpp
@@ -1,8 +1,8 @@
 // Guards against a flood of an upstream that has just started: daemons that cannot coordinate on each request together sent more than it can take,
 // because their shares did not add up to its limit.
 
-#include "simulation/daemonfleet.h"
 #include "kernel/coldlimiter.h"
+#include "simulation/daemonfleet.h"
 
 #include <catch2/catch.hpp>
 
--- a/autotests/crashledgertest.cpp
+++ b/autotests/crashledgertest.cpp
@@ -1,9 +1,9 @@
 // Guards against requests that end one upstream after another (incident BUDGET), and against refusing the requests that merely ran beside them.
 
-#include "simulation/crashdeployment.h"
 #include "kernel/requestfingerprint.h"
 #include "net/crashcodec.h"
 #include "net/loadreportcodec.h"
+#include "simulation/crashdeployment.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -170,6 +170,49 @@
     CHECK(headerValue(refusal.m_headers, "Server-Stamp").empty());
 }
 
+// Guards against values that an engine may send by mistake and that would take it out of use for good, or be read as another time.
+TEST_CASE("the time after which an engine wants requests again is decoded, whatever its form", "[entry][platform][availability]")
+{
+    using platform::RetryAfterForm;
+    struct Row
+    {
+        const char *m_text;
+        RetryAfterForm m_form;
+        std::int64_t m_ms;
+    };
+    const std::vector<Row> rows{{"", RetryAfterForm::Absent, 0},
+                                {"  ", RetryAfterForm::Absent, 0},
+                                {"0", RetryAfterForm::Seconds, 0},
+                                {"0.0004", RetryAfterForm::Seconds, 1},
+                                {"2", RetryAfterForm::Seconds, 2'000},
+                                {" 1.25\t", RetryAfterForm::Seconds, 1'250},
+                                {"99999999999999999999", RetryAfterForm::Seconds, platform::MaxRetryAfterMs},
+                                {"-1", RetryAfterForm::Negative, 0},
+                                {"-0.5", RetryAfterForm::Negative, 0},
+                                {"Fri, 04 Dec 2026 12:00:00 GMT", RetryAfterForm::Date, 0},
+                                {"inf", RetryAfterForm::Unreadable, 0},
+                                {"nan", RetryAfterForm::Unreadable, 0},
+                                {"1e3", RetryAfterForm::Unreadable, 0},
+                                {"0x10", RetryAfterForm::Unreadable, 0},
+                                {"2 s", RetryAfterForm::Unreadable, 0},
+                                {"+2", RetryAfterForm::Unreadable, 0},
+                                {"soon", RetryAfterForm::Unreadable, 0}};
+    for (const Row &row : rows) {
+        CAPTURE(row.m_text);
+        const platform::RetryAfter decoded = platform::decodeRetryAfter(row.m_text);
+        CHECK(decoded.m_form == row.m_form);
+        CHECK(decoded.m_ms == row.m_ms);
+    }
+    const std::string huge(400, '9');
+    CHECK(platform::decodeRetryAfter(huge).m_ms == platform::MaxRetryAfterMs);
+    CHECK(platform::decodeRetryAfter("-" + huge).m_form == RetryAfterForm::Negative);
+    CHECK(platform::decodeResponseHeaders(503, {{"Retry-After", "2"}}).m_retryAfter.m_ms == 2'000);
+    CHECK(platform::decodeResponseHeaders(200, {{"Retry-After", "2"}}).m_retryAfter.m_form == RetryAfterForm::Absent);
+    CHECK(platform::decodeResponseHeaders(200, {{"server-leaving", "1"}}).m_leaving);
+    CHECK_FALSE(platform::decodeResponseHeaders(200, {{"Server-Leaving", "0"}}).m_leaving);
+    CHECK_FALSE(platform::decodeResponseHeaders(200, {}).m_leaving);
+}
+
 TEST_CASE("load reports are encoded and decoded, and truncated ones are errors", "[entry][pulse]")
 {
     DaemonLoadReport report;
@@ -177,6 +220,7 @@
     report.m_number = 3;
     report.m_serving = true;
     report.m_groups = {{1'100'004, {3, 2, 41.5, 9'000}, 17, true}};
+    report.m_leaving = {"i-7f3a91c2", "i-02d9e6b4"};
     const std::string bytes = encodeLoadReport(report);
     const Result<DaemonLoadReport> decodedReport = decodeLoadReport(bytes.data(), bytes.size());
     REQUIRE(!failed(decodedReport));
@@ -184,6 +228,7 @@
     CHECK(valueOf(decodedReport).m_groups.front().m_load.m_decoding == 3);
     CHECK(valueOf(decodedReport).m_groups.front().m_progressAgeMs == 17);
     CHECK(valueOf(decodedReport).m_groups.front().m_silent);
+    CHECK(valueOf(decodedReport).m_leaving == report.m_leaving);
     CHECK(failed(decodeLoadReport(bytes.data(), bytes.size() / 2)));
     CHECK(failed(decodeLoadReport("", 0)));
 }
--- a/autotests/replicareconcilertest.cpp
+++ b/autotests/replicareconcilertest.cpp
@@ -32,6 +32,7 @@
     std::int64_t m_openAtMs = -1;
     /** The engine has been ready in its current replica. */
     bool m_wasReady = false;
+    bool m_saysLeaving = false;
 };
 
 struct NetworkFaults
@@ -113,6 +114,12 @@
         publish(id);
     }
 
+    /** Lets the answers of @p id to orders and probes say that it will stop, which the list does not. */
+    void sayLeaving(const std::string &id)
+    {
+        m_engines.at(id).m_saysLeaving = true;
+    }
+
     void setServing()
     {
         m_serving = true;
@@ -149,6 +156,8 @@
     std::map<std::string, FakeEngine> m_engines;
     std::unique_ptr<ReplicaReconciler> m_reconciler;
     NetworkFaults m_faults;
+    /** Engines refuse orders with an older fencing token than they have seen. */
+    bool m_enforcesFencing = true;
     std::vector<std::string> m_violations;
     std::mt19937 m_random;
     VirtualTime m_time;
@@ -241,7 +250,7 @@
         FakeEngine &engine = m_engines.at(order.m_engine);
         UpstreamEntry &entry = engine.m_entry;
         const std::int64_t nowMs = m_time.nowMs();
-        if (order.m_fence < engine.m_fence) {
+        if (m_enforcesFencing && order.m_fence < engine.m_fence) {
             return OrderReply::Fenced;
         }
         engine.m_fence = order.m_fence;
@@ -324,6 +333,7 @@
     {
         m_time.after(delayMs, [this, order, reply, term]() {
             if (term == m_fence) {
+                learnLeaving(order.m_engine, reply != OrderReply::Unanswered);
                 m_reconciler->orderAnswered(order, reply, m_time.nowMs());
             }
         });
@@ -342,10 +352,18 @@
             if (!engine.m_unlisted) {
                 m_reconciler->observe(engine.m_entry, m_time.nowMs());
             }
+            learnLeaving(id, true);
             m_reconciler->probeAnswered(id, m_time.nowMs());
         });
     }
 
+    void learnLeaving(const std::string &id, bool answered)
+    {
+        if (answered && m_engines.at(id).m_saysLeaving) {
+            m_reconciler->markLeaving(id, m_engines.at(id).m_entry.m_startedMs);
+        }
+    }
+
     CallService m_service;
     std::uint64_t m_fence = 0;
     bool m_serving = false;
@@ -470,10 +488,88 @@
     CHECK(firstOrEmpty(cluster.m_violations) == "");
 }
 
+// Guards against a group that serves on with a member that leaves until its heartbeats are missed, because the list never says that it leaves.
+TEST_CASE("a member that says in its answers that it leaves is replaced, whoever hears it", "[entry][keeper][availability]")
+{
+    struct Row
+    {
+        const char *m_description;
+        std::size_t m_rank;
+        /** The leader hears it in an answer of its own; otherwise another daemon reports it, and the leader asks the engine. */
+        bool m_leaderHears;
+    };
+    for (const Row &row : std::vector<Row>{{"head, leader hears", 0, true}, {"head, reported", 0, false}, {"member, reported", 1, false}}) {
+        CAPTURE(row.m_description);
+        SimulatedCluster cluster(5, 1, 9);
+        cluster.run(5'000);
+        cluster.setServing();
+        const int before = cluster.servingReplicas("big");
+        const std::string leaving = memberOf(cluster, cluster.headOf("big"), row.m_rank);
+        const ReplicaRef replica = cluster.m_engines.at(leaving).m_entry.m_replica;
+        cluster.sayLeaving(leaving);
+        if (row.m_leaderHears) {
+            cluster.m_reconciler->markLeaving(leaving, 1);
+        } else {
+            cluster.m_reconciler->checkLeaving(leaving, cluster.m_time.nowMs());
+        }
+        cluster.run(7'500);
+        CHECK(cluster.servingReplicas("big") == before);
+        CHECK(cluster.m_engines.at(leaving).m_entry.m_phase != MemberPhase::Open);
+        CHECK(cluster.m_reconciler->replicas().count(replica) == 0);
+        CHECK(firstOrEmpty(cluster.m_violations) == "");
+    }
+}
+
+// Guards against datagrams that anyone may send: a false report that an engine leaves must not close its group.
+TEST_CASE("a false report that an engine leaves costs one probe a second and closes nothing", "[entry][keeper][availability]")
+{
+    SimulatedCluster cluster(5, 1, 9);
+    cluster.run(5'000);
+    cluster.setServing();
+    const std::string head = cluster.headOf("big");
+    const ReplicaRef replica = cluster.m_engines.at(head).m_entry.m_replica;
+    int probes = 0;
+    for (std::int64_t nowMs = 5'000; nowMs < 8'000; nowMs += 20) {
+        cluster.m_reconciler->recordProgress(replica, nowMs);
+        cluster.m_reconciler->checkLeaving(head, nowMs);
+        const ReconcilerActions actions = cluster.m_reconciler->tick(nowMs);
+        probes += static_cast<int>(std::count(actions.m_probes.begin(), actions.m_probes.end(), head));
+    }
+    CHECK(probes == 3);
+    CHECK(cluster.m_reconciler->replicas().at(replica).m_phase == ReplicaPhase::Open);
+}
+
+// Guards against words of an engine's earlier lifetime that keep the restarted engine out of groups.
+TEST_CASE("an engine that restarts under its id is used again although it had said that it leaves", "[entry][keeper][availability]")
+{
+    SimulatedCluster cluster(5, 1, 9);
+    cluster.run(5'000);
+    const std::string leaving = cluster.headOf("big");
+    cluster.m_reconciler->markLeaving(leaving, 1);
+    cluster.run(7'500);
+    FakeEngine &engine = cluster.m_engines.at(leaving);
+    UpstreamEntry restarted = engine.m_entry;
+    restarted.m_startedMs = 2;
+    restarted.m_replica = {};
+    restarted.m_rank = -1;
+    restarted.m_phase = MemberPhase::None;
+    engine = FakeEngine();
+    engine.m_entry = restarted;
+    cluster.m_reconciler->observe(restarted, cluster.m_time.nowMs());
+    cluster.m_reconciler->markLeaving(leaving, 1);
+    cluster.run(12'000);
+    CHECK(!cluster.m_engines.at(leaving).m_entry.m_replica.empty());
+    CHECK(firstOrEmpty(cluster.m_violations) == "");
+}
+
+// Some deployments have engines that obey orders with any fencing token: those of a paused leader, or carried out late, must be harmless there too.
 TEST_CASE("no engine serves in two replicas and no replica opens without all members under random faults", "[entry][keeper]")
 {
+    const bool enforcesFencing = GENERATE(true, false);
     for (unsigned seed = 1; seed <= 60; ++seed) {
+        CAPTURE(enforcesFencing);
         SimulatedCluster cluster(seed, 6, 9);
+        cluster.m_enforcesFencing = enforcesFencing;
         cluster.run(4'000);
         cluster.setServing();
         std::vector<std::string> ids;
--- a/autotests/staleloadreporttest.cpp
+++ b/autotests/staleloadreporttest.cpp
@@ -44,7 +44,7 @@
         replica.m_model = "big";
         replica.m_head = "engine-" + std::to_string(i);
         replica.m_availabilityZone = "a";
-        replica.m_usable = true;
+        replica.m_listed = true;
         list.push_back(replica);
     }
     return list;
@@ -54,6 +54,7 @@
 std::vector<double> simulateWaits(unsigned seed)
 {
     std::mt19937 random(seed);
+    UpstreamAvailability availability;
     std::vector<Gateway> gateways(Gateways);
     for (Gateway &gateway : gateways) {
         gateway.m_selector.setService(engineServiceFixture());
@@ -82,7 +83,7 @@
         for (SimulatedStream &stream : streams) {
             if (!stream.m_began && nowMs >= stream.m_firstMs) {
                 stream.m_began = true;
-                gateways[stream.m_gateway].m_selector.event(stream.m_stream, 1, nowMs);
+                gateways[stream.m_gateway].m_selector.event(availability, stream.m_stream, 1, nowMs);
             }
             if (nowMs >= stream.m_endMs) {
                 gateways[stream.m_gateway].m_selector.end(stream.m_stream);
@@ -95,13 +96,13 @@
             const int g = static_cast<int>(random() % Gateways);
             const std::int64_t tokens = std::clamp<std::int64_t>(static_cast<std::int64_t>(prompt(random)), 30, 6'000);
             gateways[g].m_selector.setPeerLoads(gateways[g].m_loadReports.view(nowMs).m_loads);
-            const TrackedReplica *chosen = gateways[g].m_selector.choose("big", tokens, "a", {}, nowMs);
+            const TrackedReplica *chosen = gateways[g].m_selector.choose(availability, "big", tokens, "a", {}, nowMs);
             REQUIRE(chosen != nullptr);
             double &busy = busyUntil[chosen->m_ref.m_epoch - 1];
             waits.push_back(std::max(0.0, busy - static_cast<double>(nowMs)));
             busy = std::max(busy, static_cast<double>(nowMs)) + prefillMs(engines, tokens);
             const std::int64_t firstMs = static_cast<std::int64_t>(busy) + 60;
-            streams.push_back({g, gateways[g].m_selector.begin(*chosen, tokens, nowMs), firstMs, firstMs + DecodeMs, false});
+            streams.push_back({g, gateways[g].m_selector.begin(availability, *chosen, tokens, nowMs), firstMs, firstMs + DecodeMs, false});
         }
     }
     std::sort(waits.begin(), waits.end());
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -68,6 +68,9 @@
     add("knapweedslip_silences_total", "Groups found silent", metrics.m_silences);
     add("knapweedslip_cold_sent_total", "Requests sent to cold upstreams", metrics.m_coldSent);
     add("knapweedslip_cold_withheld_total", "Choices of a cold upstream that its rate limit did not allow", metrics.m_coldWithheld);
+    add("knapweedslip_said_leaving_total", "Upstreams whose answers said that they leave", metrics.m_saidLeaving);
+    add("knapweedslip_turned_away_total", "Times that an upstream began to turn requests away for a time that it gave", metrics.m_turnedAway);
+    add("knapweedslip_retry_after_ignored_total", "Answers that gave that time in a form that is ignored", metrics.m_retryAfterIgnored);
     add("knapweedslip_upstreams_ended_total", "Upstreams that ended while a request of this daemon had just begun to run there", metrics.m_upstreamsEnded);
     add("knapweedslip_orders_total", "Orders given to engines", metrics.m_orders);
     add("knapweedslip_probes_total", "Engines asked for a report", metrics.m_probes);
@@ -78,6 +81,10 @@
     for (std::size_t i = 0; i < metrics.m_refused.size(); ++i) {
         text += "knapweedslip_refused_total{reason=\"" + std::string(RefusalReasonNames.at(i)) + "\"} " + std::to_string(metrics.m_refused.at(i)) + "\n";
     }
+    const auto withheld = context.m_availability.count(steadyMs());
+    for (std::size_t i = 0; i < withheld.size(); ++i) {
+        text += "knapweedslip_upstreams{withheld=\"" + std::string(WithheldReasonNames.at(i)) + "\"} " + std::to_string(withheld.at(i)) + "\n";
+    }
     const std::int64_t confirmationAgeMs = context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs;
     text += exposeMetric("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(confirmationAgeMs), true);
     text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(context.m_coldMembers.count(steadyMs())), true);
--- /dev/null
+++ b/daemons/entryavailability.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "daemons/entrycontext.h"
+#include "platform/callheaders.h"
+
+#include <string>
+
+namespace knapweedslip
+{
+/** Records that @p upstream said in an answer that it will stop: it gets no new requests, and the leader replaces the replica that it serves in. */
+void learnLeaving(EntryContext &context, const UpstreamLifetime &upstream, const std::string &requestId);
+
+/**
+ * Records what @p upstream says of itself in @p answer. The caller has checked that the answer is the upstream's own and belongs to the request
+ * @p requestId: late, altered and unsigned answers teach nothing.
+ */
+void learnFromAnswer(EntryContext &context, const UpstreamLifetime &upstream, const platform::ResponseHeaders &answer, const std::string &requestId);
+}
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -5,6 +5,8 @@
 
 #include "daemons/entrycall.h"
 
+#include "daemons/entryavailability.h"
+
 #include "daemons/entryloadreports.h"
 #include "kernel/requestfingerprint.h"
 #include "net/logging.h"
@@ -128,6 +130,14 @@
     return m_answer.m_signed && !m_answer.m_contentEncoded && sameRequest(m_answer, m_call.m_caller.m_requestId);
 }
 
+void EntryAttempt::learnFromAnswer()
+{
+    const bool isRefusal = m_answer.m_notRun && !m_answer.m_contentEncoded && sameRequest(m_answer, m_call.m_caller.m_requestId);
+    if (isRefusal || isAuthentic()) {
+        knapweedslip::learnFromAnswer(m_call.m_context, {m_upstream.m_id, m_upstream.m_startedMs}, m_answer, m_call.m_caller.m_requestId);
+    }
+}
+
 const std::string &EntryAttempt::error() const
 {
     return m_error;
@@ -340,7 +350,7 @@
         context.m_sendCrashes();
     }
     const std::int64_t nowMs = steadyMs();
-    const std::vector<ReplicaRef> silent = context.m_replicaSelector.findSilentReplicas(nowMs);
+    const std::vector<ReplicaRef> silent = context.m_replicaSelector.findSilentReplicas(context.m_availability, nowMs);
     for (const ReplicaRef &replica : silent) {
         context.m_reconciler.suspect(replica, nowMs);
         if (!context.m_reportedSilent.insert(replica).second) {
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -82,6 +82,11 @@
     const platform::ResponseHeaders &answer() const;
     /** Returns true if the answer is signed, belongs to this request, and has the body that the upstream sent. */
     bool isAuthentic() const;
+    /**
+     * Must be called when the answer is known to be the upstream's own: it refused to run the request, or its answer was authentic and, but for a stream,
+     * read to its end. Records what the upstream says of itself there.
+     */
+    void learnFromAnswer();
     /** Returns what went wrong, for the log. */
     const std::string &error() const;
     /**
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -60,11 +60,6 @@
 
 namespace
 {
-bool acceptsWork(const EntryContext &context, const UpstreamEntry &entry)
-{
-    return !entry.m_leaving && context.m_evacuatedZones.count(entry.m_availabilityZone) == 0;
-}
-
 void refreshReplicas(EntryContext &context, const CallService &service)
 {
     std::map<std::string, int> sizes;
@@ -92,7 +87,6 @@
         replica.m_head = head.m_id;
         replica.m_address = head.m_address;
         replica.m_availabilityZone = head.m_availabilityZone;
-        replica.m_usable = acceptsWork(context, head);
         replica.m_coldUntilMs = head.m_coldUntilMs;
         replicas.push_back(std::move(replica));
     }
@@ -115,7 +109,6 @@
         upstream.m_availabilityZone = entry.second.m_availabilityZone;
         upstream.m_slots = entry.second.m_slots;
         upstream.m_coldUntilMs = entry.second.m_coldUntilMs;
-        upstream.m_usable = acceptsWork(context, entry.second);
         upstreams.push_back(std::move(upstream));
     }
     context.m_upstreamSelector.setUpstreams(service.m_name, upstreams);
@@ -150,6 +143,12 @@
     return context.m_resendBudgets[service];
 }
 
+std::int64_t spreadOwnReturnMs(EntryContext &context, std::int64_t waitMs)
+{
+    std::uniform_real_distribution<double> uniform(0.0, 1.0);
+    return spreadReturnMs(waitMs, uniform(context.m_random));
+}
+
 bool allowColdRequest(EntryContext &context, const std::string &upstream, std::int64_t coldUntilMs, double coldPerSecond, std::int64_t nowMs)
 {
     if (coldUntilMs <= nowMs || coldPerSecond <= 0.0) {
@@ -158,6 +157,10 @@
     const double limit = coldPerSecond * context.m_settings.m_coldShare;
     const bool allowed = context.m_coldLimiter.trySend(context.m_coldMembers, upstream, limit, context.m_confirmedMs, nowMs);
     ++(allowed ? context.m_metrics.m_coldSent : context.m_metrics.m_coldWithheld);
+    if (!allowed) {
+        const std::int64_t forMs = context.m_coldLimiter.retryMs(upstream, nowMs);
+        context.m_availability.withhold(upstream, UpstreamAvailability::AnyEpoch, WithheldReason::Cold, forMs, nowMs);
+    }
     return allowed;
 }
 }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -9,6 +9,7 @@
 #include "kernel/replicaselector.h"
 #include "kernel/storemirror.h"
 #include "kernel/updatesource.h"
+#include "kernel/upstreamavailability.h"
 #include "kernel/upstreamselector.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
@@ -87,6 +88,11 @@
     /** Requests sent to cold upstreams, and choices of a cold upstream that its rate limit did not allow. */
     std::uint64_t m_coldSent = 0;
     std::uint64_t m_coldWithheld = 0;
+    /** Upstreams that said in an answer that they leave, and times that an upstream began to turn requests away for a time that it gave. */
+    std::uint64_t m_saidLeaving = 0;
+    std::uint64_t m_turnedAway = 0;
+    /** Answers that gave that time in a form that is ignored. */
+    std::uint64_t m_retryAfterIgnored = 0;
     std::uint64_t m_orders = 0;
     std::uint64_t m_probes = 0;
     std::uint64_t m_silences = 0;
@@ -137,6 +143,8 @@
 
     /** Open replicas that were listed with all members at some time. They are kept while their head is open: the entry of a missing member may only be late. */
     std::map<ReplicaRef, CompleteReplica> m_completeReplicas;
+    /** Which upstreams may be sent a request now. */
+    UpstreamAvailability m_availability;
     ReplicaSelector m_replicaSelector;
     /** The last load report of each other daemon. */
     LoadReportTable m_loadReports;
@@ -188,6 +196,9 @@
 /** Returns the resend budget of @p service. */
 ResendBudget &resendBudget(EntryContext &context, const std::string &service);
 
+/** Returns when a client should retry that upstreams can serve after @p waitMs, so that not all clients of this daemon return at that moment. */
+std::int64_t spreadOwnReturnMs(EntryContext &context, std::int64_t waitMs);
+
 /** Returns true if @p upstream is warm, or if it is cold and this daemon's share of its limit allows one more request, which is then counted. */
 bool allowColdRequest(EntryContext &context, const std::string &upstream, std::int64_t coldUntilMs, double coldPerSecond, std::int64_t nowMs);
 }
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -23,8 +23,10 @@
 constexpr double MaxHoldFraction = 0.11;
 /** When a client should retry while no replica serves its model, in ms: the time in which a new replica is formed. */
 constexpr std::int64_t NoReplicaRetryMs = 700;
-/** How long a replica is avoided if it cannot be reached or says that it is not open, in ms: the list of upstreams lags by about as much. */
-constexpr std::int64_t AvoidUnreachableMs = 500;
+/** How long a replica gets no requests if it cannot be reached or says that it is not open, in ms: the list of upstreams lags by about as much. */
+constexpr std::int64_t UnreachableMs = 500;
+/** How long a replica gets no requests if it refused one because it was full, in ms: about one pass. */
+constexpr std::int64_t FullMs = 60;
 /** A request is refused if its first event is expected later than this fraction of the latency target: half of all first events come later than expected. */
 constexpr double MaxExpectedFraction = 0.8;
 constexpr unsigned Ok = 200;
@@ -65,7 +67,8 @@
     AttemptRegistration(EntryCall &call, const TrackedReplica &replica)
         : m_replicaSelector(call.m_context.m_replicaSelector)
         , m_running(*call.m_running)
-        , m_number(m_replicaSelector.begin(replica, call.m_caller.m_promptTokens, steadyMs()))
+        , m_availability(call.m_context.m_availability)
+        , m_number(m_replicaSelector.begin(m_availability, replica, call.m_caller.m_promptTokens, steadyMs()))
     {
         m_running.m_replica = replica.m_ref;
         m_running.m_streamId = m_number;
@@ -82,12 +85,13 @@
 
     void event(int events)
     {
-        m_replicaSelector.event(m_number, events, steadyMs());
+        m_replicaSelector.event(m_availability, m_number, events, steadyMs());
     }
 
 private:
     ReplicaSelector &m_replicaSelector;
     RunningCall &m_running;
+    UpstreamAvailability &m_availability;
     std::uint64_t m_number;
 };
 
@@ -112,6 +116,7 @@
     if (!attempt.isAuthentic()) {
         co_return AttemptResult::Failed;
     }
+    attempt.learnFromAnswer();
     state.m_failure = std::move(reply);
     state.m_hasFailure = true;
     co_return AttemptResult::Failed;
@@ -207,7 +212,7 @@
     if (opened != OpenResult::Answered) {
         logAttemptFailed(call, head, opened == OpenResult::NotSent ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun, attempt.error());
         if (call.m_running->m_cause == AbortCause::None) {
-            context.m_replicaSelector.avoid(replica, steadyMs(), AvoidUnreachableMs);
+            context.m_availability.withhold(head, replica.m_epoch, WithheldReason::Unreachable, UnreachableMs, steadyMs());
         }
         if (opened == OpenResult::NotSent) {
             co_return AttemptResult::NotRun;
@@ -217,11 +222,10 @@
     }
     if (attempt.answer().m_notRun) {
         constexpr unsigned Misdirected = 421;
-        if (attempt.status() == Misdirected) {
-            context.m_replicaSelector.avoid(replica, steadyMs(), AvoidUnreachableMs);
-        } else {
-            context.m_replicaSelector.markFull(replica, steadyMs());
-        }
+        const bool isFull = attempt.status() != Misdirected;
+        const WithheldReason reason = isFull ? WithheldReason::Full : WithheldReason::Unreachable;
+        context.m_availability.withhold(head, replica.m_epoch, reason, isFull ? FullMs : UnreachableMs, steadyMs());
+        attempt.learnFromAnswer();
         state.m_refusedFull = true;
         logAttemptFailed(call, head, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
         co_return AttemptResult::NotRun;
@@ -231,6 +235,8 @@
         logAttemptFailed(call, head, AttemptOutcome::MayHaveRun, "answered with status " + std::to_string(attempt.status()));
         co_return co_await readFailure(attempt, state);
     }
+    attempt.learnFromAnswer();
+    context.m_availability.recordAccepted(head);
     co_return co_await relayEvents(call, attempt, state, registration);
 }
 
@@ -262,6 +268,27 @@
     }
 }
 
+/** Returns when a replica of the request's model takes requests again, if all of them turn requests away; otherwise -1. */
+std::int64_t turnedAwayUntilMs(const EntryCall &call, std::int64_t nowMs)
+{
+    const Withheld first = call.m_context.m_replicaSelector.shortage(call.m_context.m_availability, call.m_caller.m_model, nowMs).first();
+    return first.m_reason == WithheldReason::TurnedAway ? first.m_untilMs : -1;
+}
+
+/** Ends the request because no replica takes it in time. */
+awaitable<void> giveUpWithoutReplica(EntryCall &call, GenerationState &state)
+{
+    const std::int64_t nowMs = steadyMs();
+    const std::int64_t untilMs = turnedAwayUntilMs(call, nowMs);
+    if (timeLeftMs(call) <= 0) {
+        co_await giveUp(call, state, RefusalReason::TimeOver, NoReplicaRetryMs);
+    } else if (untilMs > nowMs) {
+        co_await giveUp(call, state, RefusalReason::TurnedAway, spreadOwnReturnMs(call.m_context, untilMs - nowMs));
+    } else {
+        co_await giveUp(call, state, state.m_refusedFull ? RefusalReason::Overloaded : RefusalReason::NoUpstream, NoReplicaRetryMs);
+    }
+}
+
 /**
  * Waits until a replica can take the request and returns it. Returns null if the request must be given up: its time is over, its client left, it has
  * waited for too long, or its first event would come too late.
@@ -287,12 +314,14 @@
         const auto takePermit = [&call, &context, nowMs](const TrackedReplica &replica) {
             return allowColdRequest(context, replica.m_head, replica.m_coldUntilMs, call.m_service->m_coldRequestsPerSecond, nowMs);
         };
-        const ReplicaChoice choice = chooseReplica(context.m_replicaSelector, query, takePermit, nowMs);
+        const ReplicaChoice choice = chooseReplica(context.m_replicaSelector, context.m_availability, query, takePermit, nowMs);
         if (choice.m_outcome != ReplicaChoiceOutcome::NoneAvailable) {
             co_return choice.m_replica;
         }
         const bool over = timeLeftMs(call) <= 0 || call.m_exchange.callerDisconnected();
-        if (over || (!state.m_headerSent && nowMs - call.m_arrivedMs >= holdMs)) {
+        const std::int64_t holdUntilMs = call.m_arrivedMs + holdMs;
+        const bool waitsInVain = nowMs >= holdUntilMs || turnedAwayUntilMs(call, nowMs) > holdUntilMs;
+        if (over || (!state.m_headerSent && waitsInVain)) {
             co_return nullptr;
         }
         co_await sleepFor(NoReplicaPollMs);
@@ -311,10 +340,7 @@
         }
         const TrackedReplica *chosen = co_await waitForReplica(call, state);
         if (chosen == nullptr) {
-            const RefusalReason reason = timeLeftMs(call) <= 0 ? RefusalReason::TimeOver
-                                         : state.m_refusedFull ? RefusalReason::Overloaded
-                                                               : RefusalReason::NoUpstream;
-            co_await giveUp(call, state, reason, NoReplicaRetryMs);
+            co_await giveUpWithoutReplica(call, state);
             co_return;
         }
         if (crashVerdict(call) != CrashVerdict::MaySend && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -31,6 +31,8 @@
 constexpr std::int64_t CrashRepeatMs = 10'000;
 /** Keeps a report within one packet: each takes about 30 bytes. */
 constexpr std::size_t MaxCrashesInReport = 32;
+/** How long a report names an upstream that said that it leaves, in ms: the leader may have been replaced, and datagrams are lost. */
+constexpr std::int64_t ReportLeavingMs = 3'000;
 constexpr std::size_t MaxDatagramBytes = 60 * 1024;
 }
 
@@ -65,7 +67,9 @@
 void LoadReportExchange::sendNow()
 {
     const std::int64_t nowMs = steadyMs();
-    sendToAll(makeLoadReport(m_context.m_settings.m_name, ++m_sequenceNumber, m_context.m_serving, m_context.m_replicaSelector, nowMs));
+    DaemonLoadReport report = makeLoadReport(m_context.m_settings.m_name, ++m_sequenceNumber, m_context.m_serving, m_context.m_replicaSelector, nowMs);
+    report.m_leaving = m_context.m_availability.recentlyLeaving(ReportLeavingMs, nowMs);
+    sendToAll(report);
 }
 
 void LoadReportExchange::sendCrashes()
@@ -144,6 +148,9 @@
     if (!isLeader(context)) {
         return;
     }
+    for (const std::string &upstream : view.m_leaving) {
+        context.m_reconciler.checkLeaving(upstream, nowMs);
+    }
     for (const std::pair<const ReplicaRef, ManagedReplica> &entry : context.m_reconciler.replicas()) {
         const auto load = view.m_loads.find(entry.first.m_epoch);
         if (load != view.m_loads.end() && load->second.m_progressMs >= 0) {
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -4,6 +4,8 @@
 
 #include "daemons/entryreconciler.h"
 
+#include "daemons/entryavailability.h"
+
 #include "net/logging.h"
 #include "platform/enginecalls.h"
 #include "platform/entrydecoder.h"
@@ -21,12 +23,28 @@
 /** Longest answer of an engine to an order or a probe: a report has a few hundred bytes. */
 constexpr std::size_t MaxEngineReplyBytes = 256 * 1024;
 
+/** Reads an engine's answer to an order or a probe for what the engine says of itself. */
+void learnFromReply(EntryContext &context, const UpstreamLifetime &engine, const Result<HttpReply> &answer)
+{
+    if (!failed(answer) && platform::decodeResponseHeaders(valueOf(answer).m_status, valueOf(answer).m_headers).m_leaving) {
+        learnLeaving(context, engine, {});
+    }
+}
+
+std::int64_t startOf(const EntryContext &context, const std::string &engine)
+{
+    const auto found = context.m_upstreams.find(engine);
+    return found == context.m_upstreams.end() ? 0 : found->second.m_startedMs;
+}
+
 awaitable<void> sendOrder(EntryContext &context, EngineOrder order)
 {
+    const UpstreamLifetime engine{order.m_engine, startOf(context, order.m_engine)};
     const std::uint64_t fence = context.m_leadership.m_fence;
     ++context.m_metrics.m_orders;
     HttpRequest request = platform::makeOrderRequest(order);
     const Result<HttpReply> answer = co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxEngineReplyBytes);
+    learnFromReply(context, engine, answer);
     OrderReply reply = OrderReply::Unanswered;
     if (!failed(answer)) {
         reply = platform::decodeOrderReply(valueOf(answer).m_status);
@@ -57,10 +75,12 @@
         co_return;
     }
     const std::string address = found->second.m_address;
+    const UpstreamLifetime lifetime{engine, found->second.m_startedMs};
     ++context.m_metrics.m_probes;
     HttpRequest request = platform::makeReportRequest(engine);
     const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxEngineReplyBytes);
     const std::int64_t nowMs = steadyMs();
+    learnFromReply(context, lifetime, answer);
     constexpr unsigned Ok = 200;
     if (failed(answer) || valueOf(answer).m_status != Ok) {
         const bool refused = failed(answer) ? isConnectionRefused(errorOf(answer)) : true;
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -64,32 +64,37 @@
         call.m_running->m_attemptDeadlineMs =
             steadyMs() + static_cast<std::int64_t>(AttemptTimeoutFactor * static_cast<double>(call.m_admission.m_route->m_latencyTargetMs));
     }
-    call.m_context.m_upstreamSelector.begin(service, upstream);
+    EntryContext &context = call.m_context;
+    context.m_upstreamSelector.begin(context.m_availability, service, upstream, steadyMs());
     EntryAttempt attempt(call);
     AttemptTarget target{upstream, address};
     const OpenResult opened = co_await attempt.open(std::move(target), std::nullopt, repeatable ? 0 : NonRepeatableMaxIdleMs);
     const std::int64_t nowMs = steadyMs();
     if (opened != OpenResult::Answered) {
-        call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Lost, -1, nowMs);
+        context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Lost, -1, nowMs);
         logAttemptFailed(call, upstream, opened == OpenResult::NotSent ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun, attempt.error());
         co_return opened == OpenResult::NotSent ? AttemptResult::NotRun : AttemptResult::Unknown;
     }
     HttpReply reply;
     const Result<Done> read = co_await attempt.readBody(reply.m_body);
     if (attempt.answer().m_notRun) {
-        call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Refused, attempt.answer().m_load, steadyMs());
+        if (!failed(read)) {
+            attempt.learnFromAnswer();
+        }
+        context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Refused, attempt.answer().m_load, steadyMs());
         logAttemptFailed(call, upstream, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
         attempt.finish();
         co_return AttemptResult::NotRun;
     }
     if (failed(read) || !attempt.isAuthentic()) {
-        call.m_context.m_upstreamSelector.end(service, upstream, CallOutcome::Lost, -1, steadyMs());
+        context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Lost, -1, steadyMs());
         logAttemptFailed(call,
                          upstream,
                          AttemptOutcome::MayHaveRun,
                          failed(read) ? describe(errorOf(read)) : "the answer is not signed, was altered, or belongs to another request");
         co_return AttemptResult::Unknown;
     }
+    attempt.learnFromAnswer();
     reply.m_status = attempt.status();
     reply.m_headers = attempt.headers();
     if (attempt.stream().reusable()) {
@@ -97,7 +102,8 @@
     }
     attempt.finish();
     const bool failure = reply.m_status >= FirstServerError;
-    call.m_context.m_upstreamSelector.end(service, upstream, failure ? CallOutcome::Failed : CallOutcome::Answered, attempt.answer().m_load, steadyMs());
+    context.m_upstreamSelector.end(
+        context.m_availability, service, upstream, failure ? CallOutcome::Failed : CallOutcome::Answered, attempt.answer().m_load, steadyMs());
     if (failure && repeatable) {
         state.m_failure = std::move(reply);
         state.m_hasFailure = true;
@@ -108,7 +114,7 @@
 }
 
 /** Ends the call without a further attempt, with the best answer that is still possible. */
-awaitable<void> giveUp(EntryCall &call, CallState &state, RefusalReason reason)
+awaitable<void> giveUp(EntryCall &call, CallState &state, RefusalReason reason, std::int64_t retryAfterMs = RetryAfterMs)
 {
     if (state.m_hasFailure) {
         co_await forwardReply(call, std::move(state.m_failure), "failed");
@@ -118,7 +124,19 @@
     } else if (state.m_unknown) {
         co_await refuseCall(call, timeLeftMs(call) <= 0 ? RefusalReason::TimeOver : RefusalReason::OutcomeUnknown, 0);
     } else {
-        co_await refuseCall(call, reason, reason == RefusalReason::PoisonRequest ? poisonRetryAfterMs(call) : RetryAfterMs);
+        co_await refuseCall(call, reason, reason == RefusalReason::PoisonRequest ? poisonRetryAfterMs(call) : retryAfterMs);
+    }
+}
+
+/** Ends the call because no upstream may be sent it now. */
+awaitable<void> giveUpWithoutUpstream(EntryCall &call, CallState &state)
+{
+    const std::int64_t nowMs = steadyMs();
+    const Withheld first = call.m_context.m_upstreamSelector.shortage(call.m_context.m_availability, call.m_service->m_name, nowMs).first();
+    if (first.m_reason == WithheldReason::TurnedAway) {
+        co_await giveUp(call, state, RefusalReason::TurnedAway, spreadOwnReturnMs(call.m_context, first.m_untilMs - nowMs));
+    } else {
+        co_await giveUp(call, state, RefusalReason::NoUpstream);
     }
 }
 }
@@ -139,10 +157,11 @@
             co_return;
         }
         const std::int64_t nowMs = steadyMs();
+        const EntryContext &context = call.m_context;
         const TrackedUpstream *chosen =
-            call.m_context.m_upstreamSelector.choose(call.m_service->m_name, call.m_context.m_settings.m_availabilityZone, state.m_tried, nowMs);
+            context.m_upstreamSelector.choose(context.m_availability, call.m_service->m_name, context.m_settings.m_availabilityZone, state.m_tried, nowMs);
         if (chosen == nullptr) {
-            co_await giveUp(call, state, RefusalReason::NoUpstream);
+            co_await giveUpWithoutUpstream(call, state);
             co_return;
         }
         if (!allowColdRequest(call.m_context, chosen->m_id, chosen->m_coldUntilMs, call.m_service->m_coldRequestsPerSecond, nowMs)) {
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -116,6 +116,7 @@
 {
     const bool changed = item.m_deleted ? context.m_evacuatedZones.erase(zone) > 0 : context.m_evacuatedZones.insert(zone).second;
     if (changed) {
+        context.m_availability.setZonesOutOfService(context.m_evacuatedZones);
         logEvent(LogEvent::EvacuationChanged,
                  {{"availability_zone", zone}, {"out_of_service", !item.m_deleted}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
     }
@@ -125,6 +126,7 @@
 {
     if (context.m_upstreams.erase(id) > 0) {
         context.m_reconciler.markUnlisted(id);
+        context.m_availability.markUnlisted(id, steadyMs());
         logEvent(LogEvent::UpstreamChanged, {{"upstream", id}, {"change", std::string(why)}});
     }
 }
@@ -173,6 +175,7 @@
         logEvent(LogEvent::UpstreamChanged,
                  {{"upstream", id},
                   {"change", std::string(known == context.m_upstreams.end() ? "new" : "changed")},
+                  {"availability_zone", entry.m_availabilityZone},
                   {"leaving", entry.m_leaving},
                   {"group", entry.m_replica.m_name},
                   {"rank", static_cast<std::int64_t>(entry.m_rank)},
@@ -183,6 +186,7 @@
     if (!entry.m_domain.empty()) {
         context.m_reconciler.observe(entry, nowMs);
     }
+    context.m_availability.observe(entry, nowMs);
     context.m_upstreams[id] = std::move(entry);
     return isUpdate;
 }
--- a/kernel/admitcall.cpp
+++ b/kernel/admitcall.cpp
@@ -32,6 +32,7 @@
     case RefusalReason::Overloaded:
     case RefusalReason::AttemptsSpent:
     case RefusalReason::Draining:
+    case RefusalReason::TurnedAway:
         return 503;
     }
     return 503;
--- a/kernel/admitcall.h
+++ b/kernel/admitcall.h
@@ -34,9 +34,11 @@
     Draining,
     /** The request ended every upstream that ran it. */
     PoisonRequest,
+    /** Every upstream that could serve the request turned requests away and said for how long. */
+    TurnedAway,
 };
 
-inline constexpr EnumNames<13> RefusalReasonNames{"none",
+inline constexpr EnumNames<14> RefusalReasonNames{"none",
                                                   "no-configuration",
                                                   "stale-keys",
                                                   "unknown-route",
@@ -48,7 +50,8 @@
                                                   "outcome-unknown",
                                                   "time-over",
                                                   "draining",
-                                                  "poison-request"};
+                                                  "poison-request",
+                                                  "turned-away"};
 
 /** Returns the HTTP status of a refusal. 429 and 503 guarantee that the request has not run and will not run; 502 and 504 guarantee nothing. */
 unsigned refusalStatus(RefusalReason reason);
--- a/kernel/coldlimiter.cpp
+++ b/kernel/coldlimiter.cpp
@@ -31,6 +31,15 @@
     return true;
 }
 
+std::int64_t ColdLimiter::retryMs(const std::string &upstream, std::int64_t nowMs) const
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end() || found->second.m_sentMs.empty()) {
+        return MaxRetryMs;
+    }
+    return std::clamp(found->second.m_sentMs.front() + WindowMs - nowMs, std::int64_t(1), MaxRetryMs);
+}
+
 void ColdLimiter::removeIdle(std::int64_t nowMs)
 {
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
--- a/kernel/coldlimiter.h
+++ b/kernel/coldlimiter.h
@@ -27,6 +27,12 @@
      * @param perSecond requests per second that the upstream can take from all daemons together. At least one is allowed, unless this is 0.
      */
     bool trySend(SharedLimitMembers &members, const std::string &upstream, double perSecond, std::int64_t viewMs, std::int64_t nowMs);
+    /**
+     * Returns how long after @p nowMs trySend() should be tried again for @p upstream, in ms: until the oldest request leaves the window, but at most
+     * MaxRetryMs, since the share may grow.
+     */
+    std::int64_t retryMs(const std::string &upstream, std::int64_t nowMs) const;
+    static constexpr std::int64_t MaxRetryMs = 100;
     /** Forgets the upstreams to which nothing was sent within the last window. */
     void removeIdle(std::int64_t nowMs);
 
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -51,6 +51,8 @@
     ReplicaSilent,
     UpstreamEnded,
     CrashUndecided,
+    UpstreamWithheld,
+    RetryAfterIgnored,
     DomainClaimed,
     DomainReleased,
     DomainLost,
--- a/kernel/replicachoice.cpp
+++ b/kernel/replicachoice.cpp
@@ -6,14 +6,17 @@
 
 namespace knapweedslip
 {
-ReplicaChoice
-chooseReplica(ReplicaSelector &selector, const ReplicaQuery &query, const std::function<bool(const TrackedReplica &)> &takePermit, std::int64_t nowMs)
+ReplicaChoice chooseReplica(ReplicaSelector &selector,
+                            const UpstreamAvailability &availability,
+                            const ReplicaQuery &query,
+                            const std::function<bool(const TrackedReplica &)> &takePermit,
+                            std::int64_t nowMs)
 {
     std::set<ReplicaRef> excluded;
     ReplicaChoiceOutcome outcome = ReplicaChoiceOutcome::NoneAvailable;
     while (true) {
-        const TrackedReplica *best = query.m_partByKey ? selector.chooseByHash(query.m_model, *query.m_partByKey, excluded, nowMs)
-                                                       : selector.choose(query.m_model, query.m_promptTokens, query.m_ownZone, excluded, nowMs);
+        const TrackedReplica *best = query.m_partByKey ? selector.chooseByHash(availability, query.m_model, *query.m_partByKey, excluded, nowMs)
+                                                       : selector.choose(availability, query.m_model, query.m_promptTokens, query.m_ownZone, excluded, nowMs);
         if (best == nullptr) {
             return {outcome, nullptr};
         }
--- a/kernel/replicachoice.h
+++ b/kernel/replicachoice.h
@@ -43,6 +43,9 @@
  * Returns the replica to which a request should be sent now. @p takePermit is asked for each replica that the request would otherwise be sent to,
  * and returns false if the replica may get no request now; a permit that it gives counts as used. Asks at most once for each replica.
  */
-ReplicaChoice
-chooseReplica(ReplicaSelector &selector, const ReplicaQuery &query, const std::function<bool(const TrackedReplica &)> &takePermit, std::int64_t nowMs);
+ReplicaChoice chooseReplica(ReplicaSelector &selector,
+                            const UpstreamAvailability &availability,
+                            const ReplicaQuery &query,
+                            const std::function<bool(const TrackedReplica &)> &takePermit,
+                            std::int64_t nowMs);
 }
--- a/kernel/replicareconciler.cpp
+++ b/kernel/replicareconciler.cpp
@@ -31,6 +31,8 @@
 constexpr std::int64_t DeadProbeMs = 500;
 /** Time between two probes of the members of a suspected replica: about the timeout of a probe. */
 constexpr std::int64_t SuspectProbeMs = 120;
+/** Time between two probes of an engine of which others report that it will stop: a false report costs no more than this. */
+constexpr std::int64_t CheckLeavingMs = 1'000;
 /** Before the first client request, the order to a loading engine is repeated at this interval once its load should have finished. */
 constexpr std::int64_t InitialLoadPollMs = 100;
 /** Fraction of its configured time that a load takes before the first client request (engine API). */
@@ -111,6 +113,24 @@
     }
 }
 
+void ReplicaReconciler::markLeaving(const std::string &engine, std::int64_t startedMs)
+{
+    Engine *found = find(engine);
+    if (found != nullptr && found->m_entry.m_startedMs == startedMs) {
+        found->m_saysLeaving = true;
+    }
+}
+
+void ReplicaReconciler::checkLeaving(const std::string &engine, std::int64_t nowMs)
+{
+    Engine *found = find(engine);
+    const bool isChecked = found == nullptr || isLeaving(*found) || (found->m_checkedLeavingMs >= 0 && nowMs - found->m_checkedLeavingMs < CheckLeavingMs);
+    if (!isChecked) {
+        found->m_checkLeaving = true;
+        found->m_checkedLeavingMs = nowMs;
+    }
+}
+
 void ReplicaReconciler::probeAnswered(const std::string &engine, std::int64_t nowMs)
 {
     if (Engine *found = find(engine)) {
@@ -394,7 +414,7 @@
         }
         // An unlisted head may get no new requests. Any other unlisted member that still answers has only lost its connection to the list.
         const bool headUnlisted = !engine->m_listed && member == replica.m_members.front();
-        if (engine->m_entry.m_leaving || headUnlisted) {
+        if (isLeaving(*engine) || headUnlisted) {
             startClosing(replica, ClosingCause::MemberLeaving, false, nowMs, actions);
             return;
         }
@@ -671,15 +691,16 @@
             if (!engine.m_listed) {
                 interval = SuspectProbeMs;
             }
-            if (recentProgress && !suspected && engine.m_missedProbes == 0) {
+            if (recentProgress && !suspected && engine.m_missedProbes == 0 && !engine.m_checkLeaving) {
                 continue;
             }
         }
         if (engine.m_dead) {
             interval = DeadProbeMs;
         }
-        if (engine.m_probedMs < 0 || nowMs - std::max(engine.m_probedMs, engine.m_answeredMs) >= interval) {
+        if (engine.m_checkLeaving || engine.m_probedMs < 0 || nowMs - std::max(engine.m_probedMs, engine.m_answeredMs) >= interval) {
             engine.m_probedMs = nowMs;
+            engine.m_checkLeaving = false;
             actions.m_probes.push_back(entry.first);
         }
     }
@@ -697,9 +718,14 @@
     return true;
 }
 
+bool ReplicaReconciler::isLeaving(const Engine &engine)
+{
+    return engine.m_entry.m_leaving || engine.m_saysLeaving;
+}
+
 bool ReplicaReconciler::isUsable(const Engine &engine) const
 {
-    return !engine.m_dead && engine.m_listed && !engine.m_entry.m_leaving && engine.m_entry.m_service == m_service.m_name;
+    return !engine.m_dead && engine.m_listed && !isLeaving(engine) && engine.m_entry.m_service == m_service.m_name;
 }
 
 bool ReplicaReconciler::needsLoad(const Engine &engine, const std::string &model) const
--- a/kernel/replicareconciler.h
+++ b/kernel/replicareconciler.h
@@ -199,6 +199,10 @@
     void observe(const UpstreamEntry &entry, std::int64_t nowMs);
     /** Records that @p engine is no longer in the list. It may be gone, or may have lost its connection to the list while it still serves. */
     void markUnlisted(const std::string &engine);
+    /** Records that the lifetime of @p engine that began at @p startedMs said in an answer that it will stop. */
+    void markLeaving(const std::string &engine, std::int64_t startedMs);
+    /** Records that another daemon reports that @p engine will stop. The engine itself is asked, since anyone may have sent that report. */
+    void checkLeaving(const std::string &engine, std::int64_t nowMs);
     /** Records that @p engine answered a probe. */
     void probeAnswered(const std::string &engine, std::int64_t nowMs);
     /**
@@ -242,6 +246,12 @@
         /** The engine has confirmed that the load is in progress. */
         bool m_loadConfirmed = false;
         bool m_listed = true;
+        /** Its answers say that it will stop, whatever the list says. */
+        bool m_saysLeaving = false;
+        /** It is probed at once, to find out whether it will stop. */
+        bool m_checkLeaving = false;
+        /** When that was last begun; -1 if never. */
+        std::int64_t m_checkedLeavingMs = -1;
         /** The engine is known to serve in no replica up to this epoch. */
         std::uint64_t m_releasedEpoch = 0;
         /** When m_releasedEpoch was last set. */
@@ -278,6 +288,8 @@
     void sendProbes(std::int64_t nowMs, ReconcilerActions &actions);
     /** Adds @p order to @p actions. Returns false if the engine is dead or may not get an order yet. */
     bool sendOrder(Engine &engine, EngineOrder order, std::int64_t nowMs, ReconcilerActions &actions);
+    /** Returns whether the list or the engine itself says that it will stop. */
+    static bool isLeaving(const Engine &engine);
     /** Returns whether @p engine may become a member of a new replica. */
     bool isUsable(const Engine &engine) const;
     /** Returns whether @p engine has to load the weights of @p model before it can serve it. */
--- a/kernel/replicaselector.cpp
+++ b/kernel/replicaselector.cpp
@@ -48,7 +48,7 @@
 void ReplicaSelector::setReplicas(const std::vector<TrackedReplica> &replicas)
 {
     for (std::pair<const ReplicaRef, TrackedReplica> &entry : m_replicas) {
-        entry.second.m_usable = false;
+        entry.second.m_listed = false;
     }
     for (const TrackedReplica &replica : replicas) {
         TrackedReplica &tracked = m_replicas[replica.m_ref];
@@ -57,11 +57,11 @@
         tracked.m_head = replica.m_head;
         tracked.m_address = replica.m_address;
         tracked.m_availabilityZone = replica.m_availabilityZone;
-        tracked.m_usable = replica.m_usable;
+        tracked.m_listed = true;
         tracked.m_coldUntilMs = replica.m_coldUntilMs;
     }
     for (auto it = m_replicas.begin(); it != m_replicas.end();) {
-        const bool unused = !it->second.m_usable && it->second.m_ownLoad.m_decoding + it->second.m_ownLoad.m_waiting == 0;
+        const bool unused = !it->second.m_listed && it->second.m_ownLoad.m_decoding + it->second.m_ownLoad.m_waiting == 0;
         it = unused ? m_replicas.erase(it) : std::next(it);
     }
 }
@@ -88,34 +88,58 @@
     return m_service.m_engines ? firstEventMs(*m_service.m_engines, sum(replica.m_ownLoad, replica.m_peerLoad), promptTokens, paceOf(replica)) : 0.0;
 }
 
-std::vector<const TrackedReplica *> ReplicaSelector::candidates(const std::string &model, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
+std::vector<const TrackedReplica *>
+ReplicaSelector::candidates(const UpstreamAvailability &availability, const std::string &model, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
 {
     std::vector<const TrackedReplica *> candidates;
+    std::vector<const TrackedReplica *> onTrial;
     for (const std::pair<const ReplicaRef, TrackedReplica> &entry : m_replicas) {
         const TrackedReplica &replica = entry.second;
-        if (replica.m_usable && replica.m_model == model && replica.m_avoidUntilMs <= nowMs && excluded.count(entry.first) == 0) {
+        if (!replica.m_listed || replica.m_model != model || excluded.count(entry.first) > 0) {
+            continue;
+        }
+        const WithheldReason withheld = availability.check(replica.m_head, entry.first.m_epoch, nowMs).m_reason;
+        if (withheld == WithheldReason::None) {
             candidates.push_back(&replica);
+        } else if (withheld == WithheldReason::OnTrial) {
+            onTrial.push_back(&replica);
+        }
+    }
+    return candidates.empty() ? onTrial : candidates;
+}
+
+Shortage ReplicaSelector::shortage(const UpstreamAvailability &availability, const std::string &model, std::int64_t nowMs) const
+{
+    Shortage shortage;
+    for (const std::pair<const ReplicaRef, TrackedReplica> &entry : m_replicas) {
+        if (entry.second.m_listed && entry.second.m_model == model) {
+            shortage.add(availability.check(entry.second.m_head, entry.first.m_epoch, nowMs));
         }
     }
-    return candidates;
+    return shortage;
 }
 
-const TrackedReplica *ReplicaSelector::chooseByHash(const std::string &model, std::uint64_t key, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
+const TrackedReplica *ReplicaSelector::chooseByHash(
+    const UpstreamAvailability &availability, const std::string &model, std::uint64_t key, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const
 {
     const auto weight = [key](const TrackedReplica *replica) {
         return hash64(replica->m_ref.m_name, key ^ replica->m_ref.m_epoch);
     };
-    const std::vector<const TrackedReplica *> usable = candidates(model, excluded, nowMs);
+    const std::vector<const TrackedReplica *> usable = candidates(availability, model, excluded, nowMs);
     const auto best = std::max_element(usable.begin(), usable.end(), [&weight](const TrackedReplica *a, const TrackedReplica *b) {
         return weight(a) < weight(b);
     });
     return best == usable.end() ? nullptr : *best;
 }
 
-const TrackedReplica *ReplicaSelector::choose(
-    const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs)
+const TrackedReplica *ReplicaSelector::choose(const UpstreamAvailability &availability,
+                                              const std::string &model,
+                                              std::int64_t promptTokens,
+                                              const std::string &ownZone,
+                                              const std::set<ReplicaRef> &excluded,
+                                              std::int64_t nowMs)
 {
-    const std::vector<const TrackedReplica *> usable = candidates(model, excluded, nowMs);
+    const std::vector<const TrackedReplica *> usable = candidates(availability, model, excluded, nowMs);
     std::vector<double> costs;
     double least = std::numeric_limits<double>::max();
     for (const TrackedReplica *replica : usable) {
@@ -142,8 +166,9 @@
     return best;
 }
 
-std::uint64_t ReplicaSelector::begin(const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs)
+std::uint64_t ReplicaSelector::begin(UpstreamAvailability &availability, const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs)
 {
+    availability.recordSend(replica.m_head, nowMs);
     TrackedReplica &tracked = m_replicas[replica.m_ref];
     TrackedStream stream;
     stream.m_replica = tracked.m_ref;
@@ -160,7 +185,7 @@
     return number;
 }
 
-void ReplicaSelector::event(std::uint64_t stream, int events, std::int64_t nowMs)
+void ReplicaSelector::event(UpstreamAvailability &availability, std::uint64_t stream, int events, std::int64_t nowMs)
 {
     const auto found = m_streams.find(stream);
     if (found == m_streams.end()) {
@@ -171,7 +196,7 @@
     replica.m_progressMs = nowMs;
     replica.m_silent = false;
     replica.m_consecutiveSilences = 0;
-    replica.m_avoidUntilMs = std::min(replica.m_avoidUntilMs, nowMs);
+    availability.endWithholding(replica.m_head, replica.m_ref.m_epoch);
     if (!tracked.m_decoding) {
         tracked.m_decoding = true;
         --replica.m_ownLoad.m_waiting;
@@ -211,7 +236,7 @@
     m_streams.erase(found);
 }
 
-std::vector<ReplicaRef> ReplicaSelector::findSilentReplicas(std::int64_t nowMs)
+std::vector<ReplicaRef> ReplicaSelector::findSilentReplicas(UpstreamAvailability &availability, std::int64_t nowMs)
 {
     if (!m_service.m_engines) {
         return {};
@@ -243,7 +268,8 @@
         }
         if (!replica.m_silent) {
             replica.m_silent = true;
-            replica.m_avoidUntilMs = nowMs + (m_settings.m_avoidSilentMs << std::min(replica.m_consecutiveSilences, MaxDoublings));
+            const std::int64_t forMs = m_settings.m_avoidSilentMs << std::min(replica.m_consecutiveSilences, MaxDoublings);
+            availability.withhold(replica.m_head, replica.m_ref.m_epoch, WithheldReason::Silent, forMs, nowMs);
             ++replica.m_consecutiveSilences;
         }
         silent.push_back(entry.first);
@@ -283,19 +309,6 @@
     return stuck;
 }
 
-void ReplicaSelector::avoid(const ReplicaRef &replica, std::int64_t nowMs, std::int64_t forMs)
-{
-    const auto found = m_replicas.find(replica);
-    if (found != m_replicas.end()) {
-        found->second.m_avoidUntilMs = std::max(found->second.m_avoidUntilMs, nowMs + forMs);
-    }
-}
-
-void ReplicaSelector::markFull(const ReplicaRef &replica, std::int64_t nowMs)
-{
-    avoid(replica, nowMs, m_settings.m_avoidFullMs);
-}
-
 const std::map<ReplicaRef, TrackedReplica> &ReplicaSelector::replicas() const
 {
     return m_replicas;
--- a/kernel/replicaselector.h
+++ b/kernel/replicaselector.h
@@ -2,6 +2,7 @@
 
 #include "kernel/callconfig.h"
 #include "kernel/latencymodel.h"
+#include "kernel/upstreamavailability.h"
 #include "kernel/upstreams.h"
 
 #include <cstdint>
@@ -44,8 +45,8 @@
     std::string m_head;
     std::string m_address;
     std::string m_availabilityZone;
-    /** Every member is listed, the head is open, and the replica may be sent new requests. */
-    bool m_usable = false;
+    /** Every member is listed, and the head is open. */
+    bool m_listed = false;
     std::int64_t m_coldUntilMs = 0;
 
     /** Load sent by this gateway. */
@@ -58,8 +59,6 @@
     std::int64_t m_peerProgressMs = -1;
     /** Has outstanding work but has sent no event for longer than a working replica can take. */
     bool m_silent = false;
-    /** Gets no new requests until this time, because it was silent or answered that it was full or not open. */
-    std::int64_t m_avoidUntilMs = -1;
     /** Times it became silent in a row, without an event in between. */
     int m_consecutiveSilences = 0;
     /** Ratio of the measured time between events to the time that the published timing predicts; 1 if it is as published. */
@@ -86,8 +85,6 @@
      * replica is replaced in less time.
      */
     std::int64_t m_avoidSilentMs = 1'000;
-    /** A replica that refused a request because it was full gets no new requests for this long, about one pass, in ms. */
-    std::int64_t m_avoidFullMs = 60;
     /** Cost added to replicas in other availability zones, in ms: requests stay in their own zone unless the difference is larger. */
     double m_crossZoneMs = 4.0;
 };
@@ -114,39 +111,42 @@
 
     /**
      * Returns the replica of @p model that is expected to send the first event for a prompt of @p promptTokens soonest, or null if no replica can be
-     * used. Leaves out the replicas in @p excluded and those that are avoided at @p nowMs.
+     * used. Leaves out the replicas in @p excluded and those whose heads @p availability withholds at @p nowMs.
      */
-    const TrackedReplica *
-    choose(const std::string &model, std::int64_t promptTokens, const std::string &ownZone, const std::set<ReplicaRef> &excluded, std::int64_t nowMs);
+    const TrackedReplica *choose(const UpstreamAvailability &availability,
+                                 const std::string &model,
+                                 std::int64_t promptTokens,
+                                 const std::string &ownZone,
+                                 const std::set<ReplicaRef> &excluded,
+                                 std::int64_t nowMs);
     /**
      * Returns a usable replica of @p model by the hash of @p key alone, or null: requests with different keys go to different replicas, whatever the
      * load. Leaves out the same replicas as choose().
      */
-    const TrackedReplica *chooseByHash(const std::string &model, std::uint64_t key, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
+    const TrackedReplica *chooseByHash(
+        const UpstreamAvailability &availability, const std::string &model, std::uint64_t key, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
+    /** Returns why no replica of @p model may be sent a request at @p nowMs; nothing is added for those that may. */
+    Shortage shortage(const UpstreamAvailability &availability, const std::string &model, std::int64_t nowMs) const;
     /** Returns the expected time to the first event on @p replica, in ms, or 0 if the timing of the engines is not published. */
     double expectedMs(const TrackedReplica &replica, std::int64_t promptTokens) const;
 
     /** Records that a request was sent to @p replica. Returns the number of the stream for event() and end(). */
-    std::uint64_t begin(const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs);
+    std::uint64_t begin(UpstreamAvailability &availability, const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs);
     /** Records that @p events events of @p stream arrived. Does nothing if the stream has ended. */
-    void event(std::uint64_t stream, int events, std::int64_t nowMs);
+    void event(UpstreamAvailability &availability, std::uint64_t stream, int events, std::int64_t nowMs);
     /** Removes @p stream and its load. Does nothing if it has ended already. */
     void end(std::uint64_t stream);
 
     /**
-     * Returns the replicas that have outstanding work but have sent no event for longer than a working replica can take, and avoids them for new
-     * requests. The caller moves their streams to other replicas.
+     * Returns the replicas that have outstanding work but have sent no event for longer than a working replica can take, and withholds them in
+     * @p availability. The caller moves their streams to other replicas.
      */
-    std::vector<ReplicaRef> findSilentReplicas(std::int64_t nowMs);
+    std::vector<ReplicaRef> findSilentReplicas(UpstreamAvailability &availability, std::int64_t nowMs);
     /**
      * Returns the streams that have stopped although their replica still works, because the answer or the connection was lost. The limits are
      * several times the longest pause of a working replica, since a second prefill on another replica delays every stream there.
      */
     std::vector<std::uint64_t> findStuckStreams(std::int64_t nowMs) const;
-    /** Sends no new requests to @p replica for @p forMs. */
-    void avoid(const ReplicaRef &replica, std::int64_t nowMs, std::int64_t forMs);
-    /** Records that @p replica refused a request because it was full. */
-    void markFull(const ReplicaRef &replica, std::int64_t nowMs);
 
     const std::map<ReplicaRef, TrackedReplica> &replicas() const;
     /** Returns null if @p replica is not tracked. */
@@ -154,8 +154,9 @@
     const std::unordered_map<std::uint64_t, TrackedStream> &streams() const;
 
 private:
-    /** Returns the replicas of @p model that may get a request now. */
-    std::vector<const TrackedReplica *> candidates(const std::string &model, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
+    /** Returns the replicas of @p model that may get a request now; those on trial only if there is no other. */
+    std::vector<const TrackedReplica *>
+    candidates(const UpstreamAvailability &availability, const std::string &model, const std::set<ReplicaRef> &excluded, std::int64_t nowMs) const;
     /** Returns the factor by which @p replica is slower than the published timing: the pace of its model times its measured slowness. */
     double paceOf(const TrackedReplica &replica) const;
 
--- /dev/null
+++ b/kernel/upstreamavailability.cpp
@@ -0,0 +1,212 @@
+// Problem: whether an upstream may be sent a request depends on the list of upstreams, on what the upstream said in its answers, and on how the last
+// requests to it ended. The list lags by seconds, and some upstreams that stop never say so there.
+// Approach: one record for each upstream holds all reasons, and one function decides. Words of the upstream itself take precedence over the list.
+// Separate flags in the lists of engines and of plain services would have to agree on which reason is stronger, and when each one ends.
+
+#include "kernel/upstreamavailability.h"
+
+#include <algorithm>
+
+namespace knapweedslip
+{
+namespace
+{
+/** Time between two searches for records that are no longer needed, in ms. */
+constexpr std::int64_t RemovalIntervalMs = 10'000;
+/** Fraction of the wait over which clients return. */
+constexpr double ReturnSpread = 0.25;
+}
+
+void UpstreamAvailability::observe(const UpstreamEntry &entry, std::int64_t nowMs)
+{
+    Record &record = m_records[entry.m_id];
+    if (record.m_startedMs != entry.m_startedMs) {
+        record = Record();
+        record.m_startedMs = entry.m_startedMs;
+    }
+    record.m_availabilityZone = entry.m_availabilityZone;
+    record.m_listedAsLeaving = entry.m_leaving;
+    record.m_unlistedMs = -1;
+    removeOld(nowMs);
+}
+
+void UpstreamAvailability::markUnlisted(const std::string &upstream, std::int64_t nowMs)
+{
+    const auto found = m_records.find(upstream);
+    if (found != m_records.end()) {
+        found->second.m_unlistedMs = nowMs;
+    }
+    removeOld(nowMs);
+}
+
+void UpstreamAvailability::setZonesOutOfService(const std::set<std::string> &zones)
+{
+    m_zonesOutOfService = zones;
+}
+
+bool UpstreamAvailability::recordLeaving(const UpstreamLifetime &lifetime, std::int64_t nowMs)
+{
+    Record *record = recordOf(lifetime, nowMs);
+    if (record == nullptr || record->m_saidLeaving) {
+        return false;
+    }
+    record->m_saidLeaving = true;
+    m_recentlyLeaving.push_front({lifetime.m_id, nowMs});
+    if (m_recentlyLeaving.size() > MaxRecentlyLeaving) {
+        m_recentlyLeaving.pop_back();
+    }
+    return true;
+}
+
+bool UpstreamAvailability::recordTurnedAway(const UpstreamLifetime &lifetime, std::int64_t forMs, std::int64_t nowMs)
+{
+    Record *record = recordOf(lifetime, nowMs);
+    if (record == nullptr || forMs <= 0) {
+        return false;
+    }
+    const bool isNew = record->m_turnedAwayUntilMs <= nowMs;
+    record->m_turnedAwayUntilMs = std::max(record->m_turnedAwayUntilMs, nowMs + std::min(forMs, MaxTurnedAwayMs));
+    record->m_mustProve = true;
+    record->m_trialUntilMs = -1;
+    return isNew;
+}
+
+void UpstreamAvailability::withhold(const std::string &upstream, std::uint64_t epoch, WithheldReason reason, std::int64_t forMs, std::int64_t nowMs)
+{
+    Record &record = recordOf(upstream, nowMs);
+    const bool applies = record.m_untilMs > nowMs && record.m_epoch == epoch;
+    if (!applies || nowMs + forMs > record.m_untilMs) {
+        record.m_reason = reason;
+        record.m_epoch = epoch;
+        record.m_untilMs = nowMs + forMs;
+    }
+}
+
+void UpstreamAvailability::recordSend(const std::string &upstream, std::int64_t nowMs)
+{
+    const auto found = m_records.find(upstream);
+    if (found != m_records.end() && found->second.m_mustProve) {
+        found->second.m_trialUntilMs = nowMs + TrialMs;
+    }
+}
+
+void UpstreamAvailability::recordAccepted(const std::string &upstream)
+{
+    const auto found = m_records.find(upstream);
+    if (found != m_records.end()) {
+        found->second.m_mustProve = false;
+        found->second.m_trialUntilMs = -1;
+    }
+}
+
+void UpstreamAvailability::endWithholding(const std::string &upstream, std::uint64_t epoch)
+{
+    const auto found = m_records.find(upstream);
+    if (found != m_records.end() && found->second.m_epoch == epoch) {
+        found->second.m_untilMs = -1;
+    }
+}
+
+Withheld UpstreamAvailability::check(const std::string &upstream, std::uint64_t epoch, std::int64_t nowMs) const
+{
+    const auto found = m_records.find(upstream);
+    return found == m_records.end() ? Withheld() : check(found->second, epoch, nowMs);
+}
+
+Withheld UpstreamAvailability::check(const Record &record, std::uint64_t epoch, std::int64_t nowMs) const
+{
+    if (record.m_saidLeaving) {
+        return {WithheldReason::SaysLeaving, Withheld::NoKnownEnd};
+    }
+    if (record.m_listedAsLeaving) {
+        return {WithheldReason::Leaving, Withheld::NoKnownEnd};
+    }
+    if (m_zonesOutOfService.count(record.m_availabilityZone) > 0) {
+        return {WithheldReason::ZoneOutOfService, Withheld::NoKnownEnd};
+    }
+    if (record.m_turnedAwayUntilMs > nowMs) {
+        return {WithheldReason::TurnedAway, record.m_turnedAwayUntilMs};
+    }
+    if (record.m_untilMs > nowMs && (record.m_epoch == epoch || record.m_epoch == AnyEpoch)) {
+        return {record.m_reason, record.m_untilMs};
+    }
+    if (record.m_trialUntilMs > nowMs) {
+        return {WithheldReason::OnTrial, record.m_trialUntilMs};
+    }
+    return {};
+}
+
+std::array<std::uint64_t, WithheldReasonNames.size()> UpstreamAvailability::count(std::int64_t nowMs) const
+{
+    std::array<std::uint64_t, WithheldReasonNames.size()> counts{};
+    for (const std::pair<const std::string, Record> &entry : m_records) {
+        if (entry.second.m_unlistedMs < 0) {
+            ++counts.at(static_cast<std::size_t>(check(entry.second, entry.second.m_epoch, nowMs).m_reason));
+        }
+    }
+    return counts;
+}
+
+std::vector<std::string> UpstreamAvailability::recentlyLeaving(std::int64_t withinMs, std::int64_t nowMs) const
+{
+    std::vector<std::string> leaving;
+    for (const RecentlyLeaving &entry : m_recentlyLeaving) {
+        if (nowMs - entry.m_learnedMs <= withinMs) {
+            leaving.push_back(entry.m_upstream);
+        }
+    }
+    return leaving;
+}
+
+UpstreamAvailability::Record &UpstreamAvailability::recordOf(const std::string &upstream, std::int64_t nowMs)
+{
+    const auto [found, isNew] = m_records.try_emplace(upstream);
+    if (isNew) {
+        // It was removed from the list while it worked on a request.
+        found->second.m_unlistedMs = nowMs;
+    }
+    return found->second;
+}
+
+UpstreamAvailability::Record *UpstreamAvailability::recordOf(const UpstreamLifetime &lifetime, std::int64_t nowMs)
+{
+    Record &record = recordOf(lifetime.m_id, nowMs);
+    if (record.m_startedMs == 0) {
+        record.m_startedMs = lifetime.m_startedMs;
+    }
+    return record.m_startedMs == lifetime.m_startedMs ? &record : nullptr;
+}
+
+void UpstreamAvailability::removeOld(std::int64_t nowMs)
+{
+    if (nowMs - m_removedOldMs < RemovalIntervalMs) {
+        return;
+    }
+    m_removedOldMs = nowMs;
+    std::erase_if(m_records, [nowMs](const std::pair<const std::string, Record> &entry) {
+        const Record &record = entry.second;
+        const bool isWithheld = record.m_saidLeaving || record.m_turnedAwayUntilMs > nowMs || record.m_untilMs > nowMs;
+        return record.m_unlistedMs >= 0 && (!isWithheld || nowMs - record.m_unlistedMs > MemoryMs);
+    });
+}
+
+void Shortage::add(const Withheld &withheld)
+{
+    m_oneIsFree = m_oneIsFree || withheld.m_reason == WithheldReason::None;
+    const bool isKnown = withheld.m_untilMs != Withheld::NoKnownEnd;
+    if (isKnown && (m_first.m_reason == WithheldReason::None || withheld.m_untilMs < m_first.m_untilMs)) {
+        m_first = withheld;
+    }
+}
+
+Withheld Shortage::first() const
+{
+    return m_oneIsFree ? Withheld() : m_first;
+}
+
+std::int64_t spreadReturnMs(std::int64_t waitMs, double random)
+{
+    const double spreadMs = std::min(ReturnSpread * static_cast<double>(waitMs), static_cast<double>(MaxReturnSpreadMs));
+    return waitMs + static_cast<std::int64_t>(random * spreadMs);
+}
+}
--- a/kernel/upstreamselector.cpp
+++ b/kernel/upstreamselector.cpp
@@ -1,6 +1,6 @@
 // Problem: a few upstreams serve short calls. One of them may be full or unreachable, or fail some of its calls while its health check passes.
 // Approach: choose the upstream with the least expected load, computed from the calls of this gateway and the load in the last answers, and add a
-// cost for recent failures. An upstream whose connection was lost gets no calls for a short time.
+// cost for recent failures. UpstreamAvailability decides which upstreams may be sent a call at all.
 // Round robin over three upstreams would send a third of the calls to one that fails half of them.
 
 #include "kernel/upstreamselector.h"
@@ -29,7 +29,7 @@
 {
     std::map<std::string, TrackedUpstream> &tracked = m_services[service];
     for (std::pair<const std::string, TrackedUpstream> &entry : tracked) {
-        entry.second.m_usable = false;
+        entry.second.m_listed = false;
     }
     for (const TrackedUpstream &upstream : upstreams) {
         TrackedUpstream &kept = tracked[upstream.m_id];
@@ -38,25 +38,40 @@
         kept.m_availabilityZone = upstream.m_availabilityZone;
         kept.m_slots = upstream.m_slots;
         kept.m_coldUntilMs = upstream.m_coldUntilMs;
-        kept.m_usable = upstream.m_usable;
+        kept.m_listed = true;
     }
     for (auto it = tracked.begin(); it != tracked.end();) {
-        it = !it->second.m_usable && it->second.m_ownRequests == 0 ? tracked.erase(it) : std::next(it);
+        it = !it->second.m_listed && it->second.m_ownRequests == 0 ? tracked.erase(it) : std::next(it);
     }
 }
 
-const TrackedUpstream *
-UpstreamSelector::choose(const std::string &service, const std::string &ownZone, const std::set<std::string> &excluded, std::int64_t nowMs) const
+const TrackedUpstream *UpstreamSelector::choose(const UpstreamAvailability &availability,
+                                                const std::string &service,
+                                                const std::string &ownZone,
+                                                const std::set<std::string> &excluded,
+                                                std::int64_t nowMs) const
 {
     const auto upstreams = m_services.find(service);
     if (upstreams == m_services.end()) {
         return nullptr;
     }
+    const TrackedUpstream *best = leastLoaded(availability, WithheldReason::None, upstreams->second, ownZone, excluded, nowMs);
+    return best != nullptr ? best : leastLoaded(availability, WithheldReason::OnTrial, upstreams->second, ownZone, excluded, nowMs);
+}
+
+const TrackedUpstream *UpstreamSelector::leastLoaded(const UpstreamAvailability &availability,
+                                                     WithheldReason accepted,
+                                                     const std::map<std::string, TrackedUpstream> &upstreams,
+                                                     const std::string &ownZone,
+                                                     const std::set<std::string> &excluded,
+                                                     std::int64_t nowMs) const
+{
     const TrackedUpstream *best = nullptr;
     double bestLoad = 0.0;
-    for (const std::pair<const std::string, TrackedUpstream> &entry : upstreams->second) {
+    for (const std::pair<const std::string, TrackedUpstream> &entry : upstreams) {
         const TrackedUpstream &upstream = entry.second;
-        if (!upstream.m_usable || upstream.m_avoidUntilMs > nowMs || excluded.count(entry.first) > 0) {
+        const bool isCandidate = upstream.m_listed && excluded.count(entry.first) == 0;
+        if (!isCandidate || availability.check(entry.first, UpstreamAvailability::AnyEpoch, nowMs).m_reason != accepted) {
             continue;
         }
         const int reported = nowMs - upstream.m_reportedMs < ReportLifeMs ? upstream.m_reportedRequests : 0;
@@ -71,14 +86,30 @@
     return best;
 }
 
-void UpstreamSelector::begin(const std::string &service, const std::string &upstream)
+Shortage UpstreamSelector::shortage(const UpstreamAvailability &availability, const std::string &service, std::int64_t nowMs) const
+{
+    Shortage shortage;
+    const auto upstreams = m_services.find(service);
+    if (upstreams != m_services.end()) {
+        for (const std::pair<const std::string, TrackedUpstream> &entry : upstreams->second) {
+            if (entry.second.m_listed) {
+                shortage.add(availability.check(entry.first, UpstreamAvailability::AnyEpoch, nowMs));
+            }
+        }
+    }
+    return shortage;
+}
+
+void UpstreamSelector::begin(UpstreamAvailability &availability, const std::string &service, const std::string &upstream, std::int64_t nowMs)
 {
+    availability.recordSend(upstream, nowMs);
     if (TrackedUpstream *tracked = find(service, upstream)) {
         ++tracked->m_ownRequests;
     }
 }
 
-void UpstreamSelector::end(const std::string &service, const std::string &upstream, CallOutcome outcome, int reported, std::int64_t nowMs)
+void UpstreamSelector::end(
+    UpstreamAvailability &availability, const std::string &service, const std::string &upstream, CallOutcome outcome, int reported, std::int64_t nowMs)
 {
     TrackedUpstream *tracked = find(service, upstream);
     if (tracked == nullptr) {
@@ -92,9 +123,11 @@
     const double failure = outcome == CallOutcome::Answered || outcome == CallOutcome::Refused ? 0.0 : 1.0;
     tracked->m_failureRate += FailureSmoothing * (failure - tracked->m_failureRate);
     if (outcome == CallOutcome::Lost) {
-        tracked->m_avoidUntilMs = nowMs + LostRestMs;
+        availability.withhold(upstream, UpstreamAvailability::AnyEpoch, WithheldReason::Unreachable, LostRestMs, nowMs);
     } else if (outcome == CallOutcome::Refused) {
-        tracked->m_avoidUntilMs = nowMs + RefusedRestMs;
+        availability.withhold(upstream, UpstreamAvailability::AnyEpoch, WithheldReason::Full, RefusedRestMs, nowMs);
+    } else {
+        availability.recordAccepted(upstream);
     }
 }
 
--- a/kernel/upstreamselector.h
+++ b/kernel/upstreamselector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/upstreamavailability.h"
 #include "kernel/upstreams.h"
 
 #include <cstdint>
@@ -18,7 +19,7 @@
     std::string m_availabilityZone;
     int m_slots = 1;
     std::int64_t m_coldUntilMs = 0;
-    bool m_usable = false;
+    bool m_listed = false;
 
     /** Requests of this gateway that run there now. */
     int m_ownRequests = 0;
@@ -28,8 +29,6 @@
     std::int64_t m_reportedMs = -1;
     /** Moving average of the fraction of calls that failed, 0 to 1. */
     double m_failureRate = 0.0;
-    /** Gets no new calls until this time. */
-    std::int64_t m_avoidUntilMs = -1;
 };
 
 /** How a call to an upstream of a plain service ended. */
@@ -49,14 +48,30 @@
 public:
     /** Replaces the upstreams of @p service. Load and failures of the upstreams that stay are kept. */
     void setUpstreams(const std::string &service, const std::vector<TrackedUpstream> &upstreams);
-    /** Returns the least loaded upstream of @p service that is not in @p excluded, or null. Prefers @p ownZone when loads are about equal. */
-    const TrackedUpstream *choose(const std::string &service, const std::string &ownZone, const std::set<std::string> &excluded, std::int64_t nowMs) const;
+    /**
+     * Returns the least loaded upstream of @p service that is not in @p excluded and that @p availability does not withhold, or null. Prefers @p ownZone
+     * when loads are about equal.
+     */
+    const TrackedUpstream *choose(const UpstreamAvailability &availability,
+                                  const std::string &service,
+                                  const std::string &ownZone,
+                                  const std::set<std::string> &excluded,
+                                  std::int64_t nowMs) const;
+    /** Returns why no upstream of @p service may be sent a call at @p nowMs; nothing is added for those that may. */
+    Shortage shortage(const UpstreamAvailability &availability, const std::string &service, std::int64_t nowMs) const;
     /** Records that a call was sent to @p upstream. */
-    void begin(const std::string &service, const std::string &upstream);
+    void begin(UpstreamAvailability &availability, const std::string &service, const std::string &upstream, std::int64_t nowMs);
     /** Records the end of a call. @p reported is the number of running and waiting requests that the answer reports, or -1 if it reports none. */
-    void end(const std::string &service, const std::string &upstream, CallOutcome outcome, int reported, std::int64_t nowMs);
+    void
+    end(UpstreamAvailability &availability, const std::string &service, const std::string &upstream, CallOutcome outcome, int reported, std::int64_t nowMs);
 
 private:
+    const TrackedUpstream *leastLoaded(const UpstreamAvailability &availability,
+                                       WithheldReason accepted,
+                                       const std::map<std::string, TrackedUpstream> &upstreams,
+                                       const std::string &ownZone,
+                                       const std::set<std::string> &excluded,
+                                       std::int64_t nowMs) const;
     /** Returns null if the upstream is not tracked. */
     TrackedUpstream *find(const std::string &service, const std::string &upstream);
 
--- a/net/loadreportcodec.cpp
+++ b/net/loadreportcodec.cpp
@@ -39,7 +39,8 @@
                                      report.m_serving,
                                      builder.CreateVector(groups),
                                      encodeCrashItems(builder, report.m_crashes),
-                                     report.m_crashesOnly));
+                                     report.m_crashesOnly,
+                                     builder.CreateVectorOfStrings(report.m_leaving)));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -67,6 +68,11 @@
             report.m_groups.push_back(decoded);
         }
     }
+    if (root->leaving() != nullptr) {
+        for (const flatbuffers::String *upstream : *root->leaving()) {
+            report.m_leaving.push_back(upstream->str());
+        }
+    }
     report.m_crashes = decodeCrashItems(root->crashes());
     report.m_crashesOnly = root->crashes_only();
     return report;
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -1,6 +1,7 @@
 // Problem: the entry daemon is what runs on the hosting platform, and tests of real processes need that platform.
 // Approach: the store and all upstreams in one process on one thread. PUT /standin/key?key=K writes a key as the operators do,
-// PUT /standin/faults {"store_down_ms":n} makes the store unavailable, PUT /standin/engines changes what upstreams say of themselves, GET /standin/history returns what reached the upstreams.
+// PUT /standin/faults {"store_down_ms":n} makes the store unavailable, PUT /standin/engines changes what upstreams say of themselves, GET /standin/history
+// returns what reached the upstreams.
 
 #include "net/jsonfields.h"
 #include "platform/names.h"
--- a/wire/pulse_generated.h
+++ b/wire/pulse_generated.h
@@ -152,6 +152,7 @@
   std::vector<std::unique_ptr<knapweedslip::wire::GroupPulseT>> groups{};
   std::vector<std::unique_ptr<knapweedslip::wire::CrashT>> crashes{};
   bool crashes_only = false;
+  std::vector<std::string> leaving{};
   PulseT() = default;
   PulseT(const PulseT &o);
   PulseT(PulseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -167,7 +168,8 @@
     VT_SERVING = 8,
     VT_GROUPS = 10,
     VT_CRASHES = 12,
-    VT_CRASHES_ONLY = 14
+    VT_CRASHES_ONLY = 14,
+    VT_LEAVING = 16
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -187,6 +189,9 @@
   bool crashes_only() const {
     return GetField<uint8_t>(VT_CRASHES_ONLY, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -200,6 +205,9 @@
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
            VerifyField<uint8_t>(verifier, VT_CRASHES_ONLY, 1) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfStrings(leaving()) &&
            verifier.EndTable();
   }
   PulseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -229,6 +237,9 @@
   void add_crashes_only(bool crashes_only) {
     fbb_.AddElement<uint8_t>(Pulse::VT_CRASHES_ONLY, static_cast<uint8_t>(crashes_only), 0);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving) {
+    fbb_.AddOffset(Pulse::VT_LEAVING, leaving);
+  }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -247,9 +258,11 @@
     bool serving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>> groups = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>>> crashes = 0,
-    bool crashes_only = false) {
+    bool crashes_only = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving = 0) {
   PulseBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_leaving(leaving);
   builder_.add_crashes(crashes);
   builder_.add_groups(groups);
   builder_.add_sender(sender);
@@ -265,10 +278,12 @@
     bool serving = false,
     const std::vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *groups = nullptr,
     const std::vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *crashes = nullptr,
-    bool crashes_only = false) {
+    bool crashes_only = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>(*groups) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>>(*crashes) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving) : 0;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       sender__,
@@ -276,7 +291,8 @@
       serving,
       groups__,
       crashes__,
-      crashes_only);
+      crashes_only,
+      leaving__);
 }
 
 flatbuffers::Offset<Pulse> CreatePulse(flatbuffers::FlatBufferBuilder &_fbb, const PulseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -329,7 +345,8 @@
       : sender(o.sender),
         number(o.number),
         serving(o.serving),
-        crashes_only(o.crashes_only) {
+        crashes_only(o.crashes_only),
+        leaving(o.leaving) {
   groups.reserve(o.groups.size());
   for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new knapweedslip::wire::GroupPulseT(*groups_) : nullptr); }
   crashes.reserve(o.crashes.size());
@@ -343,6 +360,7 @@
   std::swap(groups, o.groups);
   std::swap(crashes, o.crashes);
   std::swap(crashes_only, o.crashes_only);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -361,6 +379,7 @@
   { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<knapweedslip::wire::GroupPulseT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<knapweedslip::wire::CrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes_only(); _o->crashes_only = _e; }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<Pulse> Pulse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PulseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -377,6 +396,7 @@
   auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPulse(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes_only = _o->crashes_only;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVectorOfStrings(_o->leaving) : 0;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       _sender,
@@ -384,7 +404,8 @@
       _serving,
       _groups,
       _crashes,
-      _crashes_only);
+      _crashes_only,
+      _leaving);
 }
 
 inline const knapweedslip::wire::Pulse *GetPulse(const void *buf) {
