--- a/autotests/explaintest.cpp
+++ b/autotests/explaintest.cpp
@@ -57,6 +57,44 @@
     }
 }
 
+// Guards against an engine that gets no requests without anybody finding out why.
+TEST_CASE("the explain command finds why an upstream is not used", "[explain][availability]")
+{
+    struct Row
+    {
+        const char *m_name;
+        std::string m_log;
+        const char *m_upstream;
+        std::size_t m_findings;
+        const char *m_finding;
+    };
+    const std::string changed =
+        R"({"time":"2026-12-04T12:00:00.000Z","name":"upstream-changed","process":"p","upstream":"u","change":"new","availability_zone":"z"})";
+    const std::string leaving =
+        R"({"time":"2026-12-04T12:00:01.000Z","name":"upstream-withheld","process":"p","upstream":"u","reason":"says-leaving","for_ms":-1})";
+    const std::string evacuated =
+        R"({"time":"2026-12-04T12:00:02.000Z","name":"evacuation-changed","process":"p","availability_zone":"z","out_of_service":true})";
+    const std::string other = R"({"time":"2026-12-04T12:00:02.000Z","name":"evacuation-changed","process":"p","availability_zone":"y","out_of_service":true})";
+    const std::string restarted =
+        R"({"time":"2026-12-04T12:00:03.000Z","name":"upstream-changed","process":"p","upstream":"u","change":"new","availability_zone":"z"})";
+    const std::vector<Row> rows{
+        {"the operations page", pageLogLines(), "i-666ac1f728fd7dc7", 4, "it turns requests of 2 more away"},
+        {"leaves", leaving + "\n" + changed, "u", 3, "at the last line, 1 daemons know from it that it leaves"},
+        {"restarted since", restarted + "\n" + leaving, "u", 3, "at the last line, 0 daemons know from it that it leaves"},
+        {"its zone is out of service", evacuated + "\n" + other + "\n" + changed, "u", 3, "its availability zone z was taken out of service"},
+        {"unknown", changed + "\ncut off {", "v", 0, ""},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.m_name);
+        std::istringstream stream(row.m_log);
+        const UpstreamExplanation explanation = explainUpstream({&stream}, row.m_upstream);
+        const std::string text = formatExplanation(explanation, row.m_upstream);
+        CHECK(explanation.m_findings.size() == row.m_findings);
+        CHECK(text.find(row.m_finding) != std::string::npos);
+        CHECK(explanation.m_lines.empty() == (text.find("No line names upstream") == 0));
+    }
+}
+
 TEST_CASE("the explain command handles unsorted lines, truncated lines and unknown ids", "[explain]")
 {
     const std::string late = R"({"time":"2026-01-01T00:00:02.000Z","name":"request-refused","process":"a","request":"r","reason":"stale-keys","status":503})";
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -44,6 +44,7 @@
     std::string m_state;
     std::string m_address;
     std::string m_request;
+    bool m_explainsUpstream = false;
     std::vector<std::string> m_logs;
     std::uint64_t m_revision = 0;
     bool m_hasBase = false;
@@ -273,9 +274,17 @@
         }
         logs.push_back(&files.back());
     }
-    const RequestExplanation explanation = explainRequest(logs, options.m_request);
-    std::cout << formatExplanation(explanation, options.m_request);
-    return explanation.m_lines.empty() ? ExitRefused : ExitOk;
+    bool isEmpty = true;
+    if (options.m_explainsUpstream) {
+        const UpstreamExplanation explanation = explainUpstream(logs, options.m_request);
+        std::cout << formatExplanation(explanation, options.m_request);
+        isEmpty = explanation.m_lines.empty();
+    } else {
+        const RequestExplanation explanation = explainRequest(logs, options.m_request);
+        std::cout << formatExplanation(explanation, options.m_request);
+        isEmpty = explanation.m_lines.empty();
+    }
+    return isEmpty ? ExitRefused : ExitOk;
 }
 
 void addChangeOptions(CLI::App &command, Options &options)
@@ -381,8 +390,9 @@
     add("history", "list the changes of the plan with author, reason and time", showHistory);
     add("events", "list the numbered log events", listEvents);
     add("dump", "print the state of one daemon", dumpProcess)->add_option("address", options.m_address, "its status_listen address")->required();
-    CLI::App *explain = add("explain", "explain from log files why a request ended as it did", explainLogs);
-    explain->add_option("request", options.m_request, "the request's id")->required();
+    CLI::App *explain = add("explain", "explain from log files why a request ended as it did, or why an upstream is not used", explainLogs);
+    explain->add_flag("--upstream", options.m_explainsUpstream, "the id is that of an upstream");
+    explain->add_option("id", options.m_request, "the id of the request or upstream")->required();
     explain->add_option("logs", options.m_logs, "log files of all daemons")->required();
     CLI::App *rollout = app.add_subcommand("rollout", "wait until a view is in force on every live daemon");
     rollout->add_option("index", options.m_revision, "view index printed by a change")->required();
@@ -411,7 +421,8 @@
                "  knapweedslipctl --key-file operator.key apply monday.yaml --base 4 --author dana --reason 'Monday plan' --wait\n"
                "  knapweedslipctl --key-file operator.key zone attica-2 out --author dana --reason 'switch work' --wait\n"
                "  knapweedslipctl explain 9992af0c649e5da9 logs/*.jsonl\n"
-               "Exit status: 0 done, 1 refused (explain: no line names the request), 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
+               "  knapweedslipctl explain --upstream i-7f3a91c2 logs/*.jsonl\n"
+               "Exit status: 0 done, 1 refused (explain: no line names the id), 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
     addPlanCommands(app, options, run);
     addResourceCommands(app, options, run);
     addReadCommands(app, options, run);
--- a/tools/explain.cpp
+++ b/tools/explain.cpp
@@ -38,6 +38,7 @@
         {"no-time", "its deadline had passed on arrival"},
         {"draining", "the daemon was shutting down"},
         {"poison-request", "upstreams ended whenever they ran it; the lines upstream-ended with its fingerprint name them"},
+        {"turned-away", "every upstream that could serve it turns requests away and said for how long; the lines upstream-withheld name them"},
         {"unknown-route", "the configuration in force has no such route"},
         {"unknown-key", "the configuration in force does not contain its key"},
     };
@@ -56,6 +57,13 @@
     return text.fail() ? -1 : static_cast<std::int64_t>(timegm(&parts)) * MsPerSecond + ms;
 }
 
+void sortByTime(std::vector<json::object> &lines)
+{
+    std::stable_sort(lines.begin(), lines.end(), [](const json::object &a, const json::object &b) {
+        return parseTimeMs(a) < parseTimeMs(b);
+    });
+}
+
 /** Returns whether lines of event @p name may explain a request that they do not name. */
 bool isContext(const std::string &name)
 {
@@ -162,9 +170,7 @@
         }
     }
     std::move(requestLines.begin(), requestLines.end(), std::back_inserter(explanation.m_lines));
-    std::stable_sort(explanation.m_lines.begin(), explanation.m_lines.end(), [](const json::object &a, const json::object &b) {
-        return parseTimeMs(a) < parseTimeMs(b);
-    });
+    sortByTime(explanation.m_lines);
     for (const json::object &line : explanation.m_lines) {
         const std::string text = describeStep(line);
         if (!text.empty()) {
@@ -174,13 +180,128 @@
     return explanation;
 }
 
-std::string formatExplanation(const RequestExplanation &explanation, const std::string &id)
+namespace
 {
+/** Returns the explanations of the reasons in `upstream-withheld`, by reason. */
+const std::map<std::string, std::string> &withheldTexts()
+{
+    static const std::map<std::string, std::string> texts{
+        {"says-leaving", "its own answer says that it will stop; it gets nothing more until it has restarted"},
+        {"turned-away", "it turned a request away and named this time"},
+    };
+    return texts;
+}
+
+/** Returns a sentence about a line that concerns an upstream, or an empty string for events that need none. */
+std::string describeUpstreamStep(const json::object &line)
+{
+    const std::string name = stringField(line, "name");
+    const std::string process = stringField(line, "process");
     std::ostringstream text;
-    if (explanation.m_lines.empty()) {
-        text << "No line names request " << id << ". Its lines may have been dropped (dropped_before), or it never reached these daemons.\n";
+    if (name == "upstream-withheld") {
+        const std::string reason = stringField(line, "reason");
+        const auto meaning = withheldTexts().find(reason);
+        const std::int64_t forMs = integerField(line, "for_ms");
+        text << process << " sends it no requests" << (forMs >= 0 ? " for " + std::to_string(forMs) + " ms" : std::string()) << ": " << reason
+             << (meaning == withheldTexts().end() ? std::string() : " (" + meaning->second + ")");
+    } else if (name == "upstream-changed") {
+        text << "the list, as " << process << " sees it: " << stringField(line, "change") << (boolField(line, "leaving") ? ", leaving" : "");
+        if (!stringField(line, "group").empty()) {
+            text << ", rank " << integerField(line, "rank") << " of group " << stringField(line, "group") << ", " << stringField(line, "phase");
+        }
+        if (integerField(line, "cold_ms") > 0) {
+            text << ", cold for " << integerField(line, "cold_ms") << " ms";
+        }
+    } else if (name == "evacuation-changed") {
+        text << "its availability zone " << stringField(line, "availability_zone")
+             << (boolField(line, "out_of_service") ? " was taken out of service" : " was put back into service") << ", as " << process << " sees it";
+    } else if (name == "upstream-unreadable") {
+        text << process << " cannot use its entry in the list: " << stringField(line, "error");
+    } else if (name == "upstream-ended") {
+        text << process << " found that it had ended";
+    } else if (name == "engine-silent") {
+        text << "it did not answer a probe of " << process << ": " << stringField(line, "error");
+    } else if (name == "attempt-failed") {
+        text << "a request of " << process << " failed there: " << stringField(line, "what");
+    } else if (name == "retry-after-ignored") {
+        text << "it turned a request of " << process << " away with a time that is no number of seconds (" << stringField(line, "form")
+             << "), which is ignored";
+    }
+    return text.str();
+}
+
+/** Returns how many daemons withhold the upstream at the time of the last line, by reason. */
+std::string describeLastState(const std::vector<json::object> &lines)
+{
+    struct Words
+    {
+        bool m_leaving = false;
+        std::int64_t m_turnedAwayUntilMs = -1;
+    };
+    std::map<std::string, Words> byDaemon;
+    for (const json::object &line : lines) {
+        const std::string name = stringField(line, "name");
+        Words &words = byDaemon[stringField(line, "process")];
+        if (name == "upstream-withheld" && stringField(line, "reason") == "says-leaving") {
+            words.m_leaving = true;
+        } else if (name == "upstream-withheld") {
+            words.m_turnedAwayUntilMs = parseTimeMs(line) + integerField(line, "for_ms");
+        } else if (name == "upstream-changed" && stringField(line, "change") == "new") {
+            words = {};
+        }
+    }
+    int leaving = 0;
+    int turnedAway = 0;
+    for (const std::pair<const std::string, Words> &entry : byDaemon) {
+        leaving += entry.second.m_leaving ? 1 : 0;
+        turnedAway += !entry.second.m_leaving && entry.second.m_turnedAwayUntilMs > parseTimeMs(lines.back()) ? 1 : 0;
+    }
+    return "at the last line, " + std::to_string(leaving) + " daemons know from it that it leaves, and it turns requests of " + std::to_string(turnedAway)
+           + " more away";
+}
+}
+
+UpstreamExplanation explainUpstream(const std::vector<std::istream *> &logs, const std::string &id)
+{
+    UpstreamExplanation explanation;
+    std::vector<json::object> evacuations;
+    std::set<std::string> zones;
+    for (std::istream *log : logs) {
+        for (std::string text; std::getline(*log, text);) {
+            json::object line = parseJsonObject(text);
+            if (stringField(line, "upstream") == id || stringField(line, "engine") == id) {
+                zones.insert(stringField(line, "availability_zone"));
+                explanation.m_lines.push_back(std::move(line));
+            } else if (stringField(line, "name") == "evacuation-changed") {
+                evacuations.push_back(std::move(line));
+            }
+        }
+    }
+    zones.erase(std::string());
+    for (json::object &line : evacuations) {
+        if (zones.count(stringField(line, "availability_zone")) > 0) {
+            explanation.m_lines.push_back(std::move(line));
+        }
     }
+    sortByTime(explanation.m_lines);
     for (const json::object &line : explanation.m_lines) {
+        const std::string text = describeUpstreamStep(line);
+        if (!text.empty()) {
+            explanation.m_findings.push_back(text);
+        }
+    }
+    if (!explanation.m_lines.empty()) {
+        explanation.m_findings.push_back(describeLastState(explanation.m_lines));
+    }
+    return explanation;
+}
+
+namespace
+{
+/** Appends @p lines, one per log line with time, process, event and fields, and then the numbered @p findings. */
+void appendLines(std::ostringstream &text, const std::vector<json::object> &lines, const std::vector<std::string> &findings)
+{
+    for (const json::object &line : lines) {
         text << stringField(line, "time") << ' ' << stringField(line, "process") << ' ' << stringField(line, "name");
         for (const json::key_value_pair &field : line) {
             static const std::set<std::string_view> printedFields{"time", "process", "name", "event", "level"};
@@ -190,12 +311,32 @@
         }
         text << '\n';
     }
-    for (std::size_t i = 0; i < explanation.m_findings.size(); ++i) {
-        text << (i + 1) << ". " << explanation.m_findings[i] << '\n';
+    for (std::size_t i = 0; i < findings.size(); ++i) {
+        text << (i + 1) << ". " << findings[i] << '\n';
+    }
+}
+}
+
+std::string formatExplanation(const RequestExplanation &explanation, const std::string &id)
+{
+    std::ostringstream text;
+    if (explanation.m_lines.empty()) {
+        text << "No line names request " << id << ". Its lines may have been dropped (dropped_before), or it never reached these daemons.\n";
     }
+    appendLines(text, explanation.m_lines, explanation.m_findings);
     if (explanation.m_unreadableLines > 0) {
         text << explanation.m_unreadableLines << " lines are no JSON objects and were skipped.\n";
     }
     return text.str();
 }
+
+std::string formatExplanation(const UpstreamExplanation &explanation, const std::string &id)
+{
+    std::ostringstream text;
+    if (explanation.m_lines.empty()) {
+        text << "No line names upstream " << id << ". The list of upstreams never had it, or its lines were dropped (dropped_before).\n";
+    }
+    appendLines(text, explanation.m_lines, explanation.m_findings);
+    return text.str();
+}
 }
--- a/tools/explain.h
+++ b/tools/explain.h
@@ -25,6 +25,21 @@
  */
 RequestExplanation explainRequest(const std::vector<std::istream *> &logs, const std::string &id);
 
+/** Why the daemons did or did not use an upstream. */
+struct UpstreamExplanation
+{
+    /** The lines that name the upstream, and those about its availability zone, sorted by time. */
+    std::vector<boost::json::object> m_lines;
+    /** One sentence for each change of what a daemon believes about the upstream; the last one tells what held in the end. */
+    std::vector<std::string> m_findings;
+};
+
+/** Explains from @p logs why the daemons did or did not use the upstream @p id. Reads each log once and keeps only lines that may be about it. */
+UpstreamExplanation explainUpstream(const std::vector<std::istream *> &logs, const std::string &id);
+
+/** Returns @p explanation as text, like the other one. */
+std::string formatExplanation(const UpstreamExplanation &explanation, const std::string &id);
+
 /** Returns @p explanation as text: one line per log line with time, process, event and fields, then the numbered findings. */
 std::string formatExplanation(const RequestExplanation &explanation, const std::string &id);
 }
