Gateway: an upstream that has just become warm is divided among the gateways by name, in whole requests

Cause: concurrencyLimit() divided the cold limit by the number of gateways and rounded up to one request each. Change: while the limit is raised, each gateway has a whole number of requests by its rank for that upstream (rendezvous weights, as the shared limits of the entry daemon); it may be none. Ranks are computed when the ramp begins or the gateways change, not at each dispatch. Gateways whose membership is not known yet keep the old rule. A new test: all 410 gateways have a part within 6 s, and at once when the others have gone. Left: once the ramp is over each gateway may still have one request on an upstream, however many gateways there are; the upstream refuses the rest.

--- a/autotests/schedulertest.cpp
+++ b/autotests/schedulertest.cpp
@@ -351,11 +351,16 @@
     constexpr int Limit = 26;
     for (const int gateways : {8, 90, 410}) {
         CAPTURE(gateways);
+        std::vector<std::string> names;
+        for (int gateway = 0; gateway < gateways; ++gateway) {
+            names.push_back("gateway-" + std::to_string(gateway));
+        }
         int dispatched = 0;
         for (int gateway = 0; gateway < gateways; ++gateway) {
             SchedulerSettings settings;
-            settings.m_self = "gateway-" + std::to_string(gateway);
+            settings.m_self = names[static_cast<std::size_t>(gateway)];
             settings.m_gateways = gateways;
+            settings.m_gatewayNames = names;
             const std::unique_ptr<Scheduler> scheduler = makeScheduler(settings);
             Actions actions;
             scheduler->setTable(RouteTableBuilder().model("m").workspace("w").upstream("u", Limit, GroupPhase::Cold, "another").build(), 0, actions);
@@ -364,7 +369,39 @@
             dispatched += static_cast<int>(dispatchCount(actions));
         }
         CHECK(dispatched <= Limit);
+        CHECK(dispatched > 0);
+    }
+}
+
+// Guards against a gateway that never gets a part of an upstream that became warm, and against parts that are wrong once a gateway has gone.
+TEST_CASE("every gateway soon has a part of an upstream that became warm", "[scheduler]")
+{
+    constexpr int Gateways = 410;
+    std::vector<std::string> names;
+    for (int gateway = 0; gateway < Gateways; ++gateway) {
+        names.push_back("gateway-" + std::to_string(gateway));
+    }
+    const bool othersGo = GENERATE(false, true);
+    int dispatched = 0;
+    for (const std::string &name : names) {
+        SchedulerSettings settings;
+        settings.m_self = name;
+        settings.m_gateways = Gateways;
+        settings.m_gatewayNames = names;
+        const std::unique_ptr<Scheduler> scheduler = makeScheduler(settings);
+        Actions actions;
+        scheduler->setTable(RouteTableBuilder().model("m").workspace("w").upstream("u", 26, GroupPhase::Cold, "another").build(), 0, actions);
+        scheduler->setTable(RouteTableBuilder().model("m").workspace("w").upstream("u", 26, GroupPhase::Warm).build(), 100, actions);
+        scheduler->addRequest(makeRequest(1), 100, actions);
+        if (othersGo) {
+            scheduler->setGateways({name});
+            scheduler->tick(150, actions);
+        } else {
+            scheduler->tick(6'000, actions);
+        }
+        dispatched += static_cast<int>(dispatchCount(actions));
     }
+    CHECK(dispatched == Gateways);
 }
 
 TEST_CASE("the list of available upstreams agrees with a scan of all of them", "[scheduler]")
--- a/daemons/dispatcher.cpp
+++ b/daemons/dispatcher.cpp
@@ -148,10 +148,10 @@
     m_scheduler->setAccepting(accepting, error);
 }
 
-void Dispatcher::setGateways(int gateways)
+void Dispatcher::setGateways(const std::vector<std::string> &names)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_scheduler->setGateways(gateways);
+    m_scheduler->setGateways(names);
 }
 
 void Dispatcher::mergeCrashRecord(const CrashRecord &record)
--- a/daemons/dispatcher.h
+++ b/daemons/dispatcher.h
@@ -32,7 +32,7 @@
     void reportLoad(const std::string &upstream, int running);
     /** While @p accepting is false, new requests are refused with @p error. */
     void setAccepting(bool accepting, ErrorCode error);
-    void setGateways(int gateways);
+    void setGateways(const std::vector<std::string> &names);
     void mergeCrashRecord(const CrashRecord &record);
     std::vector<CrashRecord> crashRecords();
     /** Returns reports about the upstreams that this gateway has isolated, to be sent to its peers. */
--- a/daemons/gateway.cpp
+++ b/daemons/gateway.cpp
@@ -84,7 +84,7 @@
 {
     while (true) {
         co_await sleepFor(Scheduler::TickMs);
-        context.m_dispatcher->setGateways(static_cast<int>(availableMembers(context.m_node->membership(), Role::Gateway, steadyMs()).size()));
+        context.m_dispatcher->setGateways(availableMembers(context.m_node->membership(), Role::Gateway, steadyMs()));
         context.m_dispatcher->tick();
         for (const UpstreamReport &report : context.m_dispatcher->isolatedUpstreams()) {
             context.m_node->report(report);
--- a/kernel/routepolicy.h
+++ b/kernel/routepolicy.h
@@ -28,6 +28,8 @@
     double m_limit = 1.0;
     /** Start of the ramp: the time at which the upstream last became warm, or -1. */
     std::int64_t m_warmSinceMs = -1;
+    /** Number of gateways before this one in the division of its limit while that is raised. */
+    std::int64_t m_rampRank = 0;
     /** Whether the current table has the upstream. */
     bool m_inTable = false;
     /** No new work until this time, because a member may have failed. A newer generation ends it early. */
--- a/kernel/scheduler.cpp
+++ b/kernel/scheduler.cpp
@@ -293,7 +293,7 @@
         break;
     case ReportKind::Recovered:
         if (isReportedCold(state, nowMs)) {
-            state.m_warmSinceMs = nowMs;
+            startRamp(state, nowMs);
         }
         state.m_doubtUntilMs = -1;
         state.m_coldUntilMs = -1;
@@ -341,9 +341,18 @@
     m_refusalError = error;
 }
 
-void Scheduler::setGateways(int gateways)
+void Scheduler::setGateways(const std::vector<std::string> &names)
 {
-    m_settings.m_gateways = std::max(1, gateways);
+    if (names == m_settings.m_gatewayNames) {
+        return;
+    }
+    m_settings.m_gateways = std::max(1, static_cast<int>(names.size()));
+    m_settings.m_gatewayNames = names;
+    for (UpstreamState &upstream : m_upstreams) {
+        if (upstream.m_warmSinceMs >= 0) {
+            startRamp(upstream, upstream.m_warmSinceMs);
+        }
+    }
 }
 
 void Scheduler::dispatchQueued(Pool &pool, std::int64_t nowMs, Actions &actions)
--- a/kernel/scheduler.h
+++ b/kernel/scheduler.h
@@ -26,6 +26,11 @@
     std::uint64_t m_seed = 1;
     /** Number of gateways that share the upstreams. */
     int m_gateways = 1;
+    /**
+     * Their names, by which an upstream that has just become warm is divided among them in whole requests. If empty, each of them may send it one request at
+     * once, however many they are.
+     */
+    std::vector<std::string> m_gatewayNames;
     /** Retries allowed per first attempt, on average. */
     double m_retryRatio = 0.1;
     /** Fraction of an upstream's limit that workspaces well above their share may not use; 0 reserves nothing. */
@@ -159,8 +164,8 @@
     void reportPrefix(const std::string &upstream, std::uint64_t prefix, bool cached);
     /** While @p accepting is false, new requests are refused with @p error. Resumed ones are still accepted. */
     void setAccepting(bool accepting, ErrorCode error);
-    /** Sets the number of live gateways, among which the limits of the upstreams are divided. */
-    void setGateways(int gateways);
+    /** Sets the names of the live gateways, among which the limits of the upstreams are divided. */
+    void setGateways(const std::vector<std::string> &names);
     /** Must be called every TickMs: applies what depends on time alone, such as deadlines and the ramp after warming. */
     void tick(std::int64_t nowMs, Actions &actions);
 
@@ -214,6 +219,10 @@
 
     bool canDispatchTo(const UpstreamState &upstream, std::int64_t nowMs) const;
     /** Returns how many requests this gateway may run on @p upstream now; 0 if it is cold and another gateway holds the grant. */
+    /** Begins to raise the limit of @p upstream in steps, since it has just become warm. */
+    void startRamp(UpstreamState &upstream, std::int64_t nowMs) const;
+    /** Returns this gateway's part of the limit of an upstream that became warm at m_warmSinceMs. */
+    double rampLimit(const UpstreamState &upstream, std::int64_t nowMs) const;
     double concurrencyLimit(const UpstreamState &upstream, std::int64_t nowMs) const;
     /** Adds an upstream to its pool's list of available ones or removes it, after anything that canDispatchTo depends on has changed. */
     void updateAvailability(std::uint32_t index, std::int64_t nowMs);
--- a/kernel/schedulerlimits.cpp
+++ b/kernel/schedulerlimits.cpp
@@ -5,6 +5,8 @@
 
 #include "kernel/scheduler.h"
 
+#include "kernel/hashing.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -53,11 +55,11 @@
     if (!samePhase) {
         state.m_limit = entry->m_limit;
     }
-    if (justWarmed) {
-        state.m_warmSinceMs = nowMs;
-    }
     state.m_info = entry;
     state.m_inTable = true;
+    if (justWarmed) {
+        startRamp(state, nowMs);
+    }
 }
 
 double Scheduler::concurrencyLimit(const UpstreamState &upstream, std::int64_t nowMs) const
@@ -68,13 +70,32 @@
     }
     const double share = std::max(1.0, static_cast<double>(info.m_limit) / m_settings.m_gateways);
     const double left = static_cast<double>(info.m_limit) - upstream.m_othersRunning;
-    double limit = std::min(std::max(share, left), upstream.m_limit);
-    if (upstream.m_warmSinceMs >= 0) {
-        const int steps = static_cast<int>(std::min<std::int64_t>(MaxRampSteps, (nowMs - upstream.m_warmSinceMs) / RampStepMs));
-        const double start = std::max(1.0, static_cast<double>(info.m_coldLimit) / m_settings.m_gateways);
-        limit = std::min(limit, std::ldexp(start, steps));
+    const double limit = std::min(std::max(share, left), upstream.m_limit);
+    // Only while its limit is raised may a gateway have no part of an upstream.
+    return upstream.m_warmSinceMs < 0 ? std::max(1.0, limit) : std::min(std::max(1.0, limit), rampLimit(upstream, nowMs));
+}
+
+void Scheduler::startRamp(UpstreamState &upstream, std::int64_t nowMs) const
+{
+    upstream.m_warmSinceMs = nowMs;
+    const std::string &key = upstream.m_info->m_id;
+    const std::uint64_t ownWeight = rendezvousWeight(key, m_settings.m_self);
+    upstream.m_rampRank = std::count_if(m_settings.m_gatewayNames.begin(), m_settings.m_gatewayNames.end(), [this, &key, ownWeight](const std::string &name) {
+        const std::uint64_t weight = rendezvousWeight(key, name);
+        return weight > ownWeight || (weight == ownWeight && name < m_settings.m_self);
+    });
+}
+
+double Scheduler::rampLimit(const UpstreamState &upstream, std::int64_t nowMs) const
+{
+    const int steps = static_cast<int>(std::min<std::int64_t>(MaxRampSteps, (nowMs - upstream.m_warmSinceMs) / RampStepMs));
+    const std::int64_t coldLimit = upstream.m_info->m_coldLimit;
+    if (m_settings.m_gatewayNames.empty()) {
+        return std::ldexp(std::max(1.0, static_cast<double>(coldLimit) / m_settings.m_gateways), steps);
     }
-    return std::max(1.0, limit);
+    // Whole requests by rank: rounding up each gateway's part would exceed the limit when there are more gateways than requests.
+    const std::int64_t total = coldLimit << steps;
+    return upstream.m_rampRank < total ? static_cast<double>((total - upstream.m_rampRank - 1) / m_settings.m_gateways + 1) : 0.0;
 }
 
 bool Scheduler::canDispatchTo(const UpstreamState &upstream, std::int64_t nowMs) const
--- a/tools/loadmodel.cpp
+++ b/tools/loadmodel.cpp
@@ -26,10 +26,15 @@
     for (const ModelUpstream &upstream : settings.m_upstreams) {
         m_engines[upstream.m_id].m_info = upstream;
     }
+    std::vector<std::string> names;
+    for (int i = 0; i < settings.m_gateways; ++i) {
+        names.push_back("g" + std::to_string(i));
+    }
     for (int i = 0; i < settings.m_gateways; ++i) {
         SchedulerSettings scheduler = settings.m_scheduler;
         scheduler.m_self = "g" + std::to_string(i);
         scheduler.m_gateways = settings.m_gateways;
+        scheduler.m_gatewayNames = names;
         scheduler.m_seed = settings.m_seed * 1'000 + static_cast<std::uint64_t>(i);
         Result<std::unique_ptr<Scheduler>> created = Scheduler::create(scheduler);
         m_gateways.push_back(Gateway{scheduler.m_self, std::move(valueOf(created)), 0});
