A join or load that is underway is asked about again shortly after its usual time, not after twice that

Cause: the order is repeated after 97% of its usual duration, is answered that it is still underway, and was then repeated after the whole duration again.

--- a/kernel/replicareconciler.cpp
+++ b/kernel/replicareconciler.cpp
@@ -39,6 +39,8 @@
 constexpr double InitialLoadFraction = 0.1;
 /** An order with a known duration is repeated after this fraction of it. */
 constexpr double EarlyRetryFraction = 0.97;
+/** An order that takes longer is repeated each time that it has taken longer by this fraction. */
+constexpr double LateRetryFraction = 0.05;
 
 bool contains(const std::vector<std::string> &list, const std::string &value)
 {
@@ -60,6 +62,7 @@
     m_replicas.clear();
     for (std::pair<const std::string, Engine> &entry : m_engines) {
         entry.second.m_orderPending = false;
+        entry.second.m_begunMs = -1;
         entry.second.m_nextOrderMs = 0;
         entry.second.m_answeredMs = -1;
         entry.second.m_probedMs = -1;
@@ -211,18 +214,9 @@
             }
         }
         if (reply == OrderReply::Begun && model != nullptr) {
-            const bool load = needsLoad(*engine, order.m_model);
-            std::int64_t wait = load ? model->m_loadMs : model->m_warmUpMs;
-            if (order.m_kind == EngineOrderKind::Join && !load && engine->m_warmModel == order.m_model) {
-                wait = m_settings.m_warmJoinMs;
-            }
-            wait = static_cast<std::int64_t>(static_cast<double>(wait) * EarlyRetryFraction);
-            if (load && !m_serving) {
-                const std::int64_t initialWait = static_cast<std::int64_t>(static_cast<double>(wait) * InitialLoadFraction);
-                wait = engine->m_loadConfirmed ? InitialLoadPollMs : initialWait;
-                engine->m_loadConfirmed = true;
-            }
-            engine->m_nextOrderMs = nowMs + wait;
+            engine->m_nextOrderMs = nowMs + nextAskMs(*engine, order, *model, nowMs);
+        } else {
+            engine->m_begunMs = -1;
         }
         if (order.m_kind == EngineOrderKind::Join && reply == OrderReply::Done) {
             engine->m_warmModel = order.m_model;
@@ -261,6 +255,34 @@
     }
 }
 
+std::int64_t ReplicaReconciler::nextAskMs(Engine &engine, const EngineOrder &order, const ServedModel &model, std::int64_t nowMs) const
+{
+    const bool load = needsLoad(engine, order.m_model);
+    const bool isKnown =
+        engine.m_begunMs >= 0 && engine.m_begunKind == order.m_kind && engine.m_begunReplica == order.m_replica && engine.m_begunModel == order.m_model;
+    if (load && !m_serving && engine.m_loadConfirmed) {
+        return InitialLoadPollMs;
+    }
+    if (isKnown) {
+        // It takes longer than usual, so the pauses grow with the time that it has taken.
+        return std::max(m_settings.m_retryMs, static_cast<std::int64_t>(LateRetryFraction * static_cast<double>(nowMs - engine.m_begunMs)));
+    }
+    engine.m_begunKind = order.m_kind;
+    engine.m_begunReplica = order.m_replica;
+    engine.m_begunModel = order.m_model;
+    engine.m_begunMs = nowMs;
+    std::int64_t usualMs = load ? model.m_loadMs : model.m_warmUpMs;
+    if (order.m_kind == EngineOrderKind::Join && !load && engine.m_warmModel == order.m_model) {
+        usualMs = m_settings.m_warmJoinMs;
+    }
+    double fraction = EarlyRetryFraction;
+    if (load && !m_serving) {
+        fraction *= InitialLoadFraction;
+        engine.m_loadConfirmed = true;
+    }
+    return static_cast<std::int64_t>(fraction * static_cast<double>(usualMs));
+}
+
 void ReplicaReconciler::suspect(const ReplicaRef &replica, std::int64_t nowMs)
 {
     const auto found = m_replicas.find(replica);
--- a/kernel/replicareconciler.h
+++ b/kernel/replicareconciler.h
@@ -246,6 +246,11 @@
         /** An order was returned and its outcome is not known yet. */
         bool m_orderPending = false;
         std::int64_t m_nextOrderMs = 0;
+        /** The join or load that the engine confirmed to be underway, and when it did so first; -1 if there is none. */
+        EngineOrderKind m_begunKind = EngineOrderKind::Stage;
+        ReplicaRef m_begunReplica;
+        std::string m_begunModel;
+        std::int64_t m_begunMs = -1;
         /** The engine was told to load weights and has not confirmed that it is done. */
         bool m_loading = false;
         /** The engine has confirmed that the load is in progress. */
@@ -293,6 +298,8 @@
     void sendProbes(std::int64_t nowMs, ReconcilerActions &actions);
     /** Adds @p order to @p actions. Returns false if the engine is dead or may not get an order yet. */
     bool sendOrder(Engine &engine, EngineOrder order, std::int64_t nowMs, ReconcilerActions &actions);
+    /** Returns how long after the answer "begun" to a join or load it is asked about again, in ms. */
+    std::int64_t nextAskMs(Engine &engine, const EngineOrder &order, const ServedModel &model, std::int64_t nowMs) const;
     /** Records that @p engine does not run at its address. It is probed again later. */
     static void markDead(Engine &engine, std::int64_t nowMs);
     /** Returns whether the list or the engine itself says that it will stop. */
