--- a/kernel/schedulerlimits.cpp
+++ b/kernel/schedulerlimits.cpp
@@ -95,7 +95,8 @@
     }
     // Whole requests by rank: rounding up each gateway's part would exceed the limit when there are more gateways than requests.
     const std::int64_t total = coldLimit << steps;
-    return upstream.m_rampRank < total ? static_cast<double>((total - upstream.m_rampRank - 1) / m_settings.m_gateways + 1) : 0.0;
+    const std::int64_t part = upstream.m_rampRank < total ? (total - upstream.m_rampRank - 1) / m_settings.m_gateways + 1 : 0;
+    return static_cast<double>(part);
 }
 
 bool Scheduler::canDispatchTo(const UpstreamState &upstream, std::int64_t nowMs) const
--- a/tools/loadmodel.cpp
+++ b/tools/loadmodel.cpp
@@ -27,6 +27,7 @@
         m_engines[upstream.m_id].m_info = upstream;
     }
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(settings.m_gateways));
     for (int i = 0; i < settings.m_gateways; ++i) {
         names.push_back("g" + std::to_string(i));
     }
