Of replicas that are about as good, one to which the daemon has an idle connection comes first

New connections also count against what an engine accepts from all callers. Cause: 95 daemons draw each request's head among all that are about as good, so a connection is idle for seconds, and engines close it after one or two. Ruled out: a shorter margin before an engine's close (a request could be sent while the close is underway); fixed subsets of heads for each daemon (they would hold while a subset is full or gone). Change: the draw is first among the replicas within the same tolerance to whose heads the pool has a usable connection; the tolerance is unchanged.

--- a/autotests/replicaselectortest.cpp
+++ b/autotests/replicaselectortest.cpp
@@ -68,7 +68,7 @@
     const std::vector<ReplicaRef> silent = selector.findSilentReplicas(availability, limitMs + 15);
     REQUIRE(silent.size() == 1);
     CHECK(silent.front().m_epoch == 1);
-    const TrackedReplica *chosen = selector.choose(availability, "big", 100, "a", {}, limitMs + 15);
+    const TrackedReplica *chosen = selector.choose(availability, {"big", 100, "a"}, {}, limitMs + 15);
     REQUIRE(chosen != nullptr);
     CHECK(chosen->m_ref.m_epoch == 2);
 }
@@ -160,7 +160,7 @@
     INFO(row.m_what);
     ReplicaSelector selector = selectorWith({group("big", 1, "b"), group("big", 2, "a")});
     selector.setPeerLoads({{1, PeerLoad{row.m_first, 0}}, {2, PeerLoad{row.m_second, 0}}});
-    const TrackedReplica *chosen = selector.choose(availability, "big", 1'000, "a", {}, 0);
+    const TrackedReplica *chosen = selector.choose(availability, {"big", 1'000, "a"}, {}, 0);
     REQUIRE(chosen != nullptr);
     CHECK(chosen->m_ref.m_epoch == row.m_epoch);
 }
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -302,6 +302,9 @@
     query.m_model = call.m_caller.m_model;
     query.m_promptTokens = call.m_caller.m_promptTokens;
     query.m_ownZone = context.m_settings.m_availabilityZone;
+    query.m_isConnected = [&context](const TrackedReplica &replica) {
+        return context.m_connections.has(context.m_io.get_executor(), replica.m_address, replica.m_head);
+    };
     if (call.m_sends == 0) {
         query.m_maxExpectedMs = MaxExpectedFraction * targetMs;
     }
--- a/kernel/replicachoice.cpp
+++ b/kernel/replicachoice.cpp
@@ -16,7 +16,7 @@
     ReplicaChoiceOutcome outcome = ReplicaChoiceOutcome::NoneAvailable;
     while (true) {
         const TrackedReplica *best = query.m_partByKey ? selector.chooseByHash(availability, query.m_model, *query.m_partByKey, excluded, nowMs)
-                                                       : selector.choose(availability, query.m_model, query.m_promptTokens, query.m_ownZone, excluded, nowMs);
+                                                       : selector.choose(availability, query, excluded, nowMs);
         if (best == nullptr) {
             return {outcome, nullptr};
         }
--- a/kernel/replicachoice.h
+++ b/kernel/replicachoice.h
@@ -3,27 +3,9 @@
 #include "kernel/replicaselector.h"
 
 #include <functional>
-#include <limits>
-#include <optional>
 
 namespace knapweedslip
 {
-/** A generation request that needs a replica. */
-struct ReplicaQuery
-{
-    std::string m_model;
-    std::int64_t m_promptTokens = 0;
-    /** Availability zone of this daemon. */
-    std::string m_ownZone;
-    /** The request is not sent if its first event is expected later than this, in ms. */
-    double m_maxExpectedMs = std::numeric_limits<double>::infinity();
-    /**
-     * Upstreams ended under the request, or under others that ran beside it: the replica is chosen by the hash of this key instead of by load, so that
-     * those requests part and the cause becomes known.
-     */
-    std::optional<std::uint64_t> m_partByKey = std::nullopt;
-};
-
 enum class ReplicaChoiceOutcome {
     Chosen,
     /** No replica of the model takes requests now. */
--- a/kernel/replicaselector.cpp
+++ b/kernel/replicaselector.cpp
@@ -132,18 +132,14 @@
     return best == usable.end() ? nullptr : *best;
 }
 
-const TrackedReplica *ReplicaSelector::choose(const UpstreamAvailability &availability,
-                                              const std::string &model,
-                                              std::int64_t promptTokens,
-                                              const std::string &ownZone,
-                                              const std::set<ReplicaRef> &excluded,
-                                              std::int64_t nowMs)
+const TrackedReplica *
+ReplicaSelector::choose(const UpstreamAvailability &availability, const ReplicaQuery &query, const std::set<ReplicaRef> &excluded, std::int64_t nowMs)
 {
-    const std::vector<const TrackedReplica *> usable = candidates(availability, model, excluded, nowMs);
+    const std::vector<const TrackedReplica *> usable = candidates(availability, query.m_model, excluded, nowMs);
     std::vector<double> costs;
     double least = std::numeric_limits<double>::max();
     for (const TrackedReplica *replica : usable) {
-        const double ms = expectedMs(*replica, promptTokens) + (replica->m_availabilityZone == ownZone ? 0.0 : m_settings.m_crossZoneMs);
+        const double ms = expectedMs(*replica, query.m_promptTokens) + (replica->m_availabilityZone == query.m_ownZone ? 0.0 : m_settings.m_crossZoneMs);
         costs.push_back(ms);
         least = std::min(least, ms);
     }
@@ -151,19 +147,18 @@
     const double tolerance = m_randomizeNearBest && m_service.m_engines
                                  ? prefillMs(*m_service.m_engines, m_service.m_engines->m_meanPromptTokens) + decodePassMs(*m_service.m_engines, {})
                                  : 0.0;
-    const TrackedReplica *best = nullptr;
-    std::uint32_t similar = 0;
+    std::vector<const TrackedReplica *> similar;
+    std::vector<const TrackedReplica *> connected;
     for (std::size_t i = 0; i < usable.size(); ++i) {
-        if (costs[i] > least + tolerance) {
-            continue;
-        }
-        // Reservoir sampling: each candidate within the tolerance is drawn with the same probability.
-        ++similar;
-        if (m_random() % similar == 0) {
-            best = usable[i];
+        if (costs[i] <= least + tolerance) {
+            similar.push_back(usable[i]);
+            if (query.m_isConnected && query.m_isConnected(*usable[i])) {
+                connected.push_back(usable[i]);
+            }
         }
     }
-    return best;
+    const std::vector<const TrackedReplica *> &drawn = connected.empty() ? similar : connected;
+    return drawn.empty() ? nullptr : drawn[m_random() % drawn.size()];
 }
 
 std::uint64_t ReplicaSelector::begin(UpstreamAvailability &availability, const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs)
--- a/kernel/replicaselector.h
+++ b/kernel/replicaselector.h
@@ -6,6 +6,8 @@
 #include "kernel/upstreams.h"
 
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -65,6 +67,27 @@
     double m_slowness = 1.0;
 };
 
+/** A generation request that needs a replica. */
+struct ReplicaQuery
+{
+    std::string m_model;
+    std::int64_t m_promptTokens = 0;
+    /** Availability zone of this daemon. */
+    std::string m_ownZone;
+    /** The request is not sent if its first event is expected later than this, in ms. */
+    double m_maxExpectedMs = std::numeric_limits<double>::infinity();
+    /**
+     * Upstreams ended under the request, or under others that ran beside it: the replica is chosen by the hash of this key instead of by load, so that
+     * those requests part and the cause becomes known.
+     */
+    std::optional<std::uint64_t> m_partByKey = std::nullopt;
+    /**
+     * Returns whether this daemon has an idle connection to the head of a replica. Of several replicas that are about as good, one of those is chosen: a new
+     * connection takes a round trip, and engines accept only so many from all daemons. Empty: connections do not matter.
+     */
+    std::function<bool(const TrackedReplica &)> m_isConnected = nullptr;
+};
+
 /** Time limits and cost factors of ReplicaSelector. */
 struct ReplicaSelectorSettings
 {
@@ -110,15 +133,10 @@
     void setPeerLoads(const std::map<std::uint64_t, PeerLoad> &loads);
 
     /**
-     * Returns the replica of @p model that is expected to send the first event for a prompt of @p promptTokens soonest, or null if no replica can be
-     * used. Leaves out the replicas in @p excluded and those whose heads @p availability withholds at @p nowMs.
+     * Returns the replica that is expected to send the first event for @p query soonest, or null if no replica can be used. Leaves out the replicas in
+     * @p excluded and those whose heads @p availability withholds at @p nowMs. Ignores m_maxExpectedMs and m_partByKey.
      */
-    const TrackedReplica *choose(const UpstreamAvailability &availability,
-                                 const std::string &model,
-                                 std::int64_t promptTokens,
-                                 const std::string &ownZone,
-                                 const std::set<ReplicaRef> &excluded,
-                                 std::int64_t nowMs);
+    const TrackedReplica *choose(const UpstreamAvailability &availability, const ReplicaQuery &query, const std::set<ReplicaRef> &excluded, std::int64_t nowMs);
     /**
      * Returns a usable replica of @p model by the hash of @p key alone, or null: requests with different keys go to different replicas, whatever the
      * load. Leaves out the same replicas as choose().
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -67,6 +67,22 @@
 }
 }
 
+namespace
+{
+bool isWithinKeepAlive(const HttpConnection &connection, std::int64_t nowMs)
+{
+    return connection.m_keepAliveMs == 0 || nowMs - connection.m_idleSinceMs + ConnectionPool::KeepAliveMarginMs < connection.m_keepAliveMs;
+}
+}
+
+bool ConnectionPool::has(const asio::any_io_executor &executor, const std::string &address, const std::string &bootId)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto it = m_idle.find(PoolKey(&executor.context(), address));
+    // The last one has been idle for the shortest time.
+    return it != m_idle.end() && !it->second.empty() && it->second.back()->m_bootId == bootId && isWithinKeepAlive(*it->second.back(), steadyMs());
+}
+
 HttpConnectionPtr ConnectionPool::take(const asio::any_io_executor &executor, const std::string &address, const std::string &bootId)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -79,8 +95,7 @@
     while (!idle.empty()) {
         HttpConnectionPtr connection = std::move(idle.back());
         idle.pop_back();
-        const bool withinKeepAlive = connection->m_keepAliveMs == 0 || nowMs - connection->m_idleSinceMs + KeepAliveMarginMs < connection->m_keepAliveMs;
-        if (withinKeepAlive && (bootId.empty() || connection->m_bootId == bootId) && isOpenAndIdle(*connection)) {
+        if (isWithinKeepAlive(*connection, nowMs) && (bootId.empty() || connection->m_bootId == bootId) && isOpenAndIdle(*connection)) {
             return connection;
         }
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -50,6 +50,8 @@
      * to another process, those that the peer closed or is about to close, and those with unexpected bytes to read.
      */
     HttpConnectionPtr take(const asio::any_io_executor &executor, const std::string &address, const std::string &bootId);
+    /** Returns whether take() would probably find a connection to the process @p bootId. Makes no system call. */
+    bool has(const asio::any_io_executor &executor, const std::string &address, const std::string &bootId);
     /** Returns a connection to the pool. Closes it if the pool already holds MaxIdlePerAddress for its address and context. */
     void give(HttpConnectionPtr connection);
 
