--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -71,7 +71,9 @@
     add("knapweedslip_said_leaving_total", "Upstreams whose answers said that they leave", metrics.m_saidLeaving);
     add("knapweedslip_turned_away_total", "Times that an upstream began to turn requests away for a time that it gave", metrics.m_turnedAway);
     add("knapweedslip_retry_after_ignored_total", "Answers that gave that time in a form that is ignored", metrics.m_retryAfterIgnored);
-    add("knapweedslip_upstreams_ended_total", "Upstreams that ended while a request of this daemon had just begun to run there", metrics.m_upstreamsEnded);
+    add("knapweedslip_upstreams_ended_total",
+        "Upstreams that ended while a request of this daemon had just begun to run there",
+        metrics.m_endChecks.at(static_cast<std::size_t>(EndCheckOutcome::Ended)));
     add("knapweedslip_orders_total", "Orders given to engines", metrics.m_orders);
     add("knapweedslip_probes_total", "Engines asked for a report", metrics.m_probes);
     add("knapweedslip_store_calls_total", "Calls to the platform's store", context.m_store.m_calls);
@@ -81,6 +83,13 @@
     for (std::size_t i = 0; i < metrics.m_refused.size(); ++i) {
         text += "knapweedslip_refused_total{reason=\"" + std::string(RefusalReasonNames.at(i)) + "\"} " + std::to_string(metrics.m_refused.at(i)) + "\n";
     }
+    for (std::size_t i = 0; i < metrics.m_unanswered.size(); ++i) {
+        text += "knapweedslip_unanswered_total{ended_by=\"" + std::string(AbortCauseNames.at(i)) + "\"} " + std::to_string(metrics.m_unanswered.at(i)) + "\n";
+    }
+    for (std::size_t i = 0; i < metrics.m_endChecks.size(); ++i) {
+        text +=
+            "knapweedslip_end_checks_total{outcome=\"" + std::string(EndCheckOutcomeNames.at(i)) + "\"} " + std::to_string(metrics.m_endChecks.at(i)) + "\n";
+    }
     const auto withheld = context.m_availability.count(steadyMs());
     for (std::size_t i = 0; i < withheld.size(); ++i) {
         text += "knapweedslip_upstreams{withheld=\"" + std::string(WithheldReasonNames.at(i)) + "\"} " + std::to_string(withheld.at(i)) + "\n";
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -222,11 +222,15 @@
 
 void logAttemptFailed(const EntryCall &call, const std::string &upstream, AttemptOutcome outcome, const std::string &what)
 {
+    if (outcome == AttemptOutcome::MayHaveRun) {
+        ++call.m_context.m_metrics.m_unanswered.at(static_cast<std::size_t>(call.m_running->m_cause));
+    }
     logEvent(LogEvent::AttemptFailed,
              {{"request", call.m_caller.m_requestId},
               {"fingerprint", toHex(call.m_fingerprint)},
               {"upstream", upstream},
               {"may_have_run", outcome == AttemptOutcome::MayHaveRun},
+              {"ended_by", std::string(enumName(AbortCauseNames, call.m_running->m_cause))},
               {"what", what},
               {"after_ms", steadyMs() - call.m_arrivedMs}});
 }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -4,6 +4,7 @@
 #include "kernel/callconfig.h"
 #include "kernel/coldlimiter.h"
 #include "kernel/crashledger.h"
+#include "kernel/enumnames.h"
 #include "kernel/loadreport.h"
 #include "kernel/replicareconciler.h"
 #include "kernel/replicaselector.h"
@@ -39,6 +40,18 @@
     StreamStuck,
 };
 
+inline constexpr EnumNames<6> AbortCauseNames{"none", "caller-left", "time-over", "attempt-timeout", "replica-silent", "stream-stuck"};
+
+/** What was found out about an upstream at which an attempt had ended without an answer. */
+enum class EndCheckOutcome {
+    /** The upstream has ended. */
+    Ended,
+    /** It answers, or stays in the list. */
+    Lives,
+};
+
+inline constexpr EnumNames<2> EndCheckOutcomeNames{"ended", "lives"};
+
 /** A request that is being served, as far as is needed to abort its current attempt. */
 struct RunningCall
 {
@@ -96,8 +109,10 @@
     std::uint64_t m_orders = 0;
     std::uint64_t m_probes = 0;
     std::uint64_t m_silences = 0;
-    /** Upstreams that ended while a request of this daemon had just begun to run there. */
-    std::uint64_t m_upstreamsEnded = 0;
+    /** Upstreams that were checked after attempts there had ended without an answer, by what was found. */
+    std::array<std::uint64_t, EndCheckOutcomeNames.size()> m_endChecks{};
+    /** Attempts that ended without an answer, by what ended them. */
+    std::array<std::uint64_t, AbortCauseNames.size()> m_unanswered{};
     /** Requests for store updates that other daemons sent to this one, and that this one sent to others. */
     std::uint64_t m_updatesServed = 0;
     std::uint64_t m_updatesRequested = 0;
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -45,12 +45,19 @@
 
 awaitable<void> runEndCheck(EntryContext &context, UpstreamInstance upstream, std::uint64_t lifetime)
 {
+    const std::int64_t startedMs = steadyMs();
     const bool ended = co_await hasEnded(context, upstream);
+    const EndCheckOutcome outcome = ended ? EndCheckOutcome::Ended : EndCheckOutcome::Lives;
     const auto waiting = context.m_endChecks.extract(lifetime);
+    ++context.m_metrics.m_endChecks.at(static_cast<std::size_t>(outcome));
+    logEvent(LogEvent::UpstreamChecked,
+             {{"upstream", upstream.m_id},
+              {"outcome", std::string(enumName(EndCheckOutcomeNames, outcome))},
+              {"requests", static_cast<std::int64_t>(waiting.empty() ? 0 : waiting.mapped().size())},
+              {"took_ms", steadyMs() - startedMs}});
     if (!ended || waiting.empty()) {
         co_return;
     }
-    ++context.m_metrics.m_upstreamsEnded;
     for (const std::uint64_t fingerprint : waiting.mapped()) {
         context.m_crashLedger.recordEnd(fingerprint, lifetime, steadyMs());
         logEvent(LogEvent::UpstreamEnded,
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -53,6 +53,7 @@
     CrashUndecided,
     UpstreamWithheld,
     RetryAfterIgnored,
+    UpstreamChecked,
     DomainClaimed,
     DomainReleased,
     DomainLost,
