--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -29,7 +29,7 @@
 stop_grace_s: 8
 address_reuse_s: 2
 END
-    start "entry-$1" "$BUILD/daemons/knapweedslip-entry" --settings "$RUN/entry-$1.yaml"
+    start "entry-$1" "${ENTRY_PROGRAM:-$BUILD/daemons/knapweedslip-entry}" --settings "$RUN/entry-$1.yaml"
 }
 
 config() { # prints the operators' configuration
@@ -38,7 +38,7 @@
 "routes":[
 {"name":"stream","host":"api","pathPrefix":"/stream/","routeType":"streaming","service":"llm","timeoutMs":8000,"latencyTargetMs":1000,"maxAttempts":3,"resumable":true},
 {"name":"once","host":"api","pathPrefix":"/once/","routeType":"non_idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":500,"maxAttempts":2},
-{"name":"read","host":"api","pathPrefix":"/read/","routeType":"idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":500,"maxAttempts":3}],
+{"name":"read","host":"api","pathPrefix":"/read/","routeType":"idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":${READ_TARGET_MS:-500},"maxAttempts":3}],
 "services":[{"name":"app"},
 {"name":"llm","backend":{"slots":26,"kvCapacity":1590000,"stride":4,"step_ms":5.95,"per_seq_ms":0.1,"context_per_k":0.01,"read_per_s":50700,"pairs_per_m":0.01,
 "chunk":512,"loadsPerS":10,"loads_at_once":4,"formMs":100,"usual":{"prompt":100,"answer":100},
@@ -116,3 +116,13 @@
     touch "$RUN/stop"
     wait "$INNOCENTS"
 }
+
+# Prints what became of the requests on a path that end upstreams: upstreams ended, time of the third end, requests that reached upstreams later than
+# LIMIT ms after it, and the last one of all, in ms after the third end.
+crash_course() { # history path limit
+    grep "\"path\":\"$2\",\"crashes\":true" "$1" | awk -v limit="$3" '
+        { match($0, /"at_ms":[0-9]+/); at = substr($0, RSTART + 8, RLENGTH - 8) }
+        /"kind":"ended"/ && ++ended == 3 { third = at }
+        /"kind":"arrived"/ { last = at; later += ended >= 3 && at > third + limit }
+        END { print ended + 0, third + 0, later + 0, last - third }'
+}
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -136,6 +136,8 @@
     app.add_option("--engines", options.m_engines, "model engines, of the service llm");
     app.add_option("--services", options.m_serviceUpstreams, "upstreams of the plain service app");
     app.add_option("--restart-ms", options.m_times.m_restartMs, "how long an upstream that has crashed stays away");
+    app.add_option("--silent-ms", options.m_times.m_silentMs, "how long the connections of an upstream that has crashed silently stay open");
+    app.add_option("--prefill-ms", options.m_times.m_prefillMs, "how long after its arrival a request begins to run");
     app.add_option("--events", options.m_times.m_events, "events of each stream");
     CLI11_PARSE(app, argc, argv);
     return knapweedslip::standin::run(options);
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned MisdirectedStatus = 421;
 constexpr const char *CrashWord = "CRASH";
 constexpr const char *CrashInAnswerWord = "CRASH-IN-ANSWER";
+constexpr const char *CrashSilentWord = "CRASH-SILENT";
+constexpr const char *CrashDarkWord = "CRASH-DARK";
 constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
 constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
 
@@ -146,6 +148,8 @@
     m_entry.m_rank = -1;
     m_entry.m_phase = MemberPhase::None;
     const Tcp::endpoint endpoint = valueOf(parseEndpoint(m_address));
+    // The acceptor of a predecessor that stood still has the address.
+    m_acceptor.reset();
     m_acceptor = std::make_shared<Tcp::acceptor>(m_io, endpoint, true);
     record(m_history, "started", "\"engine\":\"" + m_entry.m_id + "\"");
     publish();
@@ -157,6 +161,13 @@
     record(m_history, "ended", describeRequest(cause, m_entry.m_id) + ",\"connections\":" + std::to_string(m_connections.size()));
     m_alive = false;
     boost::system::error_code ignored;
+    const bool isDark = contains(cause.m_body, CrashDarkWord);
+    if (isDark || contains(cause.m_body, CrashSilentWord)) {
+        // An acceptor that only stops accepting still lets the system complete connections.
+        isDark ? m_acceptor->cancel(ignored) : m_acceptor->close(ignored);
+        asio::co_spawn(m_io, keepSilent(std::exchange(m_connections, {})), asio::detached);
+        return;
+    }
     m_acceptor->close(ignored);
     for (const ConnectionPtr &connection : m_connections) {
         // The system closes the connections of a process that exits; those of one that is killed with unread bytes are reset.
@@ -167,6 +178,16 @@
     m_connections.clear();
 }
 
+awaitable<void> HostingEngine::keepSilent(std::set<ConnectionPtr> connections)
+{
+    co_await sleepFor(m_times.m_silentMs);
+    for (const ConnectionPtr &connection : connections) {
+        boost::system::error_code ignored;
+        connection->m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        connection->m_stream.socket().close(ignored);
+    }
+}
+
 awaitable<void> HostingEngine::run()
 {
     constexpr int HeartbeatsUntilRemoval = 3;
@@ -214,7 +235,7 @@
     while (lifetime == m_lifetime && m_alive) {
         http::request_parser<http::string_body> parser;
         const auto [error, size] = co_await http::async_read(connection->m_stream, connection->m_buffer, parser, UseTuple);
-        if (error) {
+        if (error || lifetime != m_lifetime || !m_alive) {
             break;
         }
         HttpRequest request;
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -21,6 +21,8 @@
     int m_events = 25;
     /** How long the engine stays away after it has crashed. */
     std::int64_t m_restartMs = 2'000;
+    /** How long the connections of an engine that has crashed silently stay open. */
+    std::int64_t m_silentMs = 1'000;
     std::int64_t m_heartbeatMs = 1'200;
     /** Forming a group of one member: joining, then opening. */
     std::int64_t m_joinMs = 100;
@@ -43,8 +45,9 @@
 /**
  * One upstream of the hosting platform, an engine that serves groups of one member or an upstream of a plain service. Words in the body of a
  * request choose what it does: CRASH ends the upstream when the request begins to run, CRASH-IN-ANSWER after the head of an answer without a length, as
- * an exit does; ENDLESS-HEAD and ENDLESS-BODY are answered with bytes
- * without end. An upstream that has ended closes all its connections and comes back under another id.
+ * an exit does; CRASH-SILENT as a process does whose end takes long: it no longer listens, but its connections stay open for a while; CRASH-DARK as one
+ * that stands still: its address still takes connections, and nothing is answered until its successor starts. ENDLESS-HEAD and ENDLESS-BODY are answered
+ * with bytes without end. An upstream that has ended comes back under another id.
  */
 class HostingEngine
 {
@@ -70,8 +73,10 @@
     awaitable<void> respond(Connection &connection, HttpReply reply, const HttpRequest &request);
     /** Returns the fields of all answers, as lines of a header. */
     std::string headerLines() const;
-    /** Ends this lifetime: every connection is reset, and nothing listens until the next one. */
+    /** Ends this lifetime in the way that the words of @p cause choose. */
     void crash(const HttpRequest &cause);
+    /** Keeps @p connections open and silent for a time. */
+    awaitable<void> keepSilent(std::set<ConnectionPtr> connections);
     void beginLifetime();
     std::string entryText() const;
     void publish();
