--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -93,7 +93,7 @@
     if (failed(opened)) {
         m_error = describe(errorOf(opened));
         if (errorOf(opened).m_code == ErrorCode::ConnectionLost) {
-            handleBrokenConnection();
+            handleMissingAnswer();
         }
         co_return OpenResult::Lost;
     }
@@ -149,7 +149,7 @@
     while (true) {
         const Result<std::string_view> piece = co_await m_stream->read(HttpStream::NoTimeout);
         if (failed(piece)) {
-            handleBrokenConnection();
+            handleMissingAnswer();
             co_return errorOf(piece);
         }
         const std::string_view bytes = valueOf(piece);
@@ -165,13 +165,14 @@
     }
 }
 
-void EntryAttempt::handleBrokenConnection()
+void EntryAttempt::handleMissingAnswer()
 {
     const bool ranOn = m_answeredMs >= 0 && steadyMs() - m_answeredMs > CrashWindowMs;
-    if (m_call.m_running->m_cause != AbortCause::None || ranOn) {
+    if (ranOn) {
         return;
     }
-    m_call.m_mayEndUpstreams = true;
+    // Other attempts were aborted by this daemon, mostly at upstreams that live: their requests go on to the best upstream.
+    m_call.m_mayEndUpstreams = m_call.m_mayEndUpstreams || m_call.m_running->m_cause == AbortCause::None;
     checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_fingerprint);
 }
 
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -94,9 +94,11 @@
      * are together longer than MaxBufferedAnswerBytes. What was read counts as long as this object exists.
      */
     awaitable<Result<Done>> readBody(std::string &body);
-    /** Must be called when the connection broke, or may have broken, before the end of the answer. Finds out whether the request may have ended the upstream.
+    /**
+     * Must be called when the attempt ended before the end of the answer, whatever ended it. Finds out whether the request may have ended the upstream: a
+     * connection that stays silent until this daemon closes it is no proof that the upstream lives.
      */
-    void handleBrokenConnection();
+    void handleMissingAnswer();
     /** Must be called when the answer was read to its end. Returns the connection to the pool if it can be reused. */
     void finish();
 
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -46,11 +46,13 @@
 enum class EndCheckOutcome {
     /** The upstream has ended. */
     Ended,
-    /** It answers, or stays in the list. */
+    /** It answers. */
     Lives,
+    /** It neither answers nor leaves the list. */
+    Unknown,
 };
 
-inline constexpr EnumNames<2> EndCheckOutcomeNames{"ended", "lives"};
+inline constexpr EnumNames<3> EndCheckOutcomeNames{"ended", "lives", "unknown"};
 
 /** A request that is being served, as far as is needed to abort its current attempt. */
 struct RunningCall
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -1,53 +1,108 @@
-// Problem: a request that ends every upstream which runs it may come to any daemon, also after a restart or while messages are lost.
-// Approach: a daemon that loses a connection asks the upstream's address whether anything still listens. What it observes goes into the store, under
+// Problem: a request that ends every upstream which runs it may come to any daemon, also after a restart or while messages are lost. An upstream that
+// ends may break its connections, leave them silent, or be out of reach, and a successor may soon answer at its address.
+// Approach: a daemon whose attempt has no complete answer asks for the upstream by name at its address. What it observes goes into the store, under
 // a key of its own that outlives the process, and into datagrams, which are faster and also arrive while the store is down.
-// The list of upstreams alone shows an end only after three missed heartbeats, which is later than the request may come again.
+// The list of upstreams alone shows an end only after three missed heartbeats, which is later than the request may come again. A broken connection alone
+// neither proves an end nor comes with each.
 
 #include "daemons/entrycrashes.h"
 
 #include "net/crashcodec.h"
 #include "net/logging.h"
+#include "platform/enginecalls.h"
 
 namespace knapweedslip
 {
 namespace
 {
-/** Longest wait for a connection that shows whether the upstream still listens, in ms: connecting takes a few ms within a region. */
+/** Longest wait for a connection to the upstream, and for its answer, in ms: both take a few ms within a region. */
 constexpr std::int64_t ProbeConnectTimeoutMs = 150;
-/** How long an upstream that cannot be reached may stay in the list after its end, in ms: three missed heartbeats of 1.2 s and the relay of the update. */
-constexpr std::int64_t ListedAfterEndMs = 6'000;
+constexpr std::int64_t ProbeAnswerTimeoutMs = 150;
+/** Interval between two probes of an upstream that does not answer, in ms. */
+constexpr std::int64_t ProbeIntervalMs = 500;
+constexpr std::size_t MaxProbeAnswerBytes = 256 * 1024;
+/**
+ * How long an upstream that does not answer is checked, in ms: the list drops it after three missed heartbeats of 1.2 s and the relay of the update, later
+ * while the store is away.
+ */
+constexpr std::int64_t MaxCheckMs = 10'000;
 constexpr std::int64_t ListPollMs = 100;
 /** Interval between checks for observations to store, and the least time between two writes, in ms: an upstream that ends causes several observations. */
 constexpr std::int64_t PublishPollMs = 100;
 constexpr std::int64_t PublishPauseMs = 400;
 constexpr std::int64_t PublishRetryMs = 1'000;
 
-/** Returns whether the list no longer has this lifetime of the upstream. */
-bool isUnlisted(const EntryContext &context, const UpstreamInstance &upstream)
+/** Result of asking for an upstream at its address. */
+enum class ProbeResult {
+    Answered,
+    /** Nothing listens there, or another upstream answers. */
+    Gone,
+    NoAnswer,
+};
+
+awaitable<ProbeResult> probeUpstream(EntryContext &context, const UpstreamInstance &upstream)
+{
+    constexpr unsigned Misdirected = 421;
+    // A pooled connection may be one that the upstream left silent.
+    Result<HttpConnectionPtr> connected = co_await httpConnect(upstream.m_address, ProbeConnectTimeoutMs);
+    if (failed(connected)) {
+        co_return isConnectionRefused(errorOf(connected)) ? ProbeResult::Gone : ProbeResult::NoAnswer;
+    }
+    HttpConnectionPtr connection = std::move(valueOf(connected));
+    const HttpRequest request = platform::makeReportRequest(upstream.m_id);
+    const Result<HttpReply> reply = co_await httpExchange(*connection, request, ProbeAnswerTimeoutMs, MaxProbeAnswerBytes);
+    if (failed(reply)) {
+        co_return ProbeResult::NoAnswer;
+    }
+    if (valueOf(reply).m_status == Misdirected) {
+        co_return ProbeResult::Gone;
+    }
+    if (!connection->m_closing) {
+        connection->m_bootId = upstream.m_id;
+        context.m_connections.give(std::move(connection));
+    }
+    co_return ProbeResult::Answered;
+}
+
+bool isListed(const EntryContext &context, const UpstreamInstance &upstream)
+{
+    return context.m_upstreams.count(upstream.m_id) > 0;
+}
+
+/** Returns whether the list has a later lifetime of the upstream. */
+bool hasStartedAnew(const EntryContext &context, const UpstreamInstance &upstream)
 {
     const auto found = context.m_upstreams.find(upstream.m_id);
-    return found == context.m_upstreams.end() || found->second.m_startedMs != upstream.m_startedMs;
+    return found != context.m_upstreams.end() && found->second.m_startedMs != upstream.m_startedMs;
 }
 
-awaitable<bool> hasEnded(EntryContext &context, UpstreamInstance upstream)
+awaitable<EndCheckOutcome> checkEnd(EntryContext &context, UpstreamInstance upstream)
 {
     const std::int64_t startedMs = steadyMs();
-    const Result<HttpConnectionPtr> connection = co_await httpConnect(upstream.m_address, ProbeConnectTimeoutMs);
-    if (failed(connection) && isConnectionRefused(errorOf(connection))) {
-        co_return true;
-    }
-    // An upstream that is out of reach may live. It has ended if the store removes it.
-    while (failed(connection) && !isUnlisted(context, upstream) && steadyMs() - startedMs < ListedAfterEndMs) {
-        co_await sleepFor(ListPollMs);
+    while (steadyMs() - startedMs < MaxCheckMs) {
+        const ProbeResult probe = co_await probeUpstream(context, upstream);
+        if (probe == ProbeResult::Gone || hasStartedAnew(context, upstream)) {
+            co_return EndCheckOutcome::Ended;
+        }
+        if (probe == ProbeResult::Answered) {
+            // An upstream that has only lost its connection to the store leaves the list too.
+            co_return EndCheckOutcome::Lives;
+        }
+        const std::int64_t probedMs = steadyMs();
+        while (steadyMs() - probedMs < ProbeIntervalMs) {
+            if (!isListed(context, upstream)) {
+                co_return EndCheckOutcome::Ended;
+            }
+            co_await sleepFor(ListPollMs);
+        }
     }
-    co_return isUnlisted(context, upstream);
+    co_return EndCheckOutcome::Unknown;
 }
 
 awaitable<void> runEndCheck(EntryContext &context, UpstreamInstance upstream, std::uint64_t lifetime)
 {
     const std::int64_t startedMs = steadyMs();
-    const bool ended = co_await hasEnded(context, upstream);
-    const EndCheckOutcome outcome = ended ? EndCheckOutcome::Ended : EndCheckOutcome::Lives;
+    const EndCheckOutcome outcome = co_await checkEnd(context, upstream);
     const auto waiting = context.m_endChecks.extract(lifetime);
     ++context.m_metrics.m_endChecks.at(static_cast<std::size_t>(outcome));
     logEvent(LogEvent::UpstreamChecked,
@@ -55,7 +110,7 @@
               {"outcome", std::string(enumName(EndCheckOutcomeNames, outcome))},
               {"requests", static_cast<std::int64_t>(waiting.empty() ? 0 : waiting.mapped().size())},
               {"took_ms", steadyMs() - startedMs}});
-    if (!ended || waiting.empty()) {
+    if (outcome != EndCheckOutcome::Ended || waiting.empty()) {
         co_return;
     }
     for (const std::uint64_t fingerprint : waiting.mapped()) {
--- a/daemons/entrycrashes.h
+++ b/daemons/entrycrashes.h
@@ -13,8 +13,9 @@
 };
 
 /**
- * Must be called when the connection of an attempt at @p upstream broke before the request had run there for CrashWindowMs. Finds out, in the
- * background, whether the upstream has ended, and records that in the crash ledger. Costs at most one connection to each upstream at a time.
+ * Must be called when an attempt at @p upstream ended without a complete answer before the request had run there for CrashWindowMs, whatever ended the
+ * attempt. Finds out, in the background, whether the upstream has ended, and records that in the crash ledger. Costs at most one connection to each
+ * upstream at a time, and two a second to one that does not answer.
  */
 void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint);
 
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -130,7 +130,7 @@
         const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
         if (failed(piece)) {
             logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, describe(errorOf(piece)));
-            attempt.handleBrokenConnection();
+            attempt.handleMissingAnswer();
             co_return AttemptResult::Failed;
         }
         if (valueOf(piece).empty()) {
@@ -170,13 +170,13 @@
     if (state.m_reassembler.hasPartialEvent() || hasNoEvents) {
         const std::string what = hasNoEvents ? "the answer ended before its first event" : "the answer ended inside an event";
         logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, what);
-        attempt.handleBrokenConnection();
+        attempt.handleMissingAnswer();
         co_return AttemptResult::Failed;
     }
     if (attempt.stream().reusable()) {
         call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
     } else if (!counted) {
-        attempt.handleBrokenConnection();
+        attempt.handleMissingAnswer();
     }
     attempt.finish();
     if (!state.m_headerSent) {
