--- a/autotests/crashledgertest.cpp
+++ b/autotests/crashledgertest.cpp
@@ -10,6 +10,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 using namespace knapweedslip;
@@ -135,13 +136,80 @@
     CHECK(ledger.verdict(Cause, 4'000) == CrashVerdict::MaySend);
 }
 
+namespace
+{
+struct UnconfirmedRow
+{
+    const char *m_name;
+    int m_ended;
+    int m_unconfirmed;
+    /** 'e': the upstreams that do not answer have ended; 'l': they live; 'f': the request finishes; '-': nothing more is known. */
+    char m_then;
+    CrashVerdict m_before;
+    CrashVerdict m_after;
+    CrashVerdict m_afterSettling;
+};
+
+constexpr std::array<UnconfirmedRow, 7> UnconfirmedRows{{
+    {"two that do not answer", 0, 2, '-', CrashVerdict::MaySend, CrashVerdict::MaySend, CrashVerdict::MaySend},
+    {"three that do not answer", 0, 3, '-', CrashVerdict::Undecided, CrashVerdict::Undecided, CrashVerdict::MaySend},
+    {"three that have ended", 0, 3, 'e', CrashVerdict::Undecided, CrashVerdict::Undecided, CrashVerdict::Poison},
+    {"three that live", 0, 3, 'l', CrashVerdict::Undecided, CrashVerdict::MaySend, CrashVerdict::MaySend},
+    {"three that do not answer, and a finish", 0, 3, 'f', CrashVerdict::Undecided, CrashVerdict::MaySend, CrashVerdict::MaySend},
+    {"two ended, one does not answer", 2, 1, 'e', CrashVerdict::Undecided, CrashVerdict::Undecided, CrashVerdict::Poison},
+    {"three ended, one does not answer", 3, 1, '-', CrashVerdict::Undecided, CrashVerdict::Undecided, CrashVerdict::Poison},
+}};
+}
+
+// A request was sent on for seconds while the upstreams that it had ended only did not answer (incident BUDGET of issue 31).
+TEST_CASE("a request waits while upstreams under it do not answer, and is not refused for those that live", "[entry][crash]")
+{
+    for (const UnconfirmedRow &row : UnconfirmedRows) {
+        CAPTURE(row.m_name);
+        CrashLedger ledger;
+        const int all = row.m_ended + row.m_unconfirmed;
+        for (int upstream = 0; upstream < all; ++upstream) {
+            if (upstream < row.m_ended) {
+                ledger.recordEnd(Cause, static_cast<std::uint64_t>(upstream), 0);
+            } else {
+                ledger.recordUnconfirmed(Cause, static_cast<std::uint64_t>(upstream), 0);
+            }
+        }
+        // Another daemon, which has this from messages, decides alike.
+        CrashLedger other;
+        const auto share = [&ledger, &other](std::int64_t nowMs) {
+            other.merge(valueOf(decodeCrashes(encodeCrashes(ledger.ownObservations(100, CrashLedger::RetentionMs, nowMs)))), false, nowMs);
+        };
+        share(0);
+        CHECK(ledger.verdict(Cause, 0) == row.m_before);
+        CHECK(other.verdict(Cause, 0) == row.m_before);
+        for (int upstream = row.m_ended; upstream < all; ++upstream) {
+            if (row.m_then == 'e') {
+                ledger.recordEnd(Cause, static_cast<std::uint64_t>(upstream), 1'000);
+            } else if (row.m_then == 'l') {
+                ledger.recordLives(Cause, static_cast<std::uint64_t>(upstream), 1'000);
+            }
+        }
+        if (row.m_then == 'f') {
+            ledger.recordFinish(Cause, 1'000);
+        }
+        share(1'000);
+        CHECK(ledger.verdict(Cause, 1'000) == row.m_after);
+        CHECK(other.verdict(Cause, 1'000) == row.m_after);
+        const std::int64_t settledMs = 1'000 + CrashLedger::MaxUnconfirmedMs;
+        CHECK(ledger.verdict(Cause, settledMs) == row.m_afterSettling);
+        CHECK(other.verdict(Cause, settledMs) == row.m_afterSettling);
+    }
+}
+
 TEST_CASE("crash observations merge to the same result in any order", "[entry][crash]")
 {
     rc::prop("any order, any repetition", []() {
         std::vector<CrashObservation> observations;
         const int count = *rc::gen::inRange(0, 30);
         for (int i = 0; i < count; ++i) {
-            observations.push_back({*rc::gen::inRange<std::uint64_t>(1, 4), *rc::gen::inRange<std::uint64_t>(1, 6), 0, *rc::gen::arbitrary<bool>()});
+            observations.push_back(
+                {*rc::gen::inRange<std::uint64_t>(1, 4), *rc::gen::inRange<std::uint64_t>(1, 6), 0, *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>()});
         }
         std::vector<CrashObservation> shuffled = observations;
         shuffled.insert(shuffled.end(), observations.begin(), observations.end());
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -76,7 +76,15 @@
     return found != context.m_upstreams.end() && found->second.m_startedMs != upstream.m_startedMs;
 }
 
-awaitable<EndCheckOutcome> checkEnd(EntryContext &context, UpstreamInstance upstream)
+/** Records that the upstream does not answer the requests that wait for its check. */
+void recordUnconfirmed(EntryContext &context, std::uint64_t lifetime)
+{
+    for (const std::uint64_t fingerprint : context.m_endChecks.at(lifetime)) {
+        context.m_crashLedger.recordUnconfirmed(fingerprint, lifetime, steadyMs());
+    }
+}
+
+awaitable<EndCheckOutcome> checkEnd(EntryContext &context, UpstreamInstance upstream, std::uint64_t lifetime)
 {
     const std::int64_t startedMs = steadyMs();
     while (steadyMs() - startedMs < MaxCheckMs) {
@@ -88,6 +96,7 @@
             // An upstream that has only lost its connection to the store leaves the list too.
             co_return EndCheckOutcome::Lives;
         }
+        recordUnconfirmed(context, lifetime);
         const std::int64_t probedMs = steadyMs();
         while (steadyMs() - probedMs < ProbeIntervalMs) {
             if (!isListed(context, upstream)) {
@@ -102,15 +111,20 @@
 awaitable<void> runEndCheck(EntryContext &context, UpstreamInstance upstream, std::uint64_t lifetime)
 {
     const std::int64_t startedMs = steadyMs();
-    const EndCheckOutcome outcome = co_await checkEnd(context, upstream);
+    const EndCheckOutcome outcome = co_await checkEnd(context, upstream, lifetime);
     const auto waiting = context.m_endChecks.extract(lifetime);
     ++context.m_metrics.m_endChecks.at(static_cast<std::size_t>(outcome));
     logEvent(LogEvent::UpstreamChecked,
              {{"upstream", upstream.m_id},
               {"outcome", std::string(enumName(EndCheckOutcomeNames, outcome))},
-              {"requests", static_cast<std::int64_t>(waiting.empty() ? 0 : waiting.mapped().size())},
+              {"requests", static_cast<std::int64_t>(waiting.mapped().size())},
               {"took_ms", steadyMs() - startedMs}});
-    if (outcome != EndCheckOutcome::Ended || waiting.empty()) {
+    if (outcome == EndCheckOutcome::Lives) {
+        for (const std::uint64_t fingerprint : waiting.mapped()) {
+            context.m_crashLedger.recordLives(fingerprint, lifetime, steadyMs());
+        }
+    }
+    if (outcome != EndCheckOutcome::Ended) {
         co_return;
     }
     for (const std::uint64_t fingerprint : waiting.mapped()) {
--- a/kernel/crashledger.cpp
+++ b/kernel/crashledger.cpp
@@ -49,14 +49,17 @@
     }
 }
 
-void CrashLedger::store(const Key &key, std::int64_t observedMs, bool refuted, bool own)
+void CrashLedger::store(const Key &key, Entry entry)
 {
     const auto known = m_entries.find(key);
-    Entry entry{observedMs, refuted, own};
     if (known != m_entries.end()) {
-        const Entry &old = known->second;
-        entry = {refuted && !old.m_refuted ? observedMs : old.m_observedMs, refuted || old.m_refuted, own || old.m_own};
-        if (entry.m_refuted == old.m_refuted && entry.m_own == old.m_own) {
+        const Entry old = known->second;
+        const bool isNews = (entry.m_refuted && !old.m_refuted) || (!entry.m_unconfirmed && old.m_unconfirmed);
+        entry.m_observedMs = isNews ? entry.m_observedMs : old.m_observedMs;
+        entry.m_refuted = entry.m_refuted || old.m_refuted;
+        entry.m_unconfirmed = entry.m_unconfirmed && old.m_unconfirmed;
+        entry.m_own = entry.m_own || old.m_own;
+        if (!isNews && entry.m_own == old.m_own) {
             return;
         }
         erase(key);
@@ -81,7 +84,22 @@
 void CrashLedger::recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    store({request, upstream}, nowMs, false, true);
+    store({request, upstream}, {nowMs, false, false, true});
+}
+
+void CrashLedger::recordUnconfirmed(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
+{
+    dropExpired(nowMs);
+    store({request, upstream}, {nowMs, false, true, true});
+}
+
+void CrashLedger::recordLives(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
+{
+    dropExpired(nowMs);
+    const auto found = m_entries.find({request, upstream});
+    if (found != m_entries.end()) {
+        store(found->first, {nowMs, true, true, true});
+    }
 }
 
 void CrashLedger::recordFinish(std::uint64_t request, std::int64_t nowMs)
@@ -94,7 +112,7 @@
         }
     }
     for (const Key &key : keys) {
-        store(key, nowMs, true, true);
+        store(key, {nowMs, true, m_entries.at(key).m_unconfirmed, true});
     }
 }
 
@@ -104,7 +122,7 @@
     for (const CrashObservation &observation : observations) {
         const std::int64_t ageMs = std::max<std::int64_t>(0, observation.m_ageMs);
         if (ageMs <= RetentionMs) {
-            store({observation.m_request, observation.m_upstream}, nowMs - ageMs, observation.m_refuted, own);
+            store({observation.m_request, observation.m_upstream}, {nowMs - ageMs, observation.m_refuted, observation.m_unconfirmed, own});
         }
     }
 }
@@ -113,11 +131,21 @@
 {
     int ended = 0;
     for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
-        ended += it->second.m_refuted ? 0 : 1;
+        ended += it->second.m_refuted || it->second.m_unconfirmed ? 0 : 1;
     }
     return ended;
 }
 
+int CrashLedger::unconfirmedEnds(std::uint64_t request, std::int64_t nowMs) const
+{
+    int ends = 0;
+    for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
+        const Entry &entry = it->second;
+        ends += entry.m_unconfirmed && !entry.m_refuted && nowMs - entry.m_observedMs <= MaxUnconfirmedMs ? 1 : 0;
+    }
+    return ends;
+}
+
 bool CrashLedger::isMostSuspiciousAt(std::uint64_t request, std::uint64_t upstream, int upstreams) const
 {
     const int mostOfOthers = upstreams >= MaxUpstreams ? upstreams : upstreams - 1;
@@ -132,11 +160,11 @@
     dropExpired(nowMs);
     const int upstreams = upstreamsEnded(request);
     if (upstreams < UpstreamsUntilPoison) {
-        return CrashVerdict::MaySend;
+        return upstreams + unconfirmedEnds(request, nowMs) < UpstreamsUntilPoison ? CrashVerdict::MaySend : CrashVerdict::Undecided;
     }
     bool isMostSuspicious = false;
     for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
-        if (it->second.m_refuted) {
+        if (it->second.m_refuted || it->second.m_unconfirmed) {
             continue;
         }
         if (nowMs - it->second.m_observedMs < SettleMs) {
@@ -164,7 +192,8 @@
 {
     std::vector<CrashObservation> observations;
     for (auto it = m_ownByAge.rbegin(); it != m_ownByAge.rend() && observations.size() < maxCount && nowMs - it->first <= maxAgeMs; ++it) {
-        observations.push_back({it->second.first, it->second.second, nowMs - it->first, m_entries.at(it->second).m_refuted});
+        observations.push_back(
+            {it->second.first, it->second.second, nowMs - it->first, m_entries.at(it->second).m_refuted, m_entries.at(it->second).m_unconfirmed});
     }
     return observations;
 }
--- a/kernel/crashledger.h
+++ b/kernel/crashledger.h
@@ -19,15 +19,20 @@
     std::uint64_t m_upstream = 0;
     /** How long ago the upstream ended, or the finding was made, in ms. */
     std::int64_t m_ageMs = 0;
-    /** The request has finished on an upstream since, so it does not end those that run it. */
+    /** The request has finished on an upstream since, so it does not end those that run it; or the upstream lives. */
     bool m_refuted = false;
+    /** The upstream does not answer, and it is not known yet whether it has ended. */
+    bool m_unconfirmed = false;
 };
 
 /** What is known of a request and the upstreams that ended under it. */
 enum class CrashVerdict {
     /** The request may be sent. */
     MaySend,
-    /** Enough upstreams ended, but observations of other requests there may still be on their way. Ends after CrashLedger::SettleMs. */
+    /**
+     * Enough upstreams ended, but observations of other requests there may still be on their way. Ends after CrashLedger::SettleMs. Or enough ended if
+     * those count that do not answer. Ends when it is known whether these ended, at the latest after CrashLedger::MaxUnconfirmedMs.
+     */
     Undecided,
     /** The request ends the upstreams that run it. */
     Poison,
@@ -50,8 +55,8 @@
  * requests there are known; until then the request should wait. At a tie before MaxUpstreams it may be sent, so that the next end decides.
  * A request that finishes is cleared of all that happened before.
  *
- * The ledgers of all daemons hold sets of observations. Merging is a union in which a refuted observation stays refuted, so observations may
- * arrive late, in any order, or more than once. A daemon publishes its own observations as a whole; nothing is lost with a message.
+ * The ledgers of all daemons hold sets of observations. Merging is a union in which a refuted observation stays refuted and a confirmed one confirmed,
+ * so observations may arrive late, in any order, or more than once. A daemon publishes its own observations as a whole; nothing is lost with a message.
  *
  * Memory: at most MaxObservations of about 300 bytes, the oldest are dropped first; of its own a daemon publishes at most MaxOwn.
  */
@@ -62,6 +67,8 @@
     static constexpr int MaxUpstreams = 6;
     /** Time in which the observations of an end reach every daemon through the store, in ms: it is written within 0.5 s and read within 1.2 s. */
     static constexpr std::int64_t SettleMs = 2'000;
+    /** An end that is not confirmed within this time no longer counts, in ms: longer than an upstream that does not answer is checked. */
+    static constexpr std::int64_t MaxUnconfirmedMs = 11'000;
     /** Observations older than this are dropped, in ms. */
     static constexpr std::int64_t RetentionMs = 10 * 60 * 1'000;
     static constexpr std::size_t MaxObservations = 16'384;
@@ -69,12 +76,16 @@
 
     /** Records this daemon's own observation that @p upstream ended under @p request. */
     void recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
+    /** Records that @p upstream did not answer @p request and is being checked. Either recordEnd() or recordLives() should follow. */
+    void recordUnconfirmed(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
+    /** Records that @p upstream, which did not answer @p request, lives. Does nothing if nothing was recorded of both. */
+    void recordLives(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
     /** Records that @p request has finished: it did not end the upstreams that are known so far. Does nothing if none are. */
     void recordFinish(std::uint64_t request, std::int64_t nowMs);
     /** Merges observations of another daemon, or of an earlier process of this one, whose observations then are published again (@p own). */
     void merge(const std::vector<CrashObservation> &observations, bool own, std::int64_t nowMs);
 
-    /** Returns the number of upstreams that ended under @p request and are not refuted. */
+    /** Returns the number of upstreams that ended under @p request, confirmed and not refuted. */
     int upstreamsEnded(std::uint64_t request) const;
     /** Returns whether @p request may be sent to an upstream. Costs a lookup unless upstreams have ended under the request. */
     CrashVerdict verdict(std::uint64_t request, std::int64_t nowMs);
@@ -94,13 +105,16 @@
     {
         std::int64_t m_observedMs = 0;
         bool m_refuted = false;
+        bool m_unconfirmed = false;
         bool m_own = false;
     };
 
-    void store(const Key &key, std::int64_t observedMs, bool refuted, bool own);
+    void store(const Key &key, Entry entry);
     void erase(const Key &key);
     void dropOldest();
     void dropExpired(std::int64_t nowMs);
+    /** Returns the number of upstreams that may have ended under @p request, as far as this is neither confirmed nor too long ago. */
+    int unconfirmedEnds(std::uint64_t request, std::int64_t nowMs) const;
     bool isMostSuspiciousAt(std::uint64_t request, std::uint64_t upstream, int upstreams) const;
 
     /** Observations by request and upstream. */
--- a/net/crashcodec.cpp
+++ b/net/crashcodec.cpp
@@ -15,7 +15,8 @@
     std::vector<flatbuffers::Offset<wire::Crash>> items;
     for (const CrashObservation &observation : observations) {
         const std::int64_t ageMs = std::clamp<std::int64_t>(observation.m_ageMs, 0, std::numeric_limits<std::uint32_t>::max());
-        items.push_back(wire::CreateCrash(builder, observation.m_request, observation.m_upstream, static_cast<std::uint32_t>(ageMs), observation.m_refuted));
+        items.push_back(wire::CreateCrash(
+            builder, observation.m_request, observation.m_upstream, static_cast<std::uint32_t>(ageMs), observation.m_refuted, observation.m_unconfirmed));
     }
     return builder.CreateVector(items);
 }
@@ -25,7 +26,7 @@
     std::vector<CrashObservation> observations;
     if (items != nullptr) {
         for (const wire::Crash *item : *items) {
-            observations.push_back({item->request(), item->upstream(), item->age_ms(), item->refuted()});
+            observations.push_back({item->request(), item->upstream(), item->age_ms(), item->refuted(), item->unconfirmed()});
         }
     }
     return observations;
--- a/wire/crashes_generated.h
+++ b/wire/crashes_generated.h
@@ -30,6 +30,7 @@
   uint64_t upstream = 0;
   uint32_t age_ms = 0;
   bool refuted = false;
+  bool unconfirmed = false;
 };
 
 struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -39,7 +40,8 @@
     VT_REQUEST = 4,
     VT_UPSTREAM = 6,
     VT_AGE_MS = 8,
-    VT_REFUTED = 10
+    VT_REFUTED = 10,
+    VT_UNCONFIRMED = 12
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -53,12 +55,16 @@
   bool refuted() const {
     return GetField<uint8_t>(VT_REFUTED, 0) != 0;
   }
+  bool unconfirmed() const {
+    return GetField<uint8_t>(VT_UNCONFIRMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REFUTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_UNCONFIRMED, 1) &&
            verifier.EndTable();
   }
   CrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -82,6 +88,9 @@
   void add_refuted(bool refuted) {
     fbb_.AddElement<uint8_t>(Crash::VT_REFUTED, static_cast<uint8_t>(refuted), 0);
   }
+  void add_unconfirmed(bool unconfirmed) {
+    fbb_.AddElement<uint8_t>(Crash::VT_UNCONFIRMED, static_cast<uint8_t>(unconfirmed), 0);
+  }
   explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -98,11 +107,13 @@
     uint64_t request = 0,
     uint64_t upstream = 0,
     uint32_t age_ms = 0,
-    bool refuted = false) {
+    bool refuted = false,
+    bool unconfirmed = false) {
   CrashBuilder builder_(_fbb);
   builder_.add_upstream(upstream);
   builder_.add_request(request);
   builder_.add_age_ms(age_ms);
+  builder_.add_unconfirmed(unconfirmed);
   builder_.add_refuted(refuted);
   return builder_.Finish();
 }
@@ -189,6 +200,7 @@
   { auto _e = upstream(); _o->upstream = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = refuted(); _o->refuted = _e; }
+  { auto _e = unconfirmed(); _o->unconfirmed = _e; }
 }
 
 inline flatbuffers::Offset<Crash> Crash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -203,12 +215,14 @@
   auto _upstream = _o->upstream;
   auto _age_ms = _o->age_ms;
   auto _refuted = _o->refuted;
+  auto _unconfirmed = _o->unconfirmed;
   return knapweedslip::wire::CreateCrash(
       _fbb,
       _request,
       _upstream,
       _age_ms,
-      _refuted);
+      _refuted,
+      _unconfirmed);
 }
 
 inline CrashesT::CrashesT(const CrashesT &o) {
