A request that ran on upstreams which were lost together is not refused as one that ends them

Cause: the ledger counted ends, not whether one followed from another. A request with copies on every upstream is at all ends of a common loss, and no other request is. Found while the same class was looked for elsewhere: a symptom (being there) taken for the fact (being the cause).

Change: a run has a time of sending and of its end. Ends of which each came before the next send count as before. Ends that came together need a further one after them. Until it is known the daemons try the request one after the other within 4 s.

--- a/autotests/crashledgertest.cpp
+++ b/autotests/crashledgertest.cpp
@@ -172,7 +172,7 @@
             if (upstream < row.m_ended) {
                 ledger.recordEnd(Cause, static_cast<std::uint64_t>(upstream), 0);
             } else {
-                ledger.recordUnconfirmed(Cause, static_cast<std::uint64_t>(upstream), 0);
+                ledger.recordUnconfirmed(Cause, static_cast<std::uint64_t>(upstream), {0, 0}, 0);
             }
         }
         // Another daemon, which has this from messages, decides alike.
@@ -202,6 +202,54 @@
     }
 }
 
+namespace
+{
+struct RunsRow
+{
+    const char *m_name;
+    /** When the request was sent to each upstream that ended, and when the attempt there ended, in ms. */
+    std::vector<CrashRun> m_runs;
+    CrashVerdict m_verdict;
+};
+
+const std::vector<RunsRow> &runsRows()
+{
+    static const std::vector<RunsRow> rows{
+        {"sent to three one after the other", {{0, 100}, {100, 200}, {200, 300}}, CrashVerdict::Poison},
+        {"at three that were lost together", {{50, 100}, {60, 101}, {90, 102}}, CrashVerdict::MaySend},
+        {"at many that were lost together", std::vector<CrashRun>(30, {50, 100}), CrashVerdict::MaySend},
+        {"sent again once after that", {{50, 100}, {60, 101}, {90, 102}, {500, 600}}, CrashVerdict::Poison},
+        {"two lost together, sent again once after that", {{50, 100}, {60, 101}, {500, 600}}, CrashVerdict::MaySend},
+        {"copies that overlap", {{0, 300}, {200, 500}, {400, 700}, {600, 900}, {800, 1'100}}, CrashVerdict::Poison},
+    };
+    return rows;
+}
+}
+
+// A request that many callers sent at once was refused when all upstreams were lost at one moment for another reason.
+TEST_CASE("a request is not refused because upstreams under it were lost together", "[entry][crash]")
+{
+    for (const RunsRow &row : runsRows()) {
+        CAPTURE(row.m_name);
+        CrashLedger ledger;
+        std::uint64_t upstream = 10;
+        std::int64_t nowMs = 0;
+        for (const CrashRun &run : row.m_runs) {
+            nowMs = std::max(nowMs, run.m_endedMs + 5);
+            ledger.recordEnd(Cause, ++upstream, run, run.m_endedMs + 5);
+        }
+        CrashLedger other;
+        other.merge(valueOf(decodeCrashes(encodeCrashes(ledger.ownObservations(100, CrashLedger::RetentionMs, nowMs)))), false, nowMs);
+        CHECK(ledger.verdict(Cause, nowMs) == CrashVerdict::Undecided);
+        CHECK(ledger.verdict(Cause, nowMs + CrashLedger::SettleMs) == row.m_verdict);
+        CHECK(other.verdict(Cause, nowMs + CrashLedger::SettleMs) == row.m_verdict);
+        const bool waits = row.m_verdict == CrashVerdict::MaySend && row.m_runs.size() >= CrashLedger::UpstreamsUntilPoison;
+        const CrashVerdict delayed = ledger.verdict(Cause, nowMs + CrashLedger::SettleMs, 500);
+        CHECK(delayed == (waits ? CrashVerdict::Undecided : row.m_verdict));
+        CHECK(ledger.verdict(Cause, nowMs + CrashLedger::SettleMs + 500, 500) == row.m_verdict);
+    }
+}
+
 TEST_CASE("crash observations merge to the same result in any order", "[entry][crash]")
 {
     rc::prop("any order, any repetition", []() {
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -8,6 +8,7 @@
 #include "daemons/entryavailability.h"
 
 #include "daemons/entryloadreports.h"
+#include "kernel/hashing.h"
 #include "kernel/requestfingerprint.h"
 #include "net/logging.h"
 
@@ -23,6 +24,9 @@
 /** Longest time by which a request that waited for a crash verdict goes on later, in ms: several times the time in which an upstream begins to run it. */
 constexpr std::int64_t CrashSpreadMs = 1'000;
 
+/** Time over which the daemons begin to try a request again that ran on upstreams which were lost together, in ms. */
+constexpr std::uint64_t CrashTrialSpreadMs = 4'000;
+
 /** When a client should retry if this daemon is stopping, in ms: another daemon accepts its new connection at once. */
 constexpr std::int64_t DrainingRetryMs = 20;
 
@@ -87,6 +91,7 @@
     headers.m_priority = std::clamp(m_call.m_admission.m_priority, 0, 9);
     request.m_headers = platform::makeUpstreamHeaders(m_call.m_exchange.request().m_headers, headers);
     ++m_call.m_sends;
+    m_sentMs = steadyMs();
     m_call.m_running->m_connection = m_connection.get();
     m_stream = std::make_unique<HttpStream>(*m_connection);
     const Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
@@ -173,7 +178,7 @@
     }
     // Other attempts were aborted by this daemon, mostly at upstreams that live: their requests go on to the best upstream.
     m_call.m_mayEndUpstreams = m_call.m_mayEndUpstreams || m_call.m_running->m_cause == AbortCause::None;
-    checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_fingerprint);
+    checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_fingerprint, m_sentMs);
 }
 
 void EntryAttempt::finish()
@@ -238,7 +243,8 @@
 
 CrashVerdict crashVerdict(const EntryCall &call)
 {
-    return call.m_context.m_crashLedger.verdict(call.m_fingerprint, steadyMs());
+    const std::uint64_t delayMs = hash64(call.m_context.m_settings.m_name, call.m_fingerprint) % CrashTrialSpreadMs;
+    return call.m_context.m_crashLedger.verdict(call.m_fingerprint, steadyMs(), static_cast<std::int64_t>(delayMs));
 }
 
 awaitable<CrashVerdict> waitForCrashVerdict(EntryCall &call)
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -105,6 +105,7 @@
 private:
     EntryCall &m_call;
     UpstreamInstance m_upstream;
+    std::int64_t m_sentMs = 0;
     /** Time at which the answer began, and with it the run; -1 before. */
     std::int64_t m_answeredMs = -1;
     HttpConnectionPtr m_connection;
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -174,8 +174,8 @@
     ColdLimiter m_coldLimiter;
     /** What all daemons observed about requests under which upstreams ended. */
     CrashLedger m_crashLedger;
-    /** Upstreams that may have ended, by lifetime, with the fingerprints of the requests whose connections to them broke. */
-    std::map<std::uint64_t, std::set<std::uint64_t>> m_endChecks;
+    /** Upstreams that may have ended, by lifetime, with the fingerprints of the requests that they did not answer. */
+    std::map<std::uint64_t, std::map<std::uint64_t, CrashRun>> m_endChecks;
     /** This process has stored its observations. */
     bool m_crashesStored = false;
     ReplicaReconciler m_reconciler;
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -79,8 +79,8 @@
 /** Records that the upstream does not answer the requests that wait for its check. */
 void recordUnconfirmed(EntryContext &context, std::uint64_t lifetime)
 {
-    for (const std::uint64_t fingerprint : context.m_endChecks.at(lifetime)) {
-        context.m_crashLedger.recordUnconfirmed(fingerprint, lifetime, steadyMs());
+    for (const std::pair<const std::uint64_t, CrashRun> &request : context.m_endChecks.at(lifetime)) {
+        context.m_crashLedger.recordUnconfirmed(request.first, lifetime, request.second, steadyMs());
     }
 }
 
@@ -120,15 +120,16 @@
               {"requests", static_cast<std::int64_t>(waiting.mapped().size())},
               {"took_ms", steadyMs() - startedMs}});
     if (outcome == EndCheckOutcome::Lives) {
-        for (const std::uint64_t fingerprint : waiting.mapped()) {
-            context.m_crashLedger.recordLives(fingerprint, lifetime, steadyMs());
+        for (const std::pair<const std::uint64_t, CrashRun> &request : waiting.mapped()) {
+            context.m_crashLedger.recordLives(request.first, lifetime, steadyMs());
         }
     }
     if (outcome != EndCheckOutcome::Ended) {
         co_return;
     }
-    for (const std::uint64_t fingerprint : waiting.mapped()) {
-        context.m_crashLedger.recordEnd(fingerprint, lifetime, steadyMs());
+    for (const std::pair<const std::uint64_t, CrashRun> &request : waiting.mapped()) {
+        const std::uint64_t fingerprint = request.first;
+        context.m_crashLedger.recordEnd(fingerprint, lifetime, request.second, steadyMs());
         logEvent(LogEvent::UpstreamEnded,
                  {{"upstream", upstream.m_id},
                   {"fingerprint", toHex(fingerprint)},
@@ -150,11 +151,11 @@
 }
 }
 
-void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint)
+void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint, std::int64_t sentMs)
 {
     const std::uint64_t lifetime = upstreamLifetime(upstream.m_id, upstream.m_startedMs);
     const bool isRunning = context.m_endChecks.count(lifetime) > 0;
-    context.m_endChecks[lifetime].insert(fingerprint);
+    context.m_endChecks[lifetime][fingerprint] = {sentMs, steadyMs()};
     if (!isRunning) {
         asio::co_spawn(context.m_io, runEndCheck(context, std::move(upstream), lifetime), asio::detached);
     }
--- a/kernel/crashledger.cpp
+++ b/kernel/crashledger.cpp
@@ -55,6 +55,8 @@
     if (known != m_entries.end()) {
         const Entry old = known->second;
         const bool isNews = (entry.m_refuted && !old.m_refuted) || (!entry.m_unconfirmed && old.m_unconfirmed);
+        // The first report of a run is the most exact: each further daemon that passes it on makes it seem later.
+        entry.m_run = old.m_run;
         entry.m_observedMs = isNews ? entry.m_observedMs : old.m_observedMs;
         entry.m_refuted = entry.m_refuted || old.m_refuted;
         entry.m_unconfirmed = entry.m_unconfirmed && old.m_unconfirmed;
@@ -81,24 +83,30 @@
     }
 }
 
-void CrashLedger::recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
+void CrashLedger::recordEnd(std::uint64_t request, std::uint64_t upstream, CrashRun run, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    store({request, upstream}, {nowMs, false, false, true});
+    store({request, upstream}, {nowMs, false, false, true, run});
+}
+
+void CrashLedger::recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
+{
+    recordEnd(request, upstream, {nowMs, nowMs}, nowMs);
 }
 
-void CrashLedger::recordUnconfirmed(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
+void CrashLedger::recordUnconfirmed(std::uint64_t request, std::uint64_t upstream, CrashRun run, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    store({request, upstream}, {nowMs, false, true, true});
+    store({request, upstream}, {nowMs, false, true, true, run});
 }
 
 void CrashLedger::recordLives(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    const auto found = m_entries.find({request, upstream});
+    const Key key{request, upstream};
+    const auto found = m_entries.find(key);
     if (found != m_entries.end()) {
-        store(found->first, {nowMs, true, true, true});
+        store(key, {nowMs, true, true, true, found->second.m_run});
     }
 }
 
@@ -112,7 +120,7 @@
         }
     }
     for (const Key &key : keys) {
-        store(key, {nowMs, true, m_entries.at(key).m_unconfirmed, true});
+        store(key, {nowMs, true, m_entries.at(key).m_unconfirmed, true, m_entries.at(key).m_run});
     }
 }
 
@@ -122,9 +130,34 @@
     for (const CrashObservation &observation : observations) {
         const std::int64_t ageMs = std::max<std::int64_t>(0, observation.m_ageMs);
         if (ageMs <= RetentionMs) {
-            store({observation.m_request, observation.m_upstream}, {nowMs - ageMs, observation.m_refuted, observation.m_unconfirmed, own});
+            const std::int64_t endedMs = nowMs - ageMs - observation.m_lagMs;
+            const CrashRun run{endedMs - observation.m_runMs, endedMs};
+            store({observation.m_request, observation.m_upstream}, {nowMs - ageMs, observation.m_refuted, observation.m_unconfirmed, own, run});
+        }
+    }
+}
+
+int CrashLedger::successiveEnds(std::uint64_t request) const
+{
+    std::vector<CrashRun> runs;
+    for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
+        if (!it->second.m_refuted && !it->second.m_unconfirmed) {
+            runs.push_back(it->second.m_run);
         }
     }
+    // Taking the run that ends first each time finds the most runs that follow each other.
+    std::sort(runs.begin(), runs.end(), [](const CrashRun &a, const CrashRun &b) {
+        return a.m_endedMs < b.m_endedMs;
+    });
+    int ended = 0;
+    std::int64_t lastEndMs = 0;
+    for (const CrashRun &run : runs) {
+        if (ended == 0 || run.m_sentMs >= lastEndMs) {
+            ++ended;
+            lastEndMs = run.m_endedMs;
+        }
+    }
+    return ended;
 }
 
 int CrashLedger::upstreamsEnded(std::uint64_t request) const
@@ -155,24 +188,30 @@
     });
 }
 
-CrashVerdict CrashLedger::verdict(std::uint64_t request, std::int64_t nowMs)
+CrashVerdict CrashLedger::verdict(std::uint64_t request, std::int64_t nowMs, std::int64_t trialDelayMs)
 {
     dropExpired(nowMs);
     const int upstreams = upstreamsEnded(request);
     if (upstreams < UpstreamsUntilPoison) {
         return upstreams + unconfirmedEnds(request, nowMs) < UpstreamsUntilPoison ? CrashVerdict::MaySend : CrashVerdict::Undecided;
     }
+    const int successive = successiveEnds(request);
+    const bool cameTogether = successive < UpstreamsUntilPoison && (successive < 2 || upstreams == UpstreamsUntilPoison);
+    if (cameTogether && unconfirmedEnds(request, nowMs) > 0) {
+        return CrashVerdict::Undecided;
+    }
+    const std::int64_t undecidedMs = SettleMs + (cameTogether ? trialDelayMs : 0);
     bool isMostSuspicious = false;
     for (auto it = m_entries.lower_bound({request, 0}); it != m_entries.end() && it->first.first == request; ++it) {
         if (it->second.m_refuted || it->second.m_unconfirmed) {
             continue;
         }
-        if (nowMs - it->second.m_observedMs < SettleMs) {
+        if (nowMs - it->second.m_observedMs < undecidedMs) {
             return CrashVerdict::Undecided;
         }
         isMostSuspicious = isMostSuspicious || isMostSuspiciousAt(request, it->first.second, upstreams);
     }
-    return isMostSuspicious ? CrashVerdict::Poison : CrashVerdict::MaySend;
+    return isMostSuspicious && !cameTogether ? CrashVerdict::Poison : CrashVerdict::MaySend;
 }
 
 std::int64_t CrashLedger::remainingMs(std::uint64_t request, std::int64_t nowMs) const
@@ -192,8 +231,11 @@
 {
     std::vector<CrashObservation> observations;
     for (auto it = m_ownByAge.rbegin(); it != m_ownByAge.rend() && observations.size() < maxCount && nowMs - it->first <= maxAgeMs; ++it) {
-        observations.push_back(
-            {it->second.first, it->second.second, nowMs - it->first, m_entries.at(it->second).m_refuted, m_entries.at(it->second).m_unconfirmed});
+        const Entry &entry = m_entries.at(it->second);
+        CrashObservation observation{it->second.first, it->second.second, nowMs - entry.m_observedMs, entry.m_refuted, entry.m_unconfirmed};
+        observation.m_lagMs = entry.m_observedMs - entry.m_run.m_endedMs;
+        observation.m_runMs = entry.m_run.m_endedMs - entry.m_run.m_sentMs;
+        observations.push_back(observation);
     }
     return observations;
 }
--- a/kernel/crashledger.h
+++ b/kernel/crashledger.h
@@ -23,6 +23,17 @@
     bool m_refuted = false;
     /** The upstream does not answer, and it is not known yet whether it has ended. */
     bool m_unconfirmed = false;
+    /** How long before that the attempt at the request had ended, in ms: an end may be found out later. */
+    std::int64_t m_lagMs = 0;
+    /** How long before the end of the attempt the request had been sent, in ms. */
+    std::int64_t m_runMs = 0;
+};
+
+/** The time that a request spent at an upstream, on the caller's clock. */
+struct CrashRun
+{
+    std::int64_t m_sentMs = 0;
+    std::int64_t m_endedMs = 0;
 };
 
 /** What is known of a request and the upstreams that ended under it. */
@@ -51,6 +62,8 @@
  * Finds the requests that end every upstream which runs them, from what all daemons observed. An upstream that ends takes dozens of requests with
  * it, of which at most one is the cause, and the others must not be refused. So a request is poison when at least UpstreamsUntilPoison upstreams
  * ended under it and at one of those no other request is as suspicious: a request that was merely there has been at fewer ends than the cause.
+ * Upstreams that are lost together take along a request that many callers send at the same time. So the ends must have come one after the other, or the
+ * request must have been sent again after ends that came together, and have met another one.
  * From MaxUpstreams on, several requests that were at the same ends all count as poison. This is decided SettleMs after the last end, when the other
  * requests there are known; until then the request should wait. At a tie before MaxUpstreams it may be sent, so that the next end decides.
  * A request that finishes is cleared of all that happened before.
@@ -74,10 +87,12 @@
     static constexpr std::size_t MaxObservations = 16'384;
     static constexpr std::size_t MaxOwn = 256;
 
-    /** Records this daemon's own observation that @p upstream ended under @p request. */
+    /** Records this daemon's own observation that @p upstream ended under @p request, whose attempt there lasted as long as @p run. */
+    void recordEnd(std::uint64_t request, std::uint64_t upstream, CrashRun run, std::int64_t nowMs);
+    /** The same for an attempt that was as short as can be. */
     void recordEnd(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
     /** Records that @p upstream did not answer @p request and is being checked. Either recordEnd() or recordLives() should follow. */
-    void recordUnconfirmed(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
+    void recordUnconfirmed(std::uint64_t request, std::uint64_t upstream, CrashRun run, std::int64_t nowMs);
     /** Records that @p upstream, which did not answer @p request, lives. Does nothing if nothing was recorded of both. */
     void recordLives(std::uint64_t request, std::uint64_t upstream, std::int64_t nowMs);
     /** Records that @p request has finished: it did not end the upstreams that are known so far. Does nothing if none are. */
@@ -87,8 +102,12 @@
 
     /** Returns the number of upstreams that ended under @p request, confirmed and not refuted. */
     int upstreamsEnded(std::uint64_t request) const;
-    /** Returns whether @p request may be sent to an upstream. Costs a lookup unless upstreams have ended under the request. */
-    CrashVerdict verdict(std::uint64_t request, std::int64_t nowMs);
+    /**
+     * Returns whether @p request may be sent to an upstream. Costs a lookup unless upstreams have ended under the request. After ends that came together
+     * it remains undecided for @p trialDelayMs more, so that the daemons, each with another delay, do not send many copies before the first one has
+     * finished or ended a further upstream.
+     */
+    CrashVerdict verdict(std::uint64_t request, std::int64_t nowMs, std::int64_t trialDelayMs = 0);
     /** Returns how long the oldest observation of @p request is still kept, in ms; 0 if there is none. */
     std::int64_t remainingMs(std::uint64_t request, std::int64_t nowMs) const;
 
@@ -107,12 +126,15 @@
         bool m_refuted = false;
         bool m_unconfirmed = false;
         bool m_own = false;
+        CrashRun m_run;
     };
 
     void store(const Key &key, Entry entry);
     void erase(const Key &key);
     void dropOldest();
     void dropExpired(std::int64_t nowMs);
+    /** Returns the most of these ends of which each came before the request was sent to the next upstream. */
+    int successiveEnds(std::uint64_t request) const;
     /** Returns the number of upstreams that may have ended under @p request, as far as this is neither confirmed nor too long ago. */
     int unconfirmedEnds(std::uint64_t request, std::int64_t nowMs) const;
     bool isMostSuspiciousAt(std::uint64_t request, std::uint64_t upstream, int upstreams) const;
--- a/net/crashcodec.cpp
+++ b/net/crashcodec.cpp
@@ -10,13 +10,28 @@
 
 namespace knapweedslip
 {
+namespace
+{
+std::uint32_t wireMs(std::int64_t ms)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+}
+
 flatbuffers::Offset<CrashItems> encodeCrashItems(flatbuffers::FlatBufferBuilder &builder, const std::vector<CrashObservation> &observations)
 {
     std::vector<flatbuffers::Offset<wire::Crash>> items;
     for (const CrashObservation &observation : observations) {
-        const std::int64_t ageMs = std::clamp<std::int64_t>(observation.m_ageMs, 0, std::numeric_limits<std::uint32_t>::max());
-        items.push_back(wire::CreateCrash(
-            builder, observation.m_request, observation.m_upstream, static_cast<std::uint32_t>(ageMs), observation.m_refuted, observation.m_unconfirmed));
+        const std::uint32_t lagMs = wireMs(observation.m_lagMs);
+        const std::uint32_t runMs = wireMs(observation.m_runMs);
+        items.push_back(wire::CreateCrash(builder,
+                                          observation.m_request,
+                                          observation.m_upstream,
+                                          wireMs(observation.m_ageMs),
+                                          observation.m_refuted,
+                                          observation.m_unconfirmed,
+                                          lagMs,
+                                          runMs));
     }
     return builder.CreateVector(items);
 }
@@ -26,7 +41,7 @@
     std::vector<CrashObservation> observations;
     if (items != nullptr) {
         for (const wire::Crash *item : *items) {
-            observations.push_back({item->request(), item->upstream(), item->age_ms(), item->refuted(), item->unconfirmed()});
+            observations.push_back({item->request(), item->upstream(), item->age_ms(), item->refuted(), item->unconfirmed(), item->lag_ms(), item->run_ms()});
         }
     }
     return observations;
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -31,7 +31,10 @@
 
 using Upstreams = std::vector<std::unique_ptr<HostingEngine>>;
 
-/** Applies {"first":n,"count":n,"leaving":b,"listed":b,"turn_away_ms":n,"retry_after":s} and returns the ids of the upstreams that it names. */
+/**
+ * Applies {"first":n,"count":n,"leaving":b,"listed":b,"turn_away_ms":n,"retry_after":s}, or ends the upstreams with "lost":true, and returns the ids of
+ * the upstreams that it names.
+ */
 std::string applyWords(const Upstreams &upstreams, const std::string &body)
 {
     const json::object object = parseJsonObject(body);
@@ -44,8 +47,8 @@
     const std::size_t end = std::min(upstreams.size(), first + static_cast<std::size_t>(integerField(object, "count")));
     json::array ids;
     for (std::size_t i = first; i < end; ++i) {
-        upstreams[i]->setWords(words);
         ids.emplace_back(upstreams[i]->entry().m_id);
+        boolField(object, "lost") ? upstreams[i]->loseProcess() : upstreams[i]->setWords(words);
     }
     return json::serialize(ids);
 }
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -178,6 +178,13 @@
     m_connections.clear();
 }
 
+void HostingEngine::loseProcess()
+{
+    if (m_alive) {
+        crash(HttpRequest());
+    }
+}
+
 awaitable<void> HostingEngine::keepSilent(std::set<ConnectionPtr> connections)
 {
     co_await sleepFor(m_times.m_silentMs);
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -59,6 +59,8 @@
     /** Changes what the engine says of itself, until its lifetime ends. */
     void setWords(const HostingEngineWords &words);
     const UpstreamEntry &entry() const;
+    /** Ends this lifetime for no reason of its requests: every connection is reset, and nothing listens until the next one. */
+    void loseProcess();
 
 private:
     struct Connection;
--- a/wire/crashes_generated.h
+++ b/wire/crashes_generated.h
@@ -31,6 +31,8 @@
   uint32_t age_ms = 0;
   bool refuted = false;
   bool unconfirmed = false;
+  uint32_t lag_ms = 0;
+  uint32_t run_ms = 0;
 };
 
 struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -41,7 +43,9 @@
     VT_UPSTREAM = 6,
     VT_AGE_MS = 8,
     VT_REFUTED = 10,
-    VT_UNCONFIRMED = 12
+    VT_UNCONFIRMED = 12,
+    VT_LAG_MS = 14,
+    VT_RUN_MS = 16
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -58,6 +62,12 @@
   bool unconfirmed() const {
     return GetField<uint8_t>(VT_UNCONFIRMED, 0) != 0;
   }
+  uint32_t lag_ms() const {
+    return GetField<uint32_t>(VT_LAG_MS, 0);
+  }
+  uint32_t run_ms() const {
+    return GetField<uint32_t>(VT_RUN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -65,6 +75,8 @@
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REFUTED, 1) &&
            VerifyField<uint8_t>(verifier, VT_UNCONFIRMED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LAG_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUN_MS, 4) &&
            verifier.EndTable();
   }
   CrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -91,6 +103,12 @@
   void add_unconfirmed(bool unconfirmed) {
     fbb_.AddElement<uint8_t>(Crash::VT_UNCONFIRMED, static_cast<uint8_t>(unconfirmed), 0);
   }
+  void add_lag_ms(uint32_t lag_ms) {
+    fbb_.AddElement<uint32_t>(Crash::VT_LAG_MS, lag_ms, 0);
+  }
+  void add_run_ms(uint32_t run_ms) {
+    fbb_.AddElement<uint32_t>(Crash::VT_RUN_MS, run_ms, 0);
+  }
   explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -108,10 +126,14 @@
     uint64_t upstream = 0,
     uint32_t age_ms = 0,
     bool refuted = false,
-    bool unconfirmed = false) {
+    bool unconfirmed = false,
+    uint32_t lag_ms = 0,
+    uint32_t run_ms = 0) {
   CrashBuilder builder_(_fbb);
   builder_.add_upstream(upstream);
   builder_.add_request(request);
+  builder_.add_run_ms(run_ms);
+  builder_.add_lag_ms(lag_ms);
   builder_.add_age_ms(age_ms);
   builder_.add_unconfirmed(unconfirmed);
   builder_.add_refuted(refuted);
@@ -201,6 +223,8 @@
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = refuted(); _o->refuted = _e; }
   { auto _e = unconfirmed(); _o->unconfirmed = _e; }
+  { auto _e = lag_ms(); _o->lag_ms = _e; }
+  { auto _e = run_ms(); _o->run_ms = _e; }
 }
 
 inline flatbuffers::Offset<Crash> Crash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -216,13 +240,17 @@
   auto _age_ms = _o->age_ms;
   auto _refuted = _o->refuted;
   auto _unconfirmed = _o->unconfirmed;
+  auto _lag_ms = _o->lag_ms;
+  auto _run_ms = _o->run_ms;
   return knapweedslip::wire::CreateCrash(
       _fbb,
       _request,
       _upstream,
       _age_ms,
       _refuted,
-      _unconfirmed);
+      _unconfirmed,
+      _lag_ms,
+      _run_ms);
 }
 
 inline CrashesT::CrashesT(const CrashesT &o) {
