--- a/autotests/processes/silentend.sh
+++ b/autotests/processes/silentend.sh
@@ -55,7 +55,8 @@
 status=0
 for row in "${cases[@]}"; do
     IFS='|' read -r -a fields <<<"$row"
-    [ $# -gt 0 ] && [ "$1" != "${fields[0]}" ] && continue
+    # dark-read is a step of its own, darkend.sh.
+    [ "${1:-}" = "${fields[0]}" ] || { [ $# -eq 0 ] && [ "${fields[0]}" != dark-read ]; } || continue
     run_case "${fields[@]}"
 done
 exit $status
