--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -1,5 +1,6 @@
 // Tests that input from the hosting platform, upstreams and clients is decoded correctly, including malformed and forged input.
 
+#include "kernel/hashing.h"
 #include "net/loadreportcodec.h"
 #include "platform/callheaders.h"
 #include "platform/configdecoder.h"
@@ -116,6 +117,53 @@
     CHECK(platform::decodeOrderReply(421) == OrderReply::WrongEngine);
 }
 
+namespace
+{
+struct PromptPartsRow
+{
+    std::string m_text;
+    std::vector<std::uint64_t> m_parts;
+};
+
+std::string manyParts(std::size_t count)
+{
+    std::string text;
+    for (std::size_t i = 1; i <= count; ++i) {
+        text += toHex(i) + ":1,";
+    }
+    return text;
+}
+
+const std::vector<PromptPartsRow> &promptPartsRows()
+{
+    static const std::vector<PromptPartsRow> rows{
+        {"", {}},
+        {"5c1e07a2:800", {}},
+        {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
+        {" A1 : 5 ,0a1:6, b2:7,c3:8", {0xa1, 0xb2}},
+        {"a1:5,b2:6,", {0xa1}},
+        {"a1:5,b2:6,, ,", {0xa1}},
+        {"a1,b2:many,c3", {0xa1, 0xb2}},
+        {":5,g1:5,0x1:5,-1:5,1 2:5,a1:5,c3:5", {0xa1}},
+        {"ffffffffffffffff:1,b2:1", {0xffffffffffffffff}},
+        {"10000000000000000:1,b2:1", {hash64("10000000000000000")}},
+        {",", {}},
+        {",,,,", {}},
+        {std::string(100'000, 'a') + ",b2:1", {hash64(std::string(100'000, 'a'))}},
+    };
+    return rows;
+}
+}
+
+TEST_CASE("the parts of a prompt are decoded but for the last, and malformed ones are left out", "[entry][platform][crash]")
+{
+    for (const PromptPartsRow &row : promptPartsRows()) {
+        CAPTURE(row.m_text.substr(0, 100));
+        CHECK(platform::decodePromptParts(row.m_text) == row.m_parts);
+    }
+    CHECK(platform::decodePromptParts(manyParts(10'000)).size() == platform::MaxPromptParts);
+}
+
 TEST_CASE("header fields that only this system may set replace those of a client", "[entry][platform]")
 {
     HttpRequest request;
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -178,7 +178,7 @@
     }
     // Other attempts were aborted by this daemon, mostly at upstreams that live: their requests go on to the best upstream.
     m_call.m_mayEndUpstreams = m_call.m_mayEndUpstreams || m_call.m_running->m_cause == AbortCause::None;
-    checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_fingerprint, m_sentMs);
+    checkUpstreamEnded(m_call.m_context, m_upstream, {m_call.m_fingerprint, m_call.m_caller.m_promptParts}, m_sentMs);
 }
 
 void EntryAttempt::finish()
@@ -216,6 +216,7 @@
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
               {"fingerprint", toHex(call.m_fingerprint)},
+              {"parts", joinHex(call.m_caller.m_promptParts)},
               {"upstream", upstream},
               {"group", group},
               {"send", static_cast<std::int64_t>(call.m_sends + 1)},
@@ -284,6 +285,7 @@
     logEvent(LogEvent::RequestRefused,
              {{"request", call.m_caller.m_requestId},
               {"fingerprint", toHex(call.m_fingerprint)},
+              {"parts", joinHex(call.m_caller.m_promptParts)},
               {"route", call.m_admission.m_route == nullptr ? std::string() : call.m_admission.m_route->m_name},
               {"workspace", workspaceName(call)},
               {"reason", std::string(enumName(RefusalReasonNames, reason))},
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -54,6 +54,14 @@
 
 inline constexpr EnumNames<3> EndCheckOutcomeNames{"ended", "lives", "unknown"};
 
+/** An attempt without a complete answer, whose upstream is being checked. */
+struct UnansweredRun
+{
+    CrashRun m_run;
+    /** See CrashSuspects. */
+    std::vector<std::uint64_t> m_parts;
+};
+
 /** A request that is being served, as far as is needed to abort its current attempt. */
 struct RunningCall
 {
@@ -175,7 +183,7 @@
     /** What all daemons observed about requests under which upstreams ended. */
     CrashLedger m_crashLedger;
     /** Upstreams that may have ended, by lifetime, with the fingerprints of the requests that they did not answer. */
-    std::map<std::uint64_t, std::map<std::uint64_t, CrashRun>> m_endChecks;
+    std::map<std::uint64_t, std::map<std::uint64_t, UnansweredRun>> m_endChecks;
     /** This process has stored its observations. */
     bool m_crashesStored = false;
     ReplicaReconciler m_reconciler;
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -79,8 +79,8 @@
 /** Records that the upstream does not answer the requests that wait for its check. */
 void recordUnconfirmed(EntryContext &context, std::uint64_t lifetime)
 {
-    for (const std::pair<const std::uint64_t, CrashRun> &request : context.m_endChecks.at(lifetime)) {
-        context.m_crashLedger.recordUnconfirmed(request.first, lifetime, request.second, steadyMs());
+    for (const std::pair<const std::uint64_t, UnansweredRun> &request : context.m_endChecks.at(lifetime)) {
+        context.m_crashLedger.recordUnconfirmed(request.first, lifetime, request.second.m_run, steadyMs());
     }
 }
 
@@ -120,19 +120,20 @@
               {"requests", static_cast<std::int64_t>(waiting.mapped().size())},
               {"took_ms", steadyMs() - startedMs}});
     if (outcome == EndCheckOutcome::Lives) {
-        for (const std::pair<const std::uint64_t, CrashRun> &request : waiting.mapped()) {
+        for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
             context.m_crashLedger.recordLives(request.first, lifetime, steadyMs());
         }
     }
     if (outcome != EndCheckOutcome::Ended) {
         co_return;
     }
-    for (const std::pair<const std::uint64_t, CrashRun> &request : waiting.mapped()) {
+    for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
         const std::uint64_t fingerprint = request.first;
-        context.m_crashLedger.recordEnd(fingerprint, lifetime, request.second, steadyMs());
+        context.m_crashLedger.recordEnd(fingerprint, lifetime, request.second.m_run, steadyMs());
         logEvent(LogEvent::UpstreamEnded,
                  {{"upstream", upstream.m_id},
                   {"fingerprint", toHex(fingerprint)},
+                  {"parts", joinHex(request.second.m_parts)},
                   {"requests", static_cast<std::int64_t>(waiting.mapped().size())},
                   {"upstreams_ended", static_cast<std::int64_t>(context.m_crashLedger.upstreamsEnded(fingerprint))},
                   {"poison", context.m_crashLedger.verdict(fingerprint, steadyMs()) == CrashVerdict::Poison}});
@@ -151,11 +152,11 @@
 }
 }
 
-void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint, std::int64_t sentMs)
+void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs)
 {
     const std::uint64_t lifetime = upstreamLifetime(upstream.m_id, upstream.m_startedMs);
     const bool isRunning = context.m_endChecks.count(lifetime) > 0;
-    context.m_endChecks[lifetime][fingerprint] = {sentMs, steadyMs()};
+    context.m_endChecks[lifetime][suspects.m_request] = {{sentMs, steadyMs()}, suspects.m_parts};
     if (!isRunning) {
         asio::co_spawn(context.m_io, runEndCheck(context, std::move(upstream), lifetime), asio::detached);
     }
--- a/daemons/entrycrashes.h
+++ b/daemons/entrycrashes.h
@@ -17,7 +17,7 @@
  * CrashWindowMs, whatever ended the attempt. Finds out, in the background, whether the upstream has ended, and records that in the crash ledger. Costs at most
  * one connection to each upstream at a time, and two a second to one that does not answer.
  */
-void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, std::uint64_t fingerprint, std::int64_t sentMs);
+void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs);
 
 /** A request that ran on an upstream for longer than this, in ms, is not what ended it. */
 inline constexpr std::int64_t CrashWindowMs = 1'000;
--- a/kernel/crashledger.h
+++ b/kernel/crashledger.h
@@ -29,6 +29,15 @@
     std::int64_t m_runMs = 0;
 };
 
+/** What may be the cause when upstreams end under a request: the request itself, or a part of its prompt that other requests may share. */
+struct CrashSuspects
+{
+    /** See requestFingerprint(). */
+    std::uint64_t m_request = 0;
+    /** Ids of parts, each once. */
+    std::vector<std::uint64_t> m_parts;
+};
+
 /** The time that a request spent at an upstream, on the caller's clock. */
 struct CrashRun
 {
--- a/net/asio.cpp
+++ b/net/asio.cpp
@@ -63,4 +63,13 @@
     const std::to_chars_result end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
     return std::string(digits.data(), end.ptr);
 }
+
+std::string joinHex(const std::vector<std::uint64_t> &values)
+{
+    std::string text;
+    for (const std::uint64_t value : values) {
+        text += (text.empty() ? "" : ",") + toHex(value);
+    }
+    return text;
+}
 }
--- a/net/asio.h
+++ b/net/asio.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace knapweedslip
 {
@@ -33,4 +34,6 @@
 std::uint64_t randomId();
 /** Returns @p value in lower-case hexadecimal, without leading zeros. */
 std::string toHex(std::uint64_t value);
+/** Returns @p values in hexadecimal, separated by commas. */
+std::string joinHex(const std::vector<std::uint64_t> &values);
 }
