--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -77,6 +77,11 @@
         -H "Model: model" -H "Token-Usage: 100,100" -d "$body" --max-time 12 "$@" "http://$(entry_ip "$n"):7000$path"
 }
 
+# Prints the time on the clock of the history, in ms.
+uptime_ms() {
+    awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime
+}
+
 history() {
     curl -sf "http://$PREFIX.9.1:8500/standin/history"
 }
@@ -89,21 +94,28 @@
 }
 
 # Sends innocent requests through all daemons until $RUN/stop exists: COUNT at a time, each with a body of its own, on the paths given in turn. Prints
-# "status path" for each answer into $RUN/innocent. The Attempt-Id begins with "dN-" for daemon N.
+# "status path" for each answer into $RUN/innocent, with INNOCENT_TIMES also the time when it was sent. The Attempt-Id begins with "dN-" for daemon N.
+# INNOCENT_KEY is their caller's key, INNOCENT_PROMPT the parts of their prompts: ROUND and NUMBER there make a part the request's own, GROUP is one of three.
 start_innocents() { # count path...
     local count=$1
     shift
     (
         round=0
+        key=${INNOCENT_KEY:-other-key}
         while [ ! -e "$RUN/stop" ]; do
             round=$((round + 1))
+            sent=${INNOCENT_TIMES:+ $(uptime_ms)}
             for i in $(seq 1 "$count"); do
                 path=${*:$((i % $# + 1)):1}
                 [ "$i" = 1 ] || echo next
-                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer other-key"\nheader = "Attempt-Id: d%s-%s-%s"\n' \
-                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$((i % ENTRIES + 1))" "$round" "$i"
+                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer %s"\nheader = "Attempt-Id: d%s-%s-%s"\n' \
+                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$key" "$((i % ENTRIES + 1))" "$round" "$i"
                 printf 'header = "Deadline-Ms: 8000"\nheader = "Model: model"\nheader = "Token-Usage: 100,100"\ndata = "innocent %s %s"\n' "$round" "$i"
-                printf 'output = "/dev/null"\nsilent\nmax-time = 12\nwrite-out = "%%{http_code} %s\\n"\n' "$path"
+                prompt=${INNOCENT_PROMPT:-}
+                prompt=${prompt//ROUND/$round}
+                prompt=${prompt//NUMBER/$i}
+                [ -z "$prompt" ] || printf 'header = "Prompt-Prefix: %s"\n' "${prompt//GROUP/$((i % 3))}"
+                printf 'output = "/dev/null"\nsilent\nmax-time = 12\nwrite-out = "%%{http_code} %s%s\\n"\n' "$path" "$sent"
             done >"$RUN/innocent.curl"
             curl -Z --parallel-max "$count" -K "$RUN/innocent.curl" >>"$RUN/innocent" 2>/dev/null
         done
@@ -117,12 +129,12 @@
     wait "$INNOCENTS"
 }
 
-# Prints what became of the requests on a path that end upstreams: upstreams ended, time of the third end, requests that reached upstreams later than
-# LIMIT ms after it, and the last one of all, in ms after the third end.
-crash_course() { # history path limit
-    grep "\"path\":\"$2\",\"crashes\":true" "$1" | awk -v limit="$3" '
+# Prints what became of the requests on a path that end upstreams: upstreams ended, time of the third end (or the one that ENDS names), requests that
+# reached upstreams later than LIMIT ms after it, and the last one of all, in ms after that end.
+crash_course() { # history path limit; the path may be a pattern, ENDS is the number of ends from which the limit counts
+    grep "\"path\":\"$2\",\"crashes\":true" "$1" | awk -v limit="$3" -v ends="${ENDS:-3}" '
         { match($0, /"at_ms":[0-9]+/); at = substr($0, RSTART + 8, RLENGTH - 8) }
-        /"kind":"ended"/ && ++ended == 3 { third = at }
-        /"kind":"arrived"/ { last = at; later += ended >= 3 && at > third + limit }
+        /"kind":"ended"/ && ++ended == ends { third = at }
+        /"kind":"arrived"/ { last = at; later += ended >= ends && at > third + limit }
         END { print ended + 0, third + 0, later + 0, last - third }'
 }
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -27,8 +27,20 @@
     int m_engines = 0;
     int m_serviceUpstreams = 0;
     HostingEngineTimes m_times;
+    std::vector<std::string> m_partWords;
 };
 
+/** Parses "id=words" of the command line. */
+PartWords parsePartWords(const std::vector<std::string> &options)
+{
+    PartWords words;
+    for (const std::string &option : options) {
+        const std::size_t equals = option.find('=');
+        words[option.substr(0, equals)] = equals == std::string::npos ? std::string() : option.substr(equals + 1);
+    }
+    return words;
+}
+
 using Upstreams = std::vector<std::unique_ptr<HostingEngine>>;
 
 /**
@@ -95,6 +107,7 @@
     constexpr int Slots = 26;
     HostingStore store;
     History history;
+    const PartWords partWords = parsePartWords(options.m_partWords);
     Upstreams upstreams;
     IoThreads threads(0);
     std::vector<std::shared_ptr<HttpServer>> servers;
@@ -119,7 +132,7 @@
             entry.m_stagedModels = {"model"};
         }
         upstreams.push_back(std::make_unique<HostingEngine>(
-            threads.control(), store, history, options.m_upstreamIp + ":" + std::to_string(FirstPort + i), std::move(entry), options.m_times));
+            threads.control(), store, history, partWords, options.m_upstreamIp + ":" + std::to_string(FirstPort + i), std::move(entry), options.m_times));
         asio::co_spawn(threads.control(), upstreams.back()->run(), asio::detached);
     }
     asio::co_spawn(threads.control(), expireLeases(store), asio::detached);
@@ -141,6 +154,7 @@
     app.add_option("--restart-ms", options.m_times.m_restartMs, "how long an upstream that has crashed stays away");
     app.add_option("--silent-ms", options.m_times.m_silentMs, "how long the connections of an upstream that has crashed silently stay open");
     app.add_option("--prefill-ms", options.m_times.m_prefillMs, "how long after its arrival a request begins to run");
+    app.add_option("--part", options.m_partWords, "id=words: a request whose prompt has this part is treated as if its body contained the words");
     app.add_option("--events", options.m_times.m_events, "events of each stream");
     CLI11_PARSE(app, argc, argv);
     return knapweedslip::standin::run(options);
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned MisdirectedStatus = 421;
 constexpr const char *CrashWord = "CRASH";
 constexpr const char *CrashInAnswerWord = "CRASH-IN-ANSWER";
+constexpr const char *CrashInEventWord = "CRASH-IN-EVENT";
+constexpr const char *UnsizedWord = "UNSIZED";
 constexpr const char *CrashSilentWord = "CRASH-SILENT";
 constexpr const char *CrashDarkWord = "CRASH-DARK";
 constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
@@ -30,6 +32,26 @@
     return text.find(word) != std::string::npos;
 }
 
+/** Returns the words of all parts of the prompt but the last. */
+std::string wordsOfParts(const HttpRequest &request, const PartWords &partWords)
+{
+    const std::string prompt = "," + std::string(headerValue(request.m_headers, platform::header::PromptParts));
+    const std::size_t last = prompt.rfind(',');
+    std::string words;
+    for (const std::pair<const std::string, std::string> &part : partWords) {
+        words += prompt.find("," + part.first + ":") < last ? " " + part.second : std::string();
+    }
+    return words;
+}
+
+/** Returns the head of an answer that ends with its connection. */
+std::string unsizedHead(const HttpRequest &request, const std::string &moreLines)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(platform::header::RequestId) + ": "
+           + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature + ": stand-in\r\n" + moreLines
+           + "\r\n";
+}
+
 std::string describeRequest(const HttpRequest &request, const std::string &engine)
 {
     return "\"engine\":\"" + engine + "\",\"attempt\":\"" + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\",\"path\":\""
@@ -67,11 +89,17 @@
     beast::flat_buffer m_buffer;
 };
 
-HostingEngine::HostingEngine(
-    asio::io_context &io, HostingStore &store, History &history, const std::string &address, UpstreamEntry entry, HostingEngineTimes times)
+HostingEngine::HostingEngine(asio::io_context &io,
+                             HostingStore &store,
+                             History &history,
+                             const PartWords &partWords,
+                             const std::string &address,
+                             UpstreamEntry entry,
+                             HostingEngineTimes times)
     : m_io(io)
     , m_store(store)
     , m_history(history)
+    , m_partWords(partWords)
     , m_address(address)
     , m_entry(std::move(entry))
     , m_times(times)
@@ -171,7 +199,7 @@
     m_acceptor->close(ignored);
     for (const ConnectionPtr &connection : m_connections) {
         // The system closes the connections of a process that exits; those of one that is killed with unread bytes are reset.
-        const bool resets = !contains(cause.m_body, CrashInAnswerWord);
+        const bool resets = !contains(cause.m_body, CrashInAnswerWord) && !contains(cause.m_body, CrashInEventWord);
         connection->m_stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
         connection->m_stream.socket().close(ignored);
     }
@@ -252,6 +280,7 @@
             request.m_headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
         }
         request.m_body = parser.get().body();
+        request.m_body += wordsOfParts(request, m_partWords);
         co_await serveRequest(*connection, request, lifetime);
     }
     m_connections.erase(connection);
@@ -318,21 +347,24 @@
 awaitable<void> HostingEngine::streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime)
 {
     const platform::CallerHeaders caller = platform::decodeCallerHeaders(request);
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + std::string(platform::header::RequestId)
-                             + ": " + caller.m_requestId + "\r\n" + platform::header::Signature + ": stand-in\r\n" + headerLines() + "\r\n";
+    const bool isUnsized = contains(request.m_body, UnsizedWord);
+    const std::string head = unsizedHead(request, headerLines() + (isUnsized ? "" : "Transfer-Encoding: chunked\r\n"));
     bool open = co_await connection.write(head);
     for (std::int64_t event = caller.m_lastEventId.value_or(-1) + 1; open && event < m_times.m_events; ++event) {
         const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
         std::array<char, 32> size{};
         std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-        const std::string chunk = size.data() + text + "\r\n";
+        const std::string chunk = isUnsized ? text : size.data() + text + "\r\n";
         open = co_await connection.write(chunk);
         co_await sleepFor(m_times.m_eventMs);
         if (lifetime != m_lifetime || !m_alive) {
             co_return;
         }
     }
-    if (open) {
+    if (open && isUnsized) {
+        boost::system::error_code ignored;
+        connection.m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    } else if (open) {
         const std::string last = "0\r\n\r\n";
         co_await connection.write(last);
     }
@@ -381,11 +413,14 @@
         co_return;
     }
     if (contains(request.m_body, CrashInAnswerWord)) {
-        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + std::string(platform::header::RequestId) + ": "
-                                 + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature
-                                 + ": stand-in\r\n\r\n";
+        const std::string head = unsizedHead(request, {});
         co_await connection.write(head);
     }
+    if (contains(request.m_body, CrashInEventWord)) {
+        const std::string text = unsizedHead(request, {}) + "id: 0\ndata: token\n\nid: 1\ndata: to";
+        co_await connection.write(text);
+        co_await sleepFor(m_times.m_eventMs);
+    }
     if (contains(request.m_body, CrashWord)) {
         crash(request);
         co_return;
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -5,6 +5,7 @@
 #include "standins/history.h"
 #include "standins/hostingstore.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -42,17 +43,27 @@
     std::string m_retryAfter;
 };
 
+/** Words by the id of a part of a prompt: a request whose prompt has the part, other than as its last, is treated as if its body contained the words. */
+using PartWords = std::map<std::string, std::string>;
+
 /**
  * One upstream of the hosting platform, an engine that serves groups of one member or an upstream of a plain service. Words in the body of a
  * request choose what it does: CRASH ends the upstream when the request begins to run, CRASH-IN-ANSWER after the head of an answer without a length, as
- * an exit does; CRASH-SILENT as a process does whose end takes long: it no longer listens, but its connections stay open for a while; CRASH-DARK as one
- * that stands still: its address still takes connections, and nothing is answered until its successor starts. ENDLESS-HEAD and ENDLESS-BODY are answered
- * with bytes without end. An upstream that has ended comes back under another id.
+ * an exit does; CRASH-IN-EVENT in the middle of the second event of such an answer; CRASH-SILENT as a process does whose end takes long: it no longer listens,
+ * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
+ * successor starts. ENDLESS-HEAD and ENDLESS-BODY are answered with bytes without end. UNSIZED: the stream has neither a length nor chunks and ends with its
+ * connection. An upstream that has ended comes back under another id.
  */
 class HostingEngine
 {
 public:
-    HostingEngine(asio::io_context &io, HostingStore &store, History &history, const std::string &address, UpstreamEntry entry, HostingEngineTimes times);
+    HostingEngine(asio::io_context &io,
+                  HostingStore &store,
+                  History &history,
+                  const PartWords &partWords,
+                  const std::string &address,
+                  UpstreamEntry entry,
+                  HostingEngineTimes times);
 
     /** Serves, publishes its entry, and starts anew after each crash; does not return. */
     awaitable<void> run();
@@ -86,6 +97,7 @@
     asio::io_context &m_io;
     HostingStore &m_store;
     History &m_history;
+    const PartWords &m_partWords;
     std::string m_address;
     UpstreamEntry m_entry;
     HostingEngineTimes m_times;
