--- a/autotests/crashledgertest.cpp
+++ b/autotests/crashledgertest.cpp
@@ -89,7 +89,7 @@
     if (step.m_kind == 'e') {
         ledger.recordEnd(step.m_request, step.m_upstream, nowMs);
     } else {
-        ledger.recordFinish(step.m_request, nowMs);
+        ledger.recordSurvived(step.m_request, nowMs);
     }
 }
 }
@@ -127,12 +127,12 @@
     ledger.recordEnd(Cause, 100, 500);
     CHECK(ledger.verdict(Cause, 500) == CrashVerdict::Undecided);
     CHECK(ledger.verdict(Cause, 500 + CrashLedger::SettleMs) == CrashVerdict::Poison);
-    CHECK(ledger.remainingMs(Cause, 1'000) == CrashLedger::RetentionMs - 1'000);
+    CHECK(ledger.remainingMs(ledger.judge(Cause, 1'000), 1'000) == CrashLedger::RetentionMs - 1'000);
     ledger.recordEnd(Cause, 101, 3'000);
     ledger.recordEnd(Cause, 102, 3'000);
     CHECK(ledger.verdict(Cause, 3'000) == CrashVerdict::Undecided);
     CHECK(ledger.verdict(Cause, 3'000 + CrashLedger::SettleMs) == CrashVerdict::Poison);
-    ledger.recordFinish(Cause, 4'000);
+    ledger.recordSurvived(Cause, 4'000);
     CHECK(ledger.verdict(Cause, 4'000) == CrashVerdict::MaySend);
 }
 
@@ -191,7 +191,7 @@
             }
         }
         if (row.m_then == 'f') {
-            ledger.recordFinish(Cause, 1'000);
+            ledger.recordSurvived(Cause, 1'000);
         }
         share(1'000);
         CHECK(ledger.verdict(Cause, 1'000) == row.m_after);
@@ -250,6 +250,218 @@
     }
 }
 
+namespace
+{
+struct PartStep
+{
+    /** 'e': the upstream ended under the request, 'u': it does not answer, 'l': it lives, 's': the request survived. */
+    char m_kind;
+    CrashSuspects m_request;
+    std::uint64_t m_upstream;
+    std::int64_t m_atMs;
+};
+
+using PartSteps = std::vector<PartStep>;
+
+constexpr std::uint64_t BadPart = 0xbad;
+constexpr std::uint64_t SharedPart = 0xa;
+constexpr std::uint64_t OtherPart = 0xb;
+constexpr std::int64_t PartRunMs = 100;
+
+/** Returns @p count ends 200 ms apart, each under another request with @p parts. */
+PartSteps endsUnder(const std::vector<std::uint64_t> &parts, std::uint64_t count, char kind = 'e', std::int64_t firstMs = 1'000)
+{
+    PartSteps steps;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const std::int64_t atMs = firstMs + 200 * static_cast<std::int64_t>(i);
+        const std::uint64_t upstream = static_cast<std::uint64_t>(firstMs) + i;
+        steps.push_back({kind, {1'000 + upstream, parts}, upstream, atMs});
+    }
+    return steps;
+}
+
+/** The same ends, at each of which a sound request with @p parts was too. */
+PartSteps beside(PartSteps ends, const std::vector<std::uint64_t> &parts)
+{
+    const PartSteps bad = ends;
+    for (const PartStep &end : bad) {
+        ends.push_back({end.m_kind, {5'000 + end.m_upstream, parts}, end.m_upstream, end.m_atMs});
+    }
+    return ends;
+}
+
+/** Returns @p times moments, 2 s apart, at each of which nine upstreams were lost under requests with SharedPart. */
+PartSteps lostTogether(int times)
+{
+    PartSteps steps;
+    for (int time = 0; time < times; ++time) {
+        for (std::uint64_t i = 0; i < 9; ++i) {
+            const std::uint64_t upstream = 100 + 10 * static_cast<std::uint64_t>(time) + i;
+            steps.push_back({'e', {1'000 + upstream, {SharedPart, 0x100 + i % 3}}, upstream, 1'000 + 2'000 * time + static_cast<std::int64_t>(i)});
+        }
+    }
+    return steps;
+}
+
+PartSteps operator+(PartSteps steps, const PartSteps &more)
+{
+    steps.insert(steps.end(), more.begin(), more.end());
+    return steps;
+}
+
+struct PartRow
+{
+    const char *m_name;
+    PartSteps m_steps;
+    /** The parts of a request that has not come before, and the verdicts on it right after the steps and once all has settled. */
+    std::vector<std::uint64_t> m_parts;
+    CrashVerdict m_verdict;
+    CrashVerdict m_settled;
+};
+
+const std::vector<PartRow> &partRows()
+{
+    const CrashSuspects sound(1, {SharedPart});
+    const CrashSuspects bad(1, {BadPart});
+    static const std::vector<PartRow> rows{
+        {"nothing happened", {}, {BadPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"four ends under the part", endsUnder({BadPart}, 4), {BadPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"five ends under the part", endsUnder({SharedPart, BadPart}, 5), {SharedPart, BadPart}, CrashVerdict::Undecided, CrashVerdict::Poison},
+        {"the part comes first", endsUnder({BadPart, SharedPart}, 5), {BadPart, SharedPart}, CrashVerdict::Undecided, CrashVerdict::Poison},
+        {"a sound request shares the other part", endsUnder({SharedPart, BadPart}, 5), {SharedPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"the part is without the one that was at each end",
+         endsUnder({SharedPart, BadPart}, 5),
+         {OtherPart, BadPart},
+         CrashVerdict::MaySend,
+         CrashVerdict::MaySend},
+        {"the part is without the one that was at each end, which survives",
+         endsUnder({SharedPart, BadPart}, 5) + PartSteps{{'s', sound, 0, 3'000}},
+         {OtherPart, BadPart},
+         CrashVerdict::Undecided,
+         CrashVerdict::Poison},
+        {"a sound request with another part was at each end",
+         beside(endsUnder({BadPart}, 5), {OtherPart}),
+         {BadPart},
+         CrashVerdict::MaySend,
+         CrashVerdict::MaySend},
+        {"such a one, which survives",
+         beside(endsUnder({BadPart}, 5), {OtherPart}) + PartSteps{{'s', {1, {OtherPart}}, 0, 3'000}},
+         {BadPart},
+         CrashVerdict::Undecided,
+         CrashVerdict::Poison},
+        {"a sound request with another part was at nine of ten ends",
+         beside(endsUnder({BadPart}, 9), {OtherPart}) + endsUnder({BadPart}, 1, 'e', 9'000),
+         {OtherPart},
+         CrashVerdict::MaySend,
+         CrashVerdict::MaySend},
+        {"two parts that always come together", endsUnder({OtherPart, BadPart}, 5), {OtherPart, BadPart}, CrashVerdict::Undecided, CrashVerdict::Poison},
+        {"one of two parts that always came together", endsUnder({OtherPart, BadPart}, 5), {OtherPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"one of them, at a further end without the other",
+         endsUnder({OtherPart, BadPart}, 5) + endsUnder({BadPart}, 1, 'e', 5'000),
+         {BadPart},
+         CrashVerdict::Undecided,
+         CrashVerdict::Poison},
+        {"a part that also survives",
+         endsUnder({OtherPart, BadPart}, 5) + PartSteps{{'s', {1, {OtherPart}}, 0, 2'000}},
+         {BadPart},
+         CrashVerdict::Undecided,
+         CrashVerdict::Poison},
+        {"the part that all requests have", endsUnder({SharedPart}, 5), {SharedPart}, CrashVerdict::Undecided, CrashVerdict::Poison},
+        {"the part that all requests have, one survives",
+         endsUnder({SharedPart}, 5) + PartSteps{{'s', sound, 0, 2'000}},
+         {SharedPart},
+         CrashVerdict::MaySend,
+         CrashVerdict::MaySend},
+        {"upstreams were lost together", lostTogether(1), {SharedPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"upstreams were lost together four times", lostTogether(4), {SharedPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"it survived before", PartSteps{{'s', bad, 0, 500}} + endsUnder({BadPart}, 5), {BadPart}, CrashVerdict::Undecided, CrashVerdict::Poison},
+        {"it survives afterwards", endsUnder({BadPart}, 5) + PartSteps{{'s', bad, 0, 5'000}}, {BadPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"it survived after the first end",
+         endsUnder({BadPart}, 1) + PartSteps{{'s', bad, 0, 1'001}} + endsUnder({BadPart}, 4, 'e', 2'000),
+         {BadPart},
+         CrashVerdict::MaySend,
+         CrashVerdict::MaySend},
+        {"five do not answer", endsUnder({BadPart}, 5, 'u'), {BadPart}, CrashVerdict::Undecided, CrashVerdict::MaySend},
+        {"five do not answer and have ended", endsUnder({BadPart}, 5, 'u') + endsUnder({BadPart}, 5), {BadPart}, CrashVerdict::Undecided, CrashVerdict::Poison},
+        {"five do not answer and live", endsUnder({BadPart}, 5, 'u') + endsUnder({BadPart}, 5, 'l'), {BadPart}, CrashVerdict::MaySend, CrashVerdict::MaySend},
+        {"a sound part at five ends of the cause and at one more",
+         endsUnder({OtherPart, BadPart}, 5) + endsUnder({OtherPart}, 1, 'e', 5'000) + endsUnder({BadPart}, 2, 'e', 6'000),
+         {OtherPart},
+         CrashVerdict::MaySend,
+         CrashVerdict::MaySend},
+    };
+    return rows;
+}
+}
+
+// Requests with one bad part, no two alike, were each new to the ledger and ended upstreams without limit (incident BUDGET of issue 34).
+TEST_CASE("a part of prompts is poison when it is the likely cause of five ends, and the parts beside it are not", "[entry][crash]")
+{
+    for (const PartRow &row : partRows()) {
+        CAPTURE(row.m_name);
+        CrashLedger ledger;
+        CrashLedger other;
+        std::int64_t nowMs = 0;
+        for (const PartStep &step : row.m_steps) {
+            nowMs = std::max(nowMs, step.m_atMs);
+            const CrashRun run{step.m_atMs - PartRunMs, step.m_atMs};
+            if (step.m_kind == 'e') {
+                ledger.recordEnd(step.m_request, step.m_upstream, run, step.m_atMs);
+            } else if (step.m_kind == 'u') {
+                ledger.recordUnconfirmed(step.m_request, step.m_upstream, run, step.m_atMs);
+            } else if (step.m_kind == 'l') {
+                ledger.recordLives(step.m_request, step.m_upstream, step.m_atMs);
+            } else {
+                ledger.recordSurvived(step.m_request, step.m_atMs);
+            }
+            // A daemon that has the observations from messages alone decides alike.
+            other.merge(valueOf(decodeCrashes(encodeCrashes(ledger.ownObservations(1'000, CrashLedger::RetentionMs, step.m_atMs)))), false, step.m_atMs);
+        }
+        const CrashSuspects request(1, row.m_parts);
+        const std::int64_t settledMs = nowMs + CrashLedger::MaxUnconfirmedMs + 1;
+        for (CrashLedger *each : {&ledger, &other}) {
+            CHECK(each->verdict(request, nowMs) == row.m_verdict);
+            CHECK(each->verdict(request, settledMs) == row.m_settled);
+            CHECK(each->verdict(request, nowMs + CrashLedger::RetentionMs + 1) == CrashVerdict::MaySend);
+        }
+        const CrashFinding finding = ledger.judge(request, nowMs);
+        CHECK(finding.m_isPart == (finding.m_verdict != CrashVerdict::MaySend));
+    }
+}
+
+// A request that is let in again while the part still counts would be refused once more, or end another upstream.
+TEST_CASE("the time for which a part is refused ends when too few ends under it are kept", "[entry][crash]")
+{
+    CrashLedger ledger;
+    for (std::uint64_t i = 0; i < 7; ++i) {
+        const std::int64_t atMs = 1'000 * static_cast<std::int64_t>(i);
+        ledger.recordEnd({100 + i, {BadPart}}, i, {atMs - PartRunMs, atMs}, atMs);
+    }
+    const CrashSuspects request(1, {BadPart});
+    const std::int64_t nowMs = 6'000 + CrashLedger::SettleMs;
+    const std::int64_t remainingMs = ledger.remainingMs(ledger.judge(request, nowMs), nowMs);
+    CHECK(nowMs + remainingMs == 2'000 + CrashLedger::RetentionMs);
+    CHECK(ledger.verdict(request, nowMs + remainingMs) == CrashVerdict::Poison);
+    CHECK(ledger.verdict(request, nowMs + remainingMs + 1) == CrashVerdict::MaySend);
+}
+
+// A flood of requests with new parts must not push out what is known of the cause.
+TEST_CASE("the crash ledger keeps the cause while many other parts come and are cleared", "[entry][crash]")
+{
+    CrashLedger ledger;
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        const std::int64_t atMs = 200 * static_cast<std::int64_t>(i);
+        ledger.recordEnd({100 + i, {BadPart}}, i, {atMs - PartRunMs, atMs}, atMs);
+    }
+    for (std::uint64_t i = 1'000; i < 1'000 + CrashLedger::MaxObservations; ++i) {
+        const CrashSuspects request(1'000'000 + i, {2'000'000 + i, 3'000'000 + i});
+        ledger.recordEnd(request, i, 2'000);
+        ledger.recordSurvived(request, 2'001);
+    }
+    CHECK(ledger.size() == CrashLedger::MaxObservations);
+    CHECK(ledger.verdict({1, {BadPart}}, 10'000) == CrashVerdict::Poison);
+}
+
 TEST_CASE("crash observations merge to the same result in any order", "[entry][crash]")
 {
     rc::prop("any order, any repetition", []() {
--- a/autotests/processes/crashingpart.sh
+++ b/autotests/processes/crashingpart.sh
@@ -7,28 +7,28 @@
 CONTACT_MS=3000
 MAX_SENDS=3
 export ENDS=5 INNOCENT_KEY=$KEY INNOCENT_TIMES=1
-# name, daemons, engines, words of the part bad1, prompts of the requests with it, prompts of sound ones, pause between two requests with it in s, time
-# after which all daemons are killed in s (0: never)
+# name, daemons, engines, words of the part bad1, prompts of the requests with it, prompts of sound ones, pause between two requests with it in s, their
+# number, time after which all daemons are killed in s (0: never)
 cases=(
-    "reset|8|27|CRASH|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|0"
-    "first|8|27|CRASH|bad1:300,a1:40,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|0"
-    "silent|8|27|CRASH-SILENT|a1:40,bGROUP:100,bad1:300,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|0"
-    "answered|8|27|CRASH-IN-ANSWER|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|0"
-    "in-event|8|27|CRASH-IN-EVENT|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|0"
-    "restarts|8|27|CRASH|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|8"
-    "fast|8|27|CRASH|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.1|0"
-    "always-two|8|27|CRASH|a1:40,bad1:300,bad2:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|0"
-    "companion|8|27|CRASH|a1:40,bad1:300,c0ffee:100,cNUMBER:50|a1:40,c0ffee:100,cNUMBERROUND:50|0.2|0"
+    "reset|8|27|CRASH|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|0"
+    "first|8|27|CRASH|bad1:300,a1:40,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|0"
+    "silent|8|27|CRASH-SILENT|a1:40,bGROUP:100,bad1:300,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|0"
+    "answered|8|27|CRASH-IN-ANSWER|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|0"
+    "in-event|8|27|CRASH-IN-EVENT|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|0"
+    "restarts|8|27|CRASH|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|8"
+    "fast|8|27|CRASH|a1:40,bad1:300,bGROUP:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.1|120|0"
+    "always-two|8|27|CRASH|a1:40,bad1:300,bad2:100,cNUMBER:50|a1:40,bGROUP:100,cNUMBERROUND:50|0.2|60|0"
+    "companion|8|27|CRASH|a1:40,bad1:300,c0ffee:100,cNUMBER:50|a1:40,c0ffee:100,cNUMBERROUND:50|0.2|60|0"
 )
 
-send_crashing() { # prompt pause kill-after
+send_crashing() { # prompt pause count kill-after
     local i n prompt sends=() started=$SECONDS killed=0
-    for i in $(seq 1 "${SENDS:-60}"); do
+    for i in $(seq 1 "$3"); do
         prompt=${1//NUMBER/$i}
         send $((i % ENTRIES + 1)) "/stream/part-$i" "body $i" -H "Prompt-Prefix: ${prompt//GROUP/$((i % 3))}" >>"$RUN/crashing" &
         sends+=("$!")
         sleep "$2"
-        if [ "$3" -gt 0 ] && [ $killed = 0 ] && [ $((SECONDS - started)) -ge "$3" ]; then
+        if [ "$4" -gt 0 ] && [ $killed = 0 ] && [ $((SECONDS - started)) -ge "$4" ]; then
             killed=1
             for n in $(seq 1 "$ENTRIES"); do
                 kill -KILL "$(pid_of "entry-$n")"
@@ -45,7 +45,7 @@
     awk -v begin="$1" -v end="$2" '$3 >= begin && $3 < end { ++sent; answered += $1 == 200 } END { print answered + 0, sent + 0 }' "$RUN/innocent"
 }
 
-run_case() { # name daemons engines words crashing-prompt sound-prompt pause kill-after
+run_case() { # name daemons engines words crashing-prompt sound-prompt pause count kill-after
     local name=$1 course before later refused first
     INNOCENT_PROMPT=$6
     start_hosting "$2" --engines "$3" --services 0 --restart-ms 1500 --silent-ms 3000 --prefill-ms 30 --part "bad1=$4" || { status=1; return; }
@@ -56,7 +56,7 @@
     start_innocents 40 /stream/sound
     sleep 3
     first=$(uptime_ms)
-    send_crashing "$5" "$7" "$8"
+    send_crashing "$5" "$7" "$8" "$9"
     stop_innocents
     history >"$RUN/history"
     read -r -a course <<<"$(crash_course "$RUN/history" '/stream/part-[0-9]*' "$CONTACT_MS")"
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -102,7 +102,6 @@
         }
         co_return OpenResult::Lost;
     }
-    m_answeredMs = steadyMs();
     m_status = m_stream->status();
     m_headers = m_stream->headers();
     m_answer = platform::decodeResponseHeaders(m_status, m_headers);
@@ -172,13 +171,34 @@
 
 void EntryAttempt::handleMissingAnswer()
 {
-    const bool ranOn = m_answeredMs >= 0 && steadyMs() - m_answeredMs > CrashWindowMs;
-    if (ranOn) {
+    if (ranOn()) {
         return;
     }
     // Other attempts were aborted by this daemon, mostly at upstreams that live: their requests go on to the best upstream.
     m_call.m_mayEndUpstreams = m_call.m_mayEndUpstreams || m_call.m_running->m_cause == AbortCause::None;
-    checkUpstreamEnded(m_call.m_context, m_upstream, {m_call.m_fingerprint, m_call.m_caller.m_promptParts}, m_sentMs);
+    checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_suspects, m_sentMs, CheckedAnswer::Missing);
+}
+
+bool EntryAttempt::ranOn() const
+{
+    return m_firstEventMs >= 0 && steadyMs() - m_firstEventMs > CrashWindowMs;
+}
+
+void EntryAttempt::recordEvent()
+{
+    m_firstEventMs = m_firstEventMs < 0 ? steadyMs() : m_firstEventMs;
+    if (ranOn()) {
+        m_call.m_context.m_crashLedger.recordSurvived(m_call.m_suspects, steadyMs());
+    }
+}
+
+void EntryAttempt::recordFinished()
+{
+    if (m_stream->endsWithConnection() && !ranOn()) {
+        checkUpstreamEnded(m_call.m_context, m_upstream, m_call.m_suspects, m_sentMs, CheckedAnswer::MayBeComplete);
+    } else {
+        m_call.m_context.m_crashLedger.recordSurvived(m_call.m_suspects, steadyMs());
+    }
 }
 
 void EntryAttempt::finish()
@@ -215,7 +235,7 @@
 {
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
-              {"fingerprint", toHex(call.m_fingerprint)},
+              {"fingerprint", toHex(call.m_suspects.m_request)},
               {"parts", joinHex(call.m_caller.m_promptParts)},
               {"upstream", upstream},
               {"group", group},
@@ -234,7 +254,7 @@
     }
     logEvent(LogEvent::AttemptFailed,
              {{"request", call.m_caller.m_requestId},
-              {"fingerprint", toHex(call.m_fingerprint)},
+              {"fingerprint", toHex(call.m_suspects.m_request)},
               {"upstream", upstream},
               {"may_have_run", outcome == AttemptOutcome::MayHaveRun},
               {"ended_by", std::string(enumName(AbortCauseNames, call.m_running->m_cause))},
@@ -242,50 +262,55 @@
               {"after_ms", steadyMs() - call.m_arrivedMs}});
 }
 
-CrashVerdict crashVerdict(const EntryCall &call)
+CrashFinding judgeCrashes(const EntryCall &call)
 {
-    const std::uint64_t delayMs = hash64(call.m_context.m_settings.m_name, call.m_fingerprint) % CrashTrialSpreadMs;
-    return call.m_context.m_crashLedger.verdict(call.m_fingerprint, steadyMs(), static_cast<std::int64_t>(delayMs));
+    const std::uint64_t delayMs = hash64(call.m_context.m_settings.m_name, call.m_suspects.m_request) % CrashTrialSpreadMs;
+    return call.m_context.m_crashLedger.judge(call.m_suspects, steadyMs(), static_cast<std::int64_t>(delayMs));
 }
 
 awaitable<CrashVerdict> waitForCrashVerdict(EntryCall &call)
 {
     constexpr std::int64_t PollMs = 20;
     const auto mustWait = [&call]() {
-        return crashVerdict(call) == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected();
+        return judgeCrashes(call).m_verdict == CrashVerdict::Undecided && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected();
     };
     while (mustWait()) {
+        const CrashFinding finding = judgeCrashes(call);
         logEvent(LogEvent::CrashUndecided,
                  {{"request", call.m_caller.m_requestId},
-                  {"fingerprint", toHex(call.m_fingerprint)},
-                  {"upstreams_ended", static_cast<std::int64_t>(call.m_context.m_crashLedger.upstreamsEnded(call.m_fingerprint))},
+                  {"fingerprint", toHex(call.m_suspects.m_request)},
+                  {"part", finding.m_isPart ? toHex(finding.m_suspect) : std::string()},
+                  {"upstreams_ended", static_cast<std::int64_t>(finding.m_upstreams)},
                   {"after_ms", steadyMs() - call.m_arrivedMs}});
         while (mustWait()) {
             co_await sleepFor(PollMs);
         }
-        if (crashVerdict(call) == CrashVerdict::MaySend) {
+        if (judgeCrashes(call).m_verdict == CrashVerdict::MaySend) {
             // Copies that wait at several daemons go on at different times, so that the fate of the first one stops the others.
             std::uniform_int_distribution<std::int64_t> spreadMs(0, CrashSpreadMs);
             const std::int64_t pauseMs = spreadMs(call.m_context.m_random);
             co_await sleepFor(pauseMs);
         }
     }
-    co_return crashVerdict(call);
+    co_return judgeCrashes(call).m_verdict;
 }
 
 std::int64_t poisonRetryAfterMs(const EntryCall &call)
 {
-    return call.m_context.m_crashLedger.remainingMs(call.m_fingerprint, steadyMs());
+    return call.m_context.m_crashLedger.remainingMs(judgeCrashes(call), steadyMs());
 }
 
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs)
 {
     const unsigned status = refusalStatus(reason);
     ++call.m_context.m_metrics.m_refused.at(static_cast<std::size_t>(reason));
+    const CrashFinding finding = reason == RefusalReason::PoisonRequest ? judgeCrashes(call) : CrashFinding();
     logEvent(LogEvent::RequestRefused,
              {{"request", call.m_caller.m_requestId},
-              {"fingerprint", toHex(call.m_fingerprint)},
+              {"fingerprint", toHex(call.m_suspects.m_request)},
               {"parts", joinHex(call.m_caller.m_promptParts)},
+              {"poison_part", finding.m_isPart ? toHex(finding.m_suspect) : std::string()},
+              {"upstreams_ended", static_cast<std::int64_t>(finding.m_upstreams)},
               {"route", call.m_admission.m_route == nullptr ? std::string() : call.m_admission.m_route->m_name},
               {"workspace", workspaceName(call)},
               {"reason", std::string(enumName(RefusalReasonNames, reason))},
@@ -325,8 +350,8 @@
         co_return;
     }
     context.m_serving = true;
-    call.m_fingerprint = requestFingerprint(workspaceName(call), exchange.request().m_target, exchange.request().m_body);
-    if (crashVerdict(call) == CrashVerdict::Poison) {
+    call.m_suspects = {requestFingerprint(workspaceName(call), exchange.request().m_target, exchange.request().m_body), call.m_caller.m_promptParts};
+    if (judgeCrashes(call).m_verdict == CrashVerdict::Poison) {
         co_await refuseCall(call, RefusalReason::PoisonRequest, poisonRetryAfterMs(call));
         co_return;
     }
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -28,8 +28,8 @@
     /** Owns the route, workspace and service that the members below point to. */
     CallConfigPtr m_config;
     CallAdmission m_admission;
-    /** See requestFingerprint(); 0 until the request is admitted. */
-    std::uint64_t m_fingerprint = 0;
+    /** Empty until the request is admitted. */
+    CrashSuspects m_suspects;
     /** The connection of an attempt broke soon after the request had been sent, so that the request may be what ended the upstream. */
     bool m_mayEndUpstreams = false;
     const CallService *m_service = nullptr;
@@ -99,15 +99,25 @@
      * connection that stays silent until this daemon closes it is no proof that the upstream lives.
      */
     void handleMissingAnswer();
+    /** Must be called when an event of the answer has arrived: an upstream that goes on after it has begun to answer does not end under the request. */
+    void recordEvent();
+    /**
+     * Must be called when the answer was read to its end, before finish(). The request has finished; but where the answer ends with its connection, an upstream
+     * that has ended looks the same, so that it is checked first.
+     */
+    void recordFinished();
     /** Must be called when the answer was read to its end. Returns the connection to the pool if it can be reused. */
     void finish();
 
 private:
+    /** Returns whether the request has run for so long that it is not what ends the upstream. */
+    bool ranOn() const;
+
     EntryCall &m_call;
     UpstreamInstance m_upstream;
     std::int64_t m_sentMs = 0;
-    /** Time at which the answer began, and with it the run; -1 before. */
-    std::int64_t m_answeredMs = -1;
+    /** Time at which the first event arrived, and with it the run began; -1 before. */
+    std::int64_t m_firstEventMs = -1;
     HttpConnectionPtr m_connection;
     std::unique_ptr<HttpStream> m_stream;
     HeaderFields m_headers;
@@ -128,8 +138,8 @@
 /** Returns the time until the final answer is due, in ms; negative when it is overdue. */
 std::int64_t timeLeftMs(const EntryCall &call);
 
-/** Returns whether the request may be sent (again), as far as is known of upstreams that ended under it. */
-CrashVerdict crashVerdict(const EntryCall &call);
+/** Returns whether the request may be sent (again), as far as is known of upstreams that ended under it or a part of its prompt. */
+CrashFinding judgeCrashes(const EntryCall &call);
 /** Waits while that is undecided. Returns Undecided only if the time is over or the client has left. */
 awaitable<CrashVerdict> waitForCrashVerdict(EntryCall &call);
 /** Returns how long a poison request is refused, in ms. */
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -60,6 +60,8 @@
     CrashRun m_run;
     /** See CrashSuspects. */
     std::vector<std::uint64_t> m_parts;
+    /** The answer ended with its connection and is complete if the upstream lives. */
+    bool m_mayBeComplete = false;
 };
 
 /** A request that is being served, as far as is needed to abort its current attempt. */
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -80,7 +80,7 @@
 void recordUnconfirmed(EntryContext &context, std::uint64_t lifetime)
 {
     for (const std::pair<const std::uint64_t, UnansweredRun> &request : context.m_endChecks.at(lifetime)) {
-        context.m_crashLedger.recordUnconfirmed(request.first, lifetime, request.second.m_run, steadyMs());
+        context.m_crashLedger.recordUnconfirmed({request.first, request.second.m_parts}, lifetime, request.second.m_run, steadyMs());
     }
 }
 
@@ -121,7 +121,11 @@
               {"took_ms", steadyMs() - startedMs}});
     if (outcome == EndCheckOutcome::Lives) {
         for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
-            context.m_crashLedger.recordLives(request.first, lifetime, steadyMs());
+            const CrashSuspects suspects(request.first, request.second.m_parts);
+            context.m_crashLedger.recordLives(suspects, lifetime, steadyMs());
+            if (request.second.m_mayBeComplete) {
+                context.m_crashLedger.recordSurvived(suspects, steadyMs());
+            }
         }
     }
     if (outcome != EndCheckOutcome::Ended) {
@@ -129,14 +133,18 @@
     }
     for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
         const std::uint64_t fingerprint = request.first;
-        context.m_crashLedger.recordEnd(fingerprint, lifetime, request.second.m_run, steadyMs());
+        const CrashSuspects suspects(fingerprint, request.second.m_parts);
+        context.m_crashLedger.recordEnd(suspects, lifetime, request.second.m_run, steadyMs());
+        const CrashFinding finding = context.m_crashLedger.judge(suspects, steadyMs());
         logEvent(LogEvent::UpstreamEnded,
                  {{"upstream", upstream.m_id},
                   {"fingerprint", toHex(fingerprint)},
                   {"parts", joinHex(request.second.m_parts)},
                   {"requests", static_cast<std::int64_t>(waiting.mapped().size())},
                   {"upstreams_ended", static_cast<std::int64_t>(context.m_crashLedger.upstreamsEnded(fingerprint))},
-                  {"poison", context.m_crashLedger.verdict(fingerprint, steadyMs()) == CrashVerdict::Poison}});
+                  {"suspected_part", finding.m_isPart ? toHex(finding.m_suspect) : std::string()},
+                  {"suspected_part_upstreams", static_cast<std::int64_t>(finding.m_isPart ? finding.m_upstreams : 0)},
+                  {"poison", finding.m_verdict == CrashVerdict::Poison}});
     }
 }
 
@@ -152,11 +160,11 @@
 }
 }
 
-void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs)
+void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs, CheckedAnswer answer)
 {
     const std::uint64_t lifetime = upstreamLifetime(upstream.m_id, upstream.m_startedMs);
     const bool isRunning = context.m_endChecks.count(lifetime) > 0;
-    context.m_endChecks[lifetime][suspects.m_request] = {{sentMs, steadyMs()}, suspects.m_parts};
+    context.m_endChecks[lifetime][suspects.m_request] = {{sentMs, steadyMs()}, suspects.m_parts, answer == CheckedAnswer::MayBeComplete};
     if (!isRunning) {
         asio::co_spawn(context.m_io, runEndCheck(context, std::move(upstream), lifetime), asio::detached);
     }
--- a/daemons/entrycrashes.h
+++ b/daemons/entrycrashes.h
@@ -12,12 +12,20 @@
     std::int64_t m_startedMs = 0;
 };
 
+/** What an attempt got whose upstream is checked. */
+enum class CheckedAnswer {
+    /** No complete answer. */
+    Missing,
+    /** An answer that ended with its connection, as it also does when the upstream ends. */
+    MayBeComplete,
+};
+
 /**
- * Must be called when an attempt at @p upstream, which got the request at @p sentMs, ended without a complete answer before the request had run there for
- * CrashWindowMs, whatever ended the attempt. Finds out, in the background, whether the upstream has ended, and records that in the crash ledger. Costs at most
- * one connection to each upstream at a time, and two a second to one that does not answer.
+ * Must be called when an attempt at @p upstream, which got the request at @p sentMs, ended without an answer that is complete for certain before the request
+ * had run there for CrashWindowMs, whatever ended the attempt. Finds out, in the background, whether the upstream has ended, and records that in the crash
+ * ledger. Costs at most one connection to each upstream at a time, and two a second to one that does not answer.
  */
-void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs);
+void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs, CheckedAnswer answer);
 
 /** A request that ran on an upstream for longer than this, in ms, is not what ended it. */
 inline constexpr std::int64_t CrashWindowMs = 1'000;
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -145,6 +145,7 @@
             continue;
         }
         registration.event(events.m_events);
+        attempt.recordEvent();
         call.m_context.m_metrics.m_events += static_cast<std::uint64_t>(events.m_events);
         if (!counted) {
             counted = true;
@@ -173,11 +174,7 @@
         attempt.handleMissingAnswer();
         co_return AttemptResult::Failed;
     }
-    if (attempt.stream().reusable()) {
-        call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
-    } else if (!counted) {
-        attempt.handleMissingAnswer();
-    }
+    attempt.recordFinished();
     attempt.finish();
     if (!state.m_headerSent) {
         const Result<Done> sent = co_await sendHeader(call, attempt, state);
@@ -310,9 +307,9 @@
     }
     while (true) {
         const std::int64_t nowMs = steadyMs();
-        const int upstreamsEnded = context.m_crashLedger.upstreamsEnded(call.m_fingerprint);
+        const int upstreamsEnded = context.m_crashLedger.upstreamsEnded(call.m_suspects.m_request);
         if (call.m_mayEndUpstreams || upstreamsEnded > 0) {
-            query.m_partByKey = partingKey(call.m_fingerprint, upstreamsEnded);
+            query.m_partByKey = partingKey(call.m_suspects.m_request, upstreamsEnded);
         }
         const auto takePermit = [&call, &context, nowMs](const TrackedReplica &replica) {
             return allowColdRequest(context, replica.m_head, replica.m_coldUntilMs, call.m_service->m_coldRequestsPerSecond, nowMs);
@@ -346,7 +343,7 @@
             co_await giveUpWithoutReplica(call, state);
             co_return;
         }
-        if (crashVerdict(call) != CrashVerdict::MaySend && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
+        if (judgeCrashes(call).m_verdict != CrashVerdict::MaySend && timeLeftMs(call) > 0 && !call.m_exchange.callerDisconnected()) {
             // Upstreams ended under the request while it waited.
             continue;
         }
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -97,9 +97,7 @@
     attempt.learnFromAnswer();
     reply.m_status = attempt.status();
     reply.m_headers = attempt.headers();
-    if (attempt.stream().reusable()) {
-        call.m_context.m_crashLedger.recordFinish(call.m_fingerprint, steadyMs());
-    }
+    attempt.recordFinished();
     attempt.finish();
     const bool failure = reply.m_status >= FirstServerError;
     context.m_upstreamSelector.end(
--- a/net/crashcodec.cpp
+++ b/net/crashcodec.cpp
@@ -25,7 +25,7 @@
         const std::uint32_t lagMs = wireMs(observation.m_lagMs);
         const std::uint32_t runMs = wireMs(observation.m_runMs);
         items.push_back(wire::CreateCrash(builder,
-                                          observation.m_request,
+                                          observation.m_suspect,
                                           observation.m_upstream,
                                           wireMs(observation.m_ageMs),
                                           observation.m_refuted,
@@ -41,7 +41,7 @@
     std::vector<CrashObservation> observations;
     if (items != nullptr) {
         for (const wire::Crash *item : *items) {
-            observations.push_back({item->request(), item->upstream(), item->age_ms(), item->refuted(), item->unconfirmed(), item->lag_ms(), item->run_ms()});
+            observations.push_back({item->suspect(), item->upstream(), item->age_ms(), item->refuted(), item->unconfirmed(), item->lag_ms(), item->run_ms()});
         }
     }
     return observations;
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -286,6 +286,11 @@
     co_return std::string_view();
 }
 
+bool HttpStream::endsWithConnection() const
+{
+    return m_parser.need_eof();
+}
+
 bool HttpStream::finished() const
 {
     return m_parser.is_done();
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -107,6 +107,8 @@
      * bytes arrive for @p timeoutMs (at most 1.25 times as long), or with ConnectionLost.
      */
     awaitable<Result<std::string_view>> read(std::int64_t timeoutMs);
+    /** Returns whether the response has neither a length nor chunks, so that its body ends with the connection. */
+    bool endsWithConnection() const;
     /** Returns whether the body was read to its end. */
     bool finished() const;
     /**
--- a/simulation/crashdeployment.h
+++ b/simulation/crashdeployment.h
@@ -242,7 +242,7 @@
             if (ending.count(request.m_upstream) > 0) {
                 broken.push_back(request);
             } else if (m_nowMs - request.m_sentMs >= RunMs) {
-                m_ledgers[request.m_daemon].recordFinish(request.m_fingerprint, m_nowMs);
+                m_ledgers[request.m_daemon].recordSurvived(request.m_fingerprint, m_nowMs);
             } else {
                 going.push_back(request);
             }
--- a/wire/crashes_generated.h
+++ b/wire/crashes_generated.h
@@ -26,7 +26,7 @@
 
 struct CrashT : public flatbuffers::NativeTable {
   typedef Crash TableType;
-  uint64_t request = 0;
+  uint64_t suspect = 0;
   uint64_t upstream = 0;
   uint32_t age_ms = 0;
   bool refuted = false;
@@ -39,7 +39,7 @@
   typedef CrashT NativeTableType;
   typedef CrashBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REQUEST = 4,
+    VT_SUSPECT = 4,
     VT_UPSTREAM = 6,
     VT_AGE_MS = 8,
     VT_REFUTED = 10,
@@ -47,8 +47,8 @@
     VT_LAG_MS = 14,
     VT_RUN_MS = 16
   };
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
+  uint64_t suspect() const {
+    return GetField<uint64_t>(VT_SUSPECT, 0);
   }
   uint64_t upstream() const {
     return GetField<uint64_t>(VT_UPSTREAM, 0);
@@ -70,7 +70,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SUSPECT, 8) &&
            VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_REFUTED, 1) &&
@@ -88,8 +88,8 @@
   typedef Crash Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(Crash::VT_REQUEST, request, 0);
+  void add_suspect(uint64_t suspect) {
+    fbb_.AddElement<uint64_t>(Crash::VT_SUSPECT, suspect, 0);
   }
   void add_upstream(uint64_t upstream) {
     fbb_.AddElement<uint64_t>(Crash::VT_UPSTREAM, upstream, 0);
@@ -122,7 +122,7 @@
 
 inline flatbuffers::Offset<Crash> CreateCrash(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
+    uint64_t suspect = 0,
     uint64_t upstream = 0,
     uint32_t age_ms = 0,
     bool refuted = false,
@@ -131,7 +131,7 @@
     uint32_t run_ms = 0) {
   CrashBuilder builder_(_fbb);
   builder_.add_upstream(upstream);
-  builder_.add_request(request);
+  builder_.add_suspect(suspect);
   builder_.add_run_ms(run_ms);
   builder_.add_lag_ms(lag_ms);
   builder_.add_age_ms(age_ms);
@@ -218,7 +218,7 @@
 inline void Crash::UnPackTo(CrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = request(); _o->request = _e; }
+  { auto _e = suspect(); _o->suspect = _e; }
   { auto _e = upstream(); _o->upstream = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = refuted(); _o->refuted = _e; }
@@ -235,7 +235,7 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _request = _o->request;
+  auto _suspect = _o->suspect;
   auto _upstream = _o->upstream;
   auto _age_ms = _o->age_ms;
   auto _refuted = _o->refuted;
@@ -244,7 +244,7 @@
   auto _run_ms = _o->run_ms;
   return knapweedslip::wire::CreateCrash(
       _fbb,
-      _request,
+      _suspect,
       _upstream,
       _age_ms,
       _refuted,
