--- a/autotests/upstreamavailabilitytest.cpp
+++ b/autotests/upstreamavailabilitytest.cpp
@@ -2,6 +2,7 @@
 // against callers who are refused although another upstream is free.
 
 #include "kernel/upstreamavailability.h"
+#include "kernel/crashledger.h"
 #include "simulation/talkativeupstreams.h"
 
 #include <catch2/catch.hpp>
@@ -56,6 +57,42 @@
     }
 }
 
+// Requests went on to an upstream that had ended until the list dropped it, and each spent from the shared resend budget (incident BUDGET of issue 34).
+TEST_CASE("a lifetime that has ended gets no requests, whoever found it out, and its successor does", "[availability]")
+{
+    UpstreamAvailability availability;
+    availability.observe(listed("u", 1), 0);
+    CHECK(availability.recordEnded(upstreamLifetime("u", 2), 10, 10).empty());
+    CHECK(availability.check("u", AnyEpoch, 10).m_reason == WithheldReason::None);
+    CHECK(availability.recordEnded(upstreamLifetime("u", 1), 10, 100) == "u");
+    // The same observation arrives again and again, and does not hold the upstream back for longer.
+    CHECK(availability.recordEnded(upstreamLifetime("u", 1), 10, 2'000).empty());
+    CHECK(availability.recordEnded(upstreamLifetime("u", 1), 10, 7'000).empty());
+    for (const std::uint64_t epoch : {AnyEpoch, std::uint64_t(7)}) {
+        CHECK(availability.check("u", epoch, 10 + UpstreamAvailability::EndedMs).m_reason == WithheldReason::Ended);
+        CHECK(availability.check("u", epoch, 11 + UpstreamAvailability::EndedMs).m_reason == WithheldReason::None);
+    }
+    SECTION("a successor under its id")
+    {
+        availability.observe(listed("u", 2), 200);
+        CHECK(availability.check("u", AnyEpoch, 300).m_reason == WithheldReason::None);
+        CHECK(availability.recordEnded(upstreamLifetime("u", 1), 250, 300).empty());
+        CHECK(availability.recordEnded(upstreamLifetime("u", 2), 250, 300) == "u");
+    }
+    SECTION("it answers after all")
+    {
+        availability.recordLives({"u", 2}, 200);
+        CHECK(availability.check("u", AnyEpoch, 300).m_reason == WithheldReason::Ended);
+        availability.recordLives({"u", 1}, 200);
+        CHECK(availability.check("u", AnyEpoch, 300).m_reason == WithheldReason::None);
+    }
+    SECTION("it is no longer listed")
+    {
+        availability.markUnlisted("u", 200);
+        CHECK(availability.recordEnded(upstreamLifetime("u", 1), 250, 300).empty());
+    }
+}
+
 // Guards against a weaker reason that hides a stronger one, such as a full upstream whose zone is out of service.
 TEST_CASE("the strongest reason decides, and ends when it should", "[availability]")
 {
--- a/daemons/entryavailability.cpp
+++ b/daemons/entryavailability.cpp
@@ -31,6 +31,17 @@
     logWithheld(upstream, WithheldReason::SaysLeaving, Withheld::NoKnownEnd, requestId);
 }
 
+void learnEnded(EntryContext &context, std::uint64_t lifetime, std::int64_t observedMs)
+{
+    const std::string upstream = context.m_availability.recordEnded(lifetime, observedMs, steadyMs());
+    if (upstream.empty()) {
+        return;
+    }
+    const auto listed = context.m_upstreams.find(upstream);
+    const std::int64_t startedMs = listed == context.m_upstreams.end() ? 0 : listed->second.m_startedMs;
+    logWithheld({upstream, startedMs}, WithheldReason::Ended, UpstreamAvailability::EndedMs, {});
+}
+
 void learnFromAnswer(EntryContext &context, const UpstreamLifetime &upstream, const platform::ResponseHeaders &answer, const std::string &requestId)
 {
     if (answer.m_leaving) {
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -69,6 +69,9 @@
         Result<HttpConnectionPtr> fresh = co_await httpConnect(target.m_address, std::min(ConnectTimeoutMs, std::max<std::int64_t>(1, timeLeftMs(m_call))));
         if (failed(fresh)) {
             m_error = describe(errorOf(fresh));
+            if (isConnectionRefused(errorOf(fresh))) {
+                learnEnded(context, upstreamLifetime(m_upstream.m_id, m_upstream.m_startedMs), steadyMs());
+            }
             co_return OpenResult::NotSent;
         }
         m_connection = std::move(valueOf(fresh));
@@ -184,6 +187,15 @@
     return m_firstEventMs >= 0 && steadyMs() - m_firstEventMs > CrashWindowMs;
 }
 
+void EntryAttempt::handleRefusal()
+{
+    constexpr unsigned Misdirected = 421;
+    learnFromAnswer();
+    if (m_status == Misdirected) {
+        checkUpstream(m_call.m_context, m_upstream);
+    }
+}
+
 void EntryAttempt::recordEvent()
 {
     m_firstEventMs = m_firstEventMs < 0 ? steadyMs() : m_firstEventMs;
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -99,6 +99,11 @@
      * connection that stays silent until this daemon closes it is no proof that the upstream lives.
      */
     void handleMissingAnswer();
+    /**
+     * Must be called when the upstream refused to run the request. Learns from the answer, and checks the upstream if the request was not for it: a successor
+     * at its address may have answered, or it serves in another role.
+     */
+    void handleRefusal();
     /** Must be called when an event of the answer has arrived: an upstream that goes on after it has begun to answer does not end under the request. */
     void recordEvent();
     /**
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -7,6 +7,7 @@
 
 #include "daemons/entrycrashes.h"
 
+#include "daemons/entryavailability.h"
 #include "net/crashcodec.h"
 #include "net/logging.h"
 #include "platform/enginecalls.h"
@@ -119,7 +120,11 @@
               {"outcome", std::string(enumName(EndCheckOutcomeNames, outcome))},
               {"requests", static_cast<std::int64_t>(waiting.mapped().size())},
               {"took_ms", steadyMs() - startedMs}});
+    if (outcome == EndCheckOutcome::Ended) {
+        learnEnded(context, lifetime, steadyMs());
+    }
     if (outcome == EndCheckOutcome::Lives) {
+        context.m_availability.recordLives({upstream.m_id, upstream.m_startedMs}, steadyMs());
         for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
             const CrashSuspects suspects(request.first, request.second.m_parts);
             context.m_crashLedger.recordLives(suspects, lifetime, steadyMs());
@@ -163,13 +168,30 @@
 void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs, CheckedAnswer answer)
 {
     const std::uint64_t lifetime = upstreamLifetime(upstream.m_id, upstream.m_startedMs);
-    const bool isRunning = context.m_endChecks.count(lifetime) > 0;
+    checkUpstream(context, std::move(upstream));
     context.m_endChecks[lifetime][suspects.m_request] = {{sentMs, steadyMs()}, suspects.m_parts, answer == CheckedAnswer::MayBeComplete};
-    if (!isRunning) {
+}
+
+void checkUpstream(EntryContext &context, UpstreamInstance upstream)
+{
+    const std::uint64_t lifetime = upstreamLifetime(upstream.m_id, upstream.m_startedMs);
+    const auto [found, isNew] = context.m_endChecks.try_emplace(lifetime);
+    if (isNew) {
         asio::co_spawn(context.m_io, runEndCheck(context, std::move(upstream), lifetime), asio::detached);
     }
 }
 
+void mergeCrashes(EntryContext &context, const std::vector<CrashObservation> &observations, bool own)
+{
+    const std::int64_t nowMs = steadyMs();
+    context.m_crashLedger.merge(observations, own, nowMs);
+    for (const CrashObservation &observation : observations) {
+        if (!observation.m_refuted && !observation.m_unconfirmed) {
+            learnEnded(context, observation.m_upstream, nowMs - observation.m_ageMs);
+        }
+    }
+}
+
 void applyStoredCrashes(EntryContext &context, const std::string &name, const StoreItem &item)
 {
     // A removal only means that the lease has ended; observations expire here by their own age.
@@ -183,7 +205,7 @@
     }
     // The first write of this process replaces what its predecessor stored, so it has to contain that.
     const bool isPredecessor = name == context.m_settings.m_name && !context.m_crashesStored;
-    context.m_crashLedger.merge(valueOf(observations), isPredecessor, steadyMs());
+    mergeCrashes(context, valueOf(observations), isPredecessor);
 }
 
 awaitable<void> publishCrashes(EntryContext &context)
--- a/daemons/entrycrashes.h
+++ b/daemons/entrycrashes.h
@@ -27,6 +27,12 @@
  */
 void checkUpstreamEnded(EntryContext &context, UpstreamInstance upstream, const CrashSuspects &suspects, std::int64_t sentMs, CheckedAnswer answer);
 
+/** Finds out in the same way whether @p upstream has ended, which its answer to a request leaves open. */
+void checkUpstream(EntryContext &context, UpstreamInstance upstream);
+
+/** Merges what another daemon, or an earlier process of this one (@p own), observed. Upstreams that it found to have ended get no new requests here either. */
+void mergeCrashes(EntryContext &context, const std::vector<CrashObservation> &observations, bool own);
+
 /** A request that ran on an upstream for longer than this, in ms, is not what ended it. */
 inline constexpr std::int64_t CrashWindowMs = 1'000;
 
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -222,7 +222,7 @@
         const bool isFull = attempt.status() != Misdirected;
         const WithheldReason reason = isFull ? WithheldReason::Full : WithheldReason::Unreachable;
         context.m_availability.withhold(head, replica.m_epoch, reason, isFull ? FullMs : UnreachableMs, steadyMs());
-        attempt.learnFromAnswer();
+        attempt.handleRefusal();
         state.m_refusedFull = true;
         logAttemptFailed(call, head, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
         co_return AttemptResult::NotRun;
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -4,6 +4,7 @@
 
 #include "daemons/entryloadreports.h"
 
+#include "daemons/entrycrashes.h"
 #include "net/loadreportcodec.h"
 #include "net/logging.h"
 
@@ -135,7 +136,7 @@
         if (!valueOf(report).m_crashesOnly) {
             m_context.m_loadReports.take(valueOf(report), steadyMs());
         }
-        m_context.m_crashLedger.merge(valueOf(report).m_crashes, false, steadyMs());
+        mergeCrashes(m_context, valueOf(report).m_crashes, false);
     }
 }
 
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -85,6 +85,11 @@
         const bool refused = failed(answer) ? isConnectionRefused(errorOf(answer)) : true;
         logEvent(LogEvent::EngineSilent,
                  {{"engine", engine}, {"error", failed(answer) ? describe(errorOf(answer)) : "status " + std::to_string(valueOf(answer).m_status)}});
+        constexpr unsigned Misdirected = 421;
+        const bool hasEnded = failed(answer) ? refused : valueOf(answer).m_status == Misdirected;
+        if (hasEnded) {
+            learnEnded(context, upstreamLifetime(lifetime.m_id, lifetime.m_startedMs), nowMs);
+        }
         context.m_reconciler.probeFailed(engine, refused, nowMs);
         co_return;
     }
@@ -95,8 +100,10 @@
     UpstreamEntry entry = *known;
     platform::applyReport(entry, valueOf(answer).m_body);
     if (entry.m_startedMs == lifetime.m_startedMs) {
+        context.m_availability.recordLives(lifetime, nowMs);
         learnFromReply(context, lifetime, answer);
     } else {
+        learnEnded(context, upstreamLifetime(lifetime.m_id, lifetime.m_startedMs), nowMs);
         logEvent(LogEvent::EngineSilent, {{"engine", engine}, {"error", std::string("another lifetime answers at its address")}});
     }
     context.m_reconciler.probeAnswered(entry, nowMs);
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -79,7 +79,7 @@
     const Result<Done> read = co_await attempt.readBody(reply.m_body);
     if (attempt.answer().m_notRun) {
         if (!failed(read)) {
-            attempt.learnFromAnswer();
+            attempt.handleRefusal();
         }
         context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Refused, attempt.answer().m_load, steadyMs());
         logAttemptFailed(call, upstream, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
--- a/kernel/upstreamavailability.cpp
+++ b/kernel/upstreamavailability.cpp
@@ -5,6 +5,8 @@
 
 #include "kernel/upstreamavailability.h"
 
+#include "kernel/crashledger.h"
+
 #include <algorithm>
 
 namespace knapweedslip
@@ -21,9 +23,11 @@
 {
     Record &record = m_records[entry.m_id];
     if (record.m_startedMs != entry.m_startedMs) {
+        m_listed.erase(upstreamLifetime(entry.m_id, record.m_startedMs));
         record = Record();
         record.m_startedMs = entry.m_startedMs;
     }
+    m_listed[upstreamLifetime(entry.m_id, entry.m_startedMs)] = entry.m_id;
     record.m_availabilityZone = entry.m_availabilityZone;
     record.m_listedAsLeaving = entry.m_leaving;
     record.m_unlistedMs = -1;
@@ -35,6 +39,7 @@
     const auto found = m_records.find(upstream);
     if (found != m_records.end()) {
         found->second.m_unlistedMs = nowMs;
+        m_listed.erase(upstreamLifetime(upstream, found->second.m_startedMs));
     }
     removeOld(nowMs);
 }
@@ -58,6 +63,26 @@
     return true;
 }
 
+std::string UpstreamAvailability::recordEnded(std::uint64_t lifetime, std::int64_t observedMs, std::int64_t nowMs)
+{
+    const auto listed = m_listed.find(lifetime);
+    if (listed == m_listed.end()) {
+        return {};
+    }
+    Record &record = m_records.at(listed->second);
+    const bool isNew = record.m_endedMs < 0 || nowMs - record.m_endedMs > EndedMs;
+    record.m_endedMs = std::max(record.m_endedMs, observedMs);
+    return isNew && nowMs - record.m_endedMs <= EndedMs ? listed->second : std::string();
+}
+
+void UpstreamAvailability::recordLives(const UpstreamLifetime &lifetime, std::int64_t nowMs)
+{
+    Record *record = recordOf(lifetime, nowMs);
+    if (record != nullptr) {
+        record->m_endedMs = -1;
+    }
+}
+
 bool UpstreamAvailability::recordTurnedAway(const UpstreamLifetime &lifetime, std::int64_t forMs, std::int64_t nowMs)
 {
     Record *record = recordOf(lifetime, nowMs);
@@ -115,6 +140,9 @@
 
 Withheld UpstreamAvailability::check(const Record &record, std::uint64_t epoch, std::int64_t nowMs) const
 {
+    if (record.m_endedMs >= 0 && nowMs - record.m_endedMs <= EndedMs) {
+        return {WithheldReason::Ended, Withheld::NoKnownEnd};
+    }
     if (record.m_saidLeaving) {
         return {WithheldReason::SaysLeaving, Withheld::NoKnownEnd};
     }
--- a/kernel/upstreamavailability.h
+++ b/kernel/upstreamavailability.h
@@ -17,6 +17,8 @@
 enum class WithheldReason {
     /** It may get requests. */
     None,
+    /** It has ended, although the list may still name it. */
+    Ended,
     /** The list of upstreams says that it will stop. */
     Leaving,
     /** Its own answers say that it will stop. */
@@ -37,8 +39,8 @@
     Cold,
 };
 
-inline constexpr EnumNames<10> WithheldReasonNames{
-    "none", "leaving", "says-leaving", "zone-out-of-service", "turned-away", "on-trial", "unreachable", "silent", "full", "cold"};
+inline constexpr EnumNames<11> WithheldReasonNames{
+    "none", "ended", "leaving", "says-leaving", "zone-out-of-service", "turned-away", "on-trial", "unreachable", "silent", "full", "cold"};
 
 /** Whether an upstream is withheld, why, and until when. */
 struct Withheld
@@ -63,6 +65,7 @@
  * requests to it ended. Used for engines, which are the heads of replicas, and for upstreams of plain services. Invariants:
  * - What an upstream said binds only the lifetime that said it. An answer of an earlier lifetime changes nothing.
  * - An upstream whose answers say that it will stop gets no more requests in that lifetime, whatever the list says.
+ * - A lifetime that is known to have ended gets no more requests for EndedMs, whoever found it out and however, unless it answers after all.
  * - An upstream that said for how long it takes no requests gets none in that time.
  * Must be told of every change of the list. Memory: one record for each listed upstream, and for each one that was removed from the list within the
  * last MemoryMs and had said something. check() takes constant time, and so do the functions that record something, but for a search every 10 s.
@@ -76,6 +79,11 @@
     static constexpr std::int64_t MemoryMs = 600'000;
     /** A request on trial that has no answer after this time no longer holds others back, in ms. */
     static constexpr std::int64_t TrialMs = 500;
+    /**
+     * How long an upstream is withheld because it has ended, in ms: longer than its entry stays in the list. Not for ever, since an address may refuse
+     * connections for another reason.
+     */
+    static constexpr std::int64_t EndedMs = 5'000;
     /** For records that apply whatever replica the upstream serves in. */
     static constexpr std::uint64_t AnyEpoch = 0;
 
@@ -87,6 +95,13 @@
 
     /** Records that an answer of @p lifetime says that it will stop. Returns whether that is new. */
     bool recordLeaving(const UpstreamLifetime &lifetime, std::int64_t nowMs);
+    /**
+     * Records that a lifetime, given as upstreamLifetime(), was found at @p observedMs to have ended. Does nothing if it is not the latest known one of its
+     * upstream. Returns the upstream's id if that is new, otherwise an empty string. The same observation may arrive many times.
+     */
+    std::string recordEnded(std::uint64_t lifetime, std::int64_t observedMs, std::int64_t nowMs);
+    /** Records that @p lifetime has answered after it was taken for ended. */
+    void recordLives(const UpstreamLifetime &lifetime, std::int64_t nowMs);
     /** Records that @p lifetime turned a request away and takes none for @p forMs. Returns whether it was not withheld for that before. */
     bool recordTurnedAway(const UpstreamLifetime &lifetime, std::int64_t forMs, std::int64_t nowMs);
     /** Withholds @p upstream for @p forMs because of how a request ended, while it serves in the replica with @p epoch. */
@@ -122,6 +137,8 @@
         /** When it was found to be no longer in the list; negative while it is listed. */
         std::int64_t m_unlistedMs = -1;
         bool m_saidLeaving = false;
+        /** When it was found to have ended; negative if it was not. */
+        std::int64_t m_endedMs = -1;
         std::int64_t m_turnedAwayUntilMs = -1;
         /** It was turned away and has accepted no request since. */
         bool m_mustProve = false;
@@ -142,6 +159,8 @@
     Withheld check(const Record &record, std::uint64_t epoch, std::int64_t nowMs) const;
 
     std::unordered_map<std::string, Record> m_records;
+    /** The ids of the upstreams that are listed, by upstreamLifetime(). */
+    std::unordered_map<std::uint64_t, std::string> m_listed;
     std::set<std::string> m_zonesOutOfService;
     std::int64_t m_removedOldMs = 0;
     /** The last MaxRecentlyLeaving upstreams that were found to leave, the latest first. */
--- a/tools/explain.cpp
+++ b/tools/explain.cpp
@@ -186,6 +186,7 @@
 const std::map<std::string, std::string> &withheldTexts()
 {
     static const std::map<std::string, std::string> texts{
+        {"ended", "it has ended, as this daemon or another one found out"},
         {"says-leaving", "its own answer says that it will stop; it gets nothing more until it has restarted"},
         {"turned-away", "it turned a request away and named this time"},
     };
