--- a/autotests/explaintest.cpp
+++ b/autotests/explaintest.cpp
@@ -44,6 +44,8 @@
         {"refused", "98217947bf1b262f", 1, "no-upstream (no upstream could take it at that moment); it has not run; retry after 700 ms"},
         {"cut with its group", "07804c5000128fd3", 5, "cut after event 25 and 2 sends: time-over"},
         {"outcome unknown", "0d135615094a6a68", 4, "it was sent and may have run"},
+        {"a part that ends upstreams", "9762627030870", 1, "upstreams that ended under it in these logs: 2: i-911c8e80a7cc80a1, i-cb8df3196a4c11a"},
+        {"a request that ends upstreams", "24366221335343", 1, "upstreams that ended under it in these logs: 1: i-788a466ba9e6333f"},
         {"cold upstream", "63ec0a7fe6ad10b7", 1, "cold for another 271 ms, with its limit divided by 79 daemons"},
     };
     const std::string log = pageLogLines();
--- a/tools/explain.cpp
+++ b/tools/explain.cpp
@@ -37,7 +37,7 @@
         {"time-over", "its deadline had passed"},
         {"no-time", "its deadline had passed on arrival"},
         {"draining", "the daemon was shutting down"},
-        {"poison-request", "upstreams ended whenever they ran it; the lines upstream-ended with its fingerprint name them"},
+        {"poison-request", "upstreams ended whenever they ran it or another request with the same part of the prompt"},
         {"turned-away", "every upstream that could serve it turns requests away and said for how long; the lines upstream-withheld name them"},
         {"unknown-route", "the configuration in force has no such route"},
         {"unknown-key", "the configuration in force does not contain its key"},
@@ -97,6 +97,30 @@
     });
 }
 
+/** Returns whether @p line says that an upstream ended under the request of @p refused, or under another one with the part for which that was refused. */
+bool endedUnder(const json::object &line, const json::object &refused)
+{
+    const std::string part = stringField(refused, "poison_part");
+    const std::string parts = "," + stringField(line, "parts") + ",";
+    return part.empty() ? stringField(line, "fingerprint") == stringField(refused, "fingerprint") : parts.find("," + part + ",") != std::string::npos;
+}
+
+/** Returns a sentence that names the upstreams behind @p refused, a request that was refused as poison. */
+std::string describeEnds(const std::vector<json::object> &ends, const json::object &refused)
+{
+    std::set<std::string> upstreams;
+    for (const json::object &line : ends) {
+        if (endedUnder(line, refused)) {
+            upstreams.insert(stringField(line, "upstream"));
+        }
+    }
+    std::string names;
+    for (const std::string &upstream : upstreams) {
+        names += (names.empty() ? " " : ", ") + upstream;
+    }
+    return "upstreams that ended under it in these logs: " + std::to_string(upstreams.size()) + (names.empty() ? "" : ":") + names;
+}
+
 std::string describeReason(const std::string &reason)
 {
     const auto text = reasonTexts().find(reason);
@@ -135,6 +159,8 @@
         const bool ran = reason == "outcome-unknown";
         text << "refused with " << integerField(line, "status") << ": " << describeReason(reason)
              << (ran ? "" : "; it has not run; retry after " + std::to_string(integerField(line, "retry_after_ms")) + " ms");
+        const std::string part = stringField(line, "poison_part");
+        text << (part.empty() ? "" : "; the part of the prompt is " + part);
     } else if (name == "stream-broken") {
         text << "cut after event " << integerField(line, "last_event", -1) << " and " << integerField(line, "sends")
              << " sends: " << describeReason(stringField(line, "reason"));
@@ -152,6 +178,7 @@
     RequestExplanation explanation;
     std::vector<json::object> requestLines;
     std::vector<json::object> context;
+    std::vector<json::object> ends;
     for (std::istream *log : logs) {
         for (std::string text; std::getline(*log, text);) {
             json::object line = parseJsonObject(text);
@@ -159,6 +186,8 @@
                 explanation.m_unreadableLines += text.empty() ? 0 : 1;
             } else if (stringField(line, "request") == id) {
                 requestLines.push_back(std::move(line));
+            } else if (stringField(line, "name") == "upstream-ended") {
+                ends.push_back(std::move(line));
             } else if (isContext(stringField(line, "name"))) {
                 context.push_back(std::move(line));
             }
@@ -176,6 +205,9 @@
         if (!text.empty()) {
             explanation.m_findings.push_back(text);
         }
+        if (stringField(line, "reason") == "poison-request") {
+            explanation.m_findings.push_back(describeEnds(ends, line));
+        }
     }
     return explanation;
 }
