--- a/autotests/crashledgertest.cpp
+++ b/autotests/crashledgertest.cpp
@@ -542,10 +542,10 @@
 
 namespace
 {
-void checkCourse(const CrashCourse &course)
+void checkCourse(const CrashCourse &course, unsigned seeds = 3)
 {
     for (const int daemons : {8, 90, 410}) {
-        for (unsigned seed = 1; seed <= 3; ++seed) {
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
             CAPTURE(daemons, course.m_name, seed);
             const CrashCourseResult result = CrashDeployment(daemons, course, contactMs(daemons), seed).run();
             CHECK(result.m_upstreamsEnded >= 3);
@@ -565,6 +565,15 @@
     }
 }
 
+// Guards against incident BUDGET of issue 34: a part of prompts ended upstreams without limit, since each request with it was new to every daemon.
+TEST_CASE("requests with a part that ends upstreams are sent at most three times more, and those that share other parts are not refused", "[entry][crash]")
+{
+    for (CrashCourse course : crashCourses()) {
+        course.m_byPart = true;
+        checkCourse(course, 1);
+    }
+}
+
 // Guards against innocent requests that are refused because the observation of the cause was lost together with the daemon that made it.
 TEST_CASE("no innocent request is refused while daemons are killed twenty times a second and half of their datagrams are lost", "[entry][crash]")
 {
--- a/benchmarks/crashfigures.cpp
+++ b/benchmarks/crashfigures.cpp
@@ -2,17 +2,23 @@
 
 #include "simulation/crashdeployment.h"
 
+#include <CLI/CLI.hpp>
 #include <iostream>
 
-int main()
+int main(int argc, char **argv)
 {
     using namespace knapweedslip;
+    CLI::App app("Figures on requests that end upstreams, in virtual time");
+    bool byPart = false;
+    app.add_flag("--parts", byPart, "the cause is a part of prompts instead of one request");
+    CLI11_PARSE(app, argc, argv);
     std::cout << "| course | daemons | upstreams ended | sends later than the bound | innocent requests refused | most ends under an innocent request "
-                 "| last send, ms after the third end | observations | store writes | bytes sent by a daemon |\n";
+                 "| last send, ms after the third end (the fifth, of parts) | observations | store writes | bytes sent by a daemon |\n";
     std::vector<CrashCourse> courses = crashCourses();
     courses.push_back(KillsAndLosses);
     courses.insert(courses.begin(), {.m_name = "no account (before)", .m_ignoreLedger = true});
-    for (const CrashCourse &course : courses) {
+    for (CrashCourse &course : courses) {
+        course.m_byPart = byPart;
         for (const int daemons : {8, 90, 410}) {
             CrashCourseResult worst;
             for (unsigned seed = 1; seed <= 10; ++seed) {
--- a/kernel/crashledger.cpp
+++ b/kernel/crashledger.cpp
@@ -13,11 +13,13 @@
 {
 namespace
 {
-std::vector<std::uint64_t> allSuspects(const CrashSuspects &request)
+template<typename Function>
+void forEachSuspect(const CrashSuspects &request, const Function &function)
 {
-    std::vector<std::uint64_t> all = request.m_parts;
-    all.push_back(request.m_request);
-    return all;
+    function(request.m_request);
+    for (const std::uint64_t part : request.m_parts) {
+        function(part);
+    }
 }
 }
 
@@ -118,9 +120,9 @@
 void CrashLedger::recordEnd(const CrashSuspects &request, std::uint64_t upstream, CrashRun run, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    for (const std::uint64_t suspect : allSuspects(request)) {
+    forEachSuspect(request, [&](std::uint64_t suspect) {
         store({suspect, upstream}, {nowMs, false, false, true, run});
-    }
+    });
 }
 
 void CrashLedger::recordEnd(const CrashSuspects &request, std::uint64_t upstream, std::int64_t nowMs)
@@ -131,38 +133,38 @@
 void CrashLedger::recordUnconfirmed(const CrashSuspects &request, std::uint64_t upstream, CrashRun run, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    for (const std::uint64_t suspect : allSuspects(request)) {
+    forEachSuspect(request, [&](std::uint64_t suspect) {
         store({suspect, upstream}, {nowMs, false, true, true, run});
-    }
+    });
 }
 
 void CrashLedger::recordLives(const CrashSuspects &request, std::uint64_t upstream, std::int64_t nowMs)
 {
     dropExpired(nowMs);
-    for (const std::uint64_t suspect : allSuspects(request)) {
+    forEachSuspect(request, [&](std::uint64_t suspect) {
         const Suspect *record = find(suspect);
         const bool isKnown = record != nullptr && record->m_entries.count(upstream) > 0;
         if (isKnown) {
             const Entry refuted{nowMs, true, true, true, record->m_entries.at(upstream).m_run};
             store({suspect, upstream}, refuted);
         }
-    }
+    });
 }
 
 void CrashLedger::recordSurvived(const CrashSuspects &request, std::int64_t nowMs)
 {
-    dropExpired(nowMs);
-    for (const std::uint64_t suspect : allSuspects(request)) {
+    forEachSuspect(request, [&](std::uint64_t suspect) {
         const Suspect *record = find(suspect);
         if (record == nullptr || record->m_open.empty()) {
-            continue;
+            return;
         }
         const std::set<std::uint64_t> open = record->m_open;
         for (const std::uint64_t upstream : open) {
             const Entry entry = m_suspects.at(suspect).m_entries.at(upstream);
             store({suspect, upstream}, {nowMs, true, entry.m_unconfirmed, true, entry.m_run});
         }
-    }
+    });
+    dropExpired(nowMs);
 }
 
 void CrashLedger::merge(const std::vector<CrashObservation> &observations, bool own, std::int64_t nowMs)
--- a/simulation/crashdeployment.h
+++ b/simulation/crashdeployment.h
@@ -13,7 +13,7 @@
 
 namespace knapweedslip
 {
-/** What happens to daemons and messages while a request that ends upstreams comes again and again. */
+/** What happens to daemons and messages while a request that ends upstreams, or requests with such a part, come again and again. */
 struct CrashCourse
 {
     const char *m_name = "";
@@ -28,17 +28,19 @@
     bool m_ignoreLedger = false;
     /** Only a daemon's own observations count. */
     bool m_shareNothing = false;
+    /** The cause is a part of prompts, in requests of which no two are alike. All requests share another part, and a third of them a further one. */
+    bool m_byPart = false;
 };
 
 struct CrashCourseResult
 {
     int m_upstreamsEnded = 0;
-    /** Sends later than contactMs after the third end. */
+    /** Sends later than contactMs after the third end, the fifth one of a part. */
     int m_laterSends = 0;
     int m_innocentsRefused = 0;
     /** Most ends that happened under one innocent request. */
     int m_mostInnocentEnds = 0;
-    /** Time from the third end until the last send: all daemons know from then on. */
+    /** Time from that end until the last send: all daemons know from then on. */
     std::int64_t m_lastSendMs = 0;
     std::size_t m_observations = 0;
     std::uint64_t m_storeWrites = 0;
@@ -50,6 +52,14 @@
 {
 public:
     static constexpr std::uint64_t Cause = 1;
+    static constexpr std::uint64_t CausePart = 2;
+    static constexpr std::uint64_t SharedPart = 3;
+    static constexpr std::uint64_t FirstGroupPart = 4;
+    static constexpr std::uint64_t Groups = 3;
+    static constexpr int EndsUntilRuleOfRequests = 3;
+    static constexpr int EndsUntilRuleOfParts = 5;
+    /** A request that has run for longer is not what ends the upstream. */
+    static constexpr std::int64_t WindowMs = 1'000;
     static constexpr std::int64_t StepMs = 10;
     static constexpr std::int64_t EndMs = 20'000;
     /** From the arrival of a request until it begins to run; the cause ends the upstream then. */
@@ -64,6 +74,7 @@
     static constexpr std::int64_t StorePauseMs = 500;
     /** Datagrams with the same observations, as daemons/entryloadreports.cpp sends them. */
     static constexpr int Repeats = 8;
+    static constexpr std::int64_t NewPauseMs = 20;
     static constexpr int QuickRepeats = 3;
     static constexpr std::int64_t QuickPauseMs = 250;
     static constexpr std::int64_t SlowPauseMs = 1'500;
@@ -94,7 +105,7 @@
         for (m_nowMs = 0; m_nowMs < EndMs; m_nowMs += StepMs) {
             fillUpstreams();
             if (m_nowMs >= 1'000 && m_nowMs % 300 == 0) {
-                startAttempt(newRequest(Cause, anyDaemon()));
+                startAttempt(newCause());
             }
             advanceRequests();
             for (const Request &request : std::exchange(m_waiting, {})) {
@@ -121,7 +132,8 @@
     };
     struct Request
     {
-        std::uint64_t m_fingerprint = 0;
+        CrashSuspects m_suspects;
+        bool m_isCause = false;
         std::size_t m_daemon = 0;
         int m_attempts = 0;
         int m_ends = 0;
@@ -138,17 +150,35 @@
         return m_random() % m_ledgers.size();
     }
 
-    static Request newRequest(std::uint64_t fingerprint, std::size_t daemon)
+    static Request newRequest(CrashSuspects suspects, std::size_t daemon)
     {
         Request request;
-        request.m_fingerprint = fingerprint;
+        request.m_suspects = std::move(suspects);
         request.m_daemon = daemon;
         return request;
     }
 
-    bool isCause(const Request &request) const
+    Request newCause()
     {
-        return request.m_fingerprint == Cause;
+        Request request = newRequest(Cause, anyDaemon());
+        if (m_course.m_byPart) {
+            const std::uint64_t fingerprint = m_nextRequest++;
+            request.m_suspects = {fingerprint, {SharedPart, CausePart, FirstGroupPart + fingerprint % Groups}};
+        }
+        request.m_isCause = true;
+        return request;
+    }
+
+    Request newInnocent()
+    {
+        const std::uint64_t fingerprint = m_nextRequest++;
+        const std::vector<std::uint64_t> parts{SharedPart, FirstGroupPart + fingerprint % Groups};
+        return newRequest({fingerprint, m_course.m_byPart ? parts : std::vector<std::uint64_t>()}, anyDaemon());
+    }
+
+    static bool isCause(const Request &request)
+    {
+        return request.m_isCause;
     }
 
     /** Sends the request to an upstream that is up, unless its daemon blocks it or its attempts are spent. */
@@ -158,7 +188,7 @@
         if (request.m_attempts == MaxAttempts && !isCause(request) && !request.m_cameBack) {
             // The client comes back once, to any daemon.
             const int ends = request.m_ends;
-            request = newRequest(request.m_fingerprint, anyDaemon());
+            request = newRequest(request.m_suspects, anyDaemon());
             request.m_ends = ends;
             request.m_cameBack = true;
             m_waiting.push_back(request);
@@ -167,7 +197,7 @@
         if (request.m_attempts == MaxAttempts) {
             return;
         }
-        const CrashVerdict verdict = m_course.m_ignoreLedger ? CrashVerdict::MaySend : ledger.verdict(request.m_fingerprint, m_nowMs);
+        const CrashVerdict verdict = m_course.m_ignoreLedger ? CrashVerdict::MaySend : ledger.verdict(request.m_suspects, m_nowMs);
         if (verdict == CrashVerdict::Poison) {
             m_result.m_innocentsRefused += isCause(request) ? 0 : 1;
             return;
@@ -194,16 +224,16 @@
             return;
         }
         request.m_upstream = up[m_random() % up.size()];
-        if (request.m_suspect || ledger.upstreamsEnded(request.m_fingerprint) > 0) {
+        if (request.m_suspect || ledger.upstreamsEnded(request.m_suspects.m_request) > 0) {
             request.m_upstream = *std::max_element(up.begin(), up.end(), [&](std::size_t a, std::size_t b) {
-                const std::uint64_t partKey = partingKey(request.m_fingerprint, ledger.upstreamsEnded(request.m_fingerprint));
+                const std::uint64_t partKey = partingKey(request.m_suspects.m_request, ledger.upstreamsEnded(request.m_suspects.m_request));
                 return hash64(std::to_string(a), partKey) < hash64(std::to_string(b), partKey);
             });
         }
         ++request.m_attempts;
         request.m_sentMs = m_nowMs;
-        if (isCause(request) && m_thirdEndMs >= 0) {
-            m_result.m_lastSendMs = m_nowMs - m_thirdEndMs;
+        if (isCause(request) && m_ruleEndMs >= 0) {
+            m_result.m_lastSendMs = m_nowMs - m_ruleEndMs;
             m_result.m_laterSends += m_result.m_lastSendMs > m_contactMs ? 1 : 0;
         }
         m_running.push_back(request);
@@ -217,7 +247,7 @@
         }
         for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
             while (m_upstreams[i].m_upAtMs <= m_nowMs && running[i] < InnocentsPerUpstream) {
-                Request request = newRequest(m_nextRequest++, anyDaemon());
+                Request request = newInnocent();
                 request.m_attempts = 1;
                 request.m_upstream = i;
                 // At the start the requests are spread over their run.
@@ -242,8 +272,11 @@
             if (ending.count(request.m_upstream) > 0) {
                 broken.push_back(request);
             } else if (m_nowMs - request.m_sentMs >= RunMs) {
-                m_ledgers[request.m_daemon].recordSurvived(request.m_fingerprint, m_nowMs);
+                m_ledgers[request.m_daemon].recordSurvived(request.m_suspects, m_nowMs);
             } else {
+                if (m_nowMs - request.m_sentMs - PrefillMs > WindowMs) {
+                    m_ledgers[request.m_daemon].recordSurvived(request.m_suspects, m_nowMs);
+                }
                 going.push_back(request);
             }
         }
@@ -253,12 +286,11 @@
             ended[upstream] = m_upstreams[upstream].m_lifetime;
             m_upstreams[upstream] = {m_nextLifetime++, m_nowMs + RestartMs};
             ++m_result.m_upstreamsEnded;
-            m_thirdEndMs = m_result.m_upstreamsEnded == 3 ? m_nowMs : m_thirdEndMs;
+            m_ruleEndMs = m_result.m_upstreamsEnded == (m_course.m_byPart ? EndsUntilRuleOfParts : EndsUntilRuleOfRequests) ? m_nowMs : m_ruleEndMs;
         }
         for (Request &request : broken) {
-            constexpr std::int64_t WindowMs = 1'000;
             if (m_nowMs - request.m_sentMs - PrefillMs <= WindowMs) {
-                m_ledgers[request.m_daemon].recordEnd(request.m_fingerprint, ended.at(request.m_upstream), m_nowMs);
+                m_ledgers[request.m_daemon].recordEnd(request.m_suspects, ended.at(request.m_upstream), {request.m_sentMs, m_nowMs}, m_nowMs);
                 request.m_suspect = true;
                 ++request.m_ends;
                 if (!isCause(request)) {
@@ -287,7 +319,7 @@
 
     void restartDaemons()
     {
-        if (m_course.m_allRestart && m_thirdEndMs >= 0 && m_nowMs == m_thirdEndMs + 1'000) {
+        if (m_course.m_allRestart && m_ruleEndMs >= 0 && m_nowMs == m_ruleEndMs + 1'000) {
             for (std::size_t i = 0; i < m_ledgers.size(); ++i) {
                 restart(i);
             }
@@ -318,11 +350,12 @@
         std::bernoulli_distribution lost(m_course.m_datagramsLost);
         for (std::size_t i = 0; i < m_ledgers.size(); ++i) {
             CrashLedger &ledger = m_ledgers[i];
-            m_repeats[i] = ledger.ownVersion() != m_toldVersion[i] ? Repeats : m_repeats[i];
-            m_toldVersion[i] = ledger.ownVersion();
-            const std::int64_t pauseMs = m_repeats[i] > Repeats - QuickRepeats ? QuickPauseMs : SlowPauseMs;
-            if (m_repeats[i] > 0 && m_nowMs - m_toldAtMs[i] >= pauseMs) {
+            const bool isNew = ledger.ownVersion() != m_toldVersion[i];
+            m_repeats[i] = isNew ? Repeats : m_repeats[i];
+            const std::int64_t repeatPauseMs = m_repeats[i] > Repeats - QuickRepeats ? QuickPauseMs : SlowPauseMs;
+            if (m_repeats[i] > 0 && m_nowMs - m_toldAtMs[i] >= (isNew ? NewPauseMs : repeatPauseMs)) {
                 --m_repeats[i];
+                m_toldVersion[i] = ledger.ownVersion();
                 m_toldAtMs[i] = m_nowMs;
                 const std::vector<CrashObservation> told = ledger.ownObservations(32, 10'000, m_nowMs);
                 for (std::size_t other = 0; !told.empty() && other < m_ledgers.size(); ++other) {
@@ -371,7 +404,7 @@
     /** Requests of which it is undecided whether they may be sent, and those that come back. */
     std::vector<Request> m_waiting;
     std::int64_t m_nowMs = 0;
-    std::int64_t m_thirdEndMs = -1;
+    std::int64_t m_ruleEndMs = -1;
     CrashCourseResult m_result;
 };
 
