Review: one scenario for each case, with shared stand-ins

The scenarios of cases 1 to 4 are moved into their folders; what they do is unchanged, but run.sh now starts a daemon again that has ended.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # TROUBLE=0 runs the same without the disruption.
 . "$(dirname "$0")/../common.sh"
-run_case late-refusal 3
+run_case 3
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # TROUBLE=0 runs the same without the disruption.
 . "$(dirname "$0")/../common.sh"
-run_case late-order-answer 3
+run_case 3
--- a/review/common.sh
+++ b/review/common.sh
@@ -1,17 +1,45 @@
-# Sourced by the run.sh of a case, which then calls run_case. Starts the daemons with the command of the deploy file and a scenario of review/scenario.cc.
+# Sourced by the run.sh of a case, which then calls run_case. Starts the daemons with the command of the deploy file and the
+# scenario of the case, which review/build.sh builds.
 set -u
 CASE_DIR=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-SCENARIO=${SCENARIO:-$ROOT/target/review/scenario}
+SCENARIO=$ROOT/target/review/$(basename "$CASE_DIR")
 ENTRY=${ENTRY:-$ROOT/target/daemons/knapweedslip-entry}
-pids=()
+loops=()
 
 end_processes() {
-    [ ${#pids[@]} -eq 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
-    [ ${#pids[@]} -eq 0 ] || wait "${pids[@]}" 2>/dev/null
+    local n running=1
+    touch "$RUN/stop"
+    [ -z "${scenario:-}" ] || kill -KILL "$scenario" 2>/dev/null
+    # The loops of keep_running end once their daemons have ended.
+    while [ "$running" = 1 ]; do
+        running=0
+        for n in $(seq 1 "${#loops[@]}"); do
+            if kill -0 "${loops[$((n - 1))]}" 2>/dev/null; then
+                running=1
+                kill -KILL "$(cat "$RUN/pid-$n")" 2>/dev/null
+            fi
+        done
+        sleep 0.1
+    done
     rm -rf "$RUN"
 }
 
+# Runs a daemon, and again whenever it has ended, as the platform does.
+keep_running() { # number
+    cd "$ROOT" || exit
+    while [ ! -e "$RUN/stop" ]; do
+        KNAPWEEDSLIP_NODE_FILE="$RUN/entry-$1.yaml" "$ENTRY" >>"$RUN/entry-$1.log" 2>&1 &
+        echo $! >"$RUN/pid-$1.new"
+        mv "$RUN/pid-$1.new" "$RUN/pid-$1"
+        wait $!
+        status=$?
+        [ -e "$RUN/stop" ] && exit
+        echo "daemon $1 has ended with status $status" >>"$RUN/ends"
+        sleep 0.5
+    done
+}
+
 write_settings() { # number; the keys of deploy/entry.yaml
     cat >"$RUN/entry-$1.yaml" <<END
 name: "entry-$1"
@@ -33,8 +61,8 @@
 END
 }
 
-run_case() { # scenario, number of daemons
-    local name=$1 count=$2 n listen="" ready="" status
+run_case() { # number of daemons
+    local count=$1 n listen="" ready="" status
     if [ ! -x "$SCENARIO" ] || [ ! -x "$ENTRY" ]; then
         echo "build the deploy file's target and run review/build.sh first"
         exit 2
@@ -44,22 +72,16 @@
     mapfile -t ports < <("$SCENARIO" ports $((4 * count + 1)))
     for n in $(seq 1 "$count"); do
         write_settings "$n"
-        (cd "$ROOT" && KNAPWEEDSLIP_NODE_FILE="$RUN/entry-$n.yaml" exec "$ENTRY") >"$RUN/entry-$n.log" 2>&1 &
-        pids+=($!)
+        keep_running "$n" 2>/dev/null &
+        loops+=($!)
         listen="$listen,127.0.0.1:${ports[$((4 * n - 3))]}"
         ready="$ready,127.0.0.1:${ports[$((4 * n - 2))]}"
     done
-    local daemons
-    daemons=$(IFS=,; echo "${pids[*]}")
-    timeout 115 "$SCENARIO" "$name" "${TROUBLE:-1}" "${ports[0]}" "${listen#,}" "${ready#,}" "$daemons" "$CASE_DIR/record.txt" &
-    pids+=($!)
-    wait $!
+    "$SCENARIO" "${TROUBLE:-1}" "${ports[0]}" "${listen#,}" "${ready#,}" "$RUN" "$CASE_DIR/record.txt" &
+    scenario=$!
+    wait "$scenario"
     status=$?
-    for n in $(seq 1 "$count"); do
-        if ! kill -0 "${pids[$((n - 1))]}" 2>/dev/null; then
-            echo "daemon $n has ended" >>"$CASE_DIR/record.txt"
-        fi
-    done
+    [ ! -e "$RUN/ends" ] || cat "$RUN/ends" >>"$CASE_DIR/record.txt"
     [ -z "${KEEP:-}" ] || cp -r "$RUN" "$KEEP"
     grep -a "result:" "$CASE_DIR/record.txt"
     case $status in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
