--- a/review/engines.hh
+++ b/review/engines.hh
@@ -12,6 +12,8 @@
     std::int64_t eventMs = 30;
     int events = 32;
     int slots = 26;
+    /** Events that one pass of the engine makes; they are written as one chunk. */
+    int eventsPerPass = 1;
     /** How long an engine serves on after the store has its report that it drains, and how long it is away then. */
     std::int64_t drainMs = 2'500, awayMs = 1'000;
 };
@@ -421,8 +423,14 @@
             return end(false);
         }
         const std::string last = request.field("Last-Event-Id");
-        for (int event = last.empty() ? 0 : std::atoi(last.c_str()) + 1; event < m_options.events; ++event) {
-            sleepMs(m_options.eventMs);
+        const int first = last.empty() ? 0 : std::atoi(last.c_str()) + 1;
+        lock.lock();
+        const bool isSpoiled = m_spoiledShare > 0.0 && first < m_options.events && std::uniform_real_distribution<double>()(m_fabric.random) < m_spoiledShare;
+        const int spoiled = isSpoiled ? std::uniform_int_distribution<int>(first, m_options.events - 1)(m_fabric.random) : -1;
+        lock.unlock();
+        for (int event = first; event < m_options.events;) {
+            const int passEnd = std::min(event + m_options.eventsPerPass, m_options.events);
+            sleepMs(m_options.eventMs * (passEnd - event));
             lock.lock();
             for (const std::int64_t sinceMs = nowMs(); membership == m_membership && !isComplete();) {
                 lock.unlock();
@@ -438,7 +446,15 @@
                 return end(false);
             }
             lock.unlock();
-            const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+            std::string text;
+            for (; event < passEnd; ++event) {
+                if (event == spoiled) {
+                    record("%s spoils event %d of %s", m_id.c_str(), event, request.field("Attempt-Id").c_str());
+                    text += "\x01?\xfe: #" + std::to_string(event) + "\n\x02\x7f\n\n";
+                } else {
+                    text += "id: " + std::to_string(event) + "\ndata: token\n\n";
+                }
+            }
             char size[32];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
             const std::string chunk = size + text + "\r\n";
@@ -567,6 +583,8 @@
     }
     /** Share of the answers that have no end. */
     double m_endlessShare = 0.0;
+    /** Share of the answers in which the bytes of one event are spoiled. */
+    double m_spoiledShare = 0.0;
 
 private:
     Store &m_store;
