--- a/review/upstream.hh
+++ b/review/upstream.hh
@@ -79,6 +79,11 @@
                                                  {"seq", 0},
                                                  {"born", m_bornMs}}));
     }
+    void setExtraShare(double share)
+    {
+        const Lock lock(m_slotMutex);
+        m_options.extraShare = share;
+    }
     int extrasOfRefusals() const
     {
         return m_extrasOfRefusals;
