--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -206,13 +206,15 @@
 TEST_CASE("response headers give whether the request ran, the signature and the load of the upstream", "[entry][platform]")
 {
     const platform::ResponseHeaders overloaded = platform::decodeResponseHeaders(503, {{"Not-Executed", "1"}, {"Server-Load", "26,4,26"}});
-    CHECK(overloaded.m_notRun);
+    CHECK(overloaded.m_claims.m_notRun);
+    CHECK_FALSE(overloaded.m_claims.m_success);
     CHECK(overloaded.m_load == 30);
-    CHECK(platform::decodeResponseHeaders(421, {}).m_notRun);
+    CHECK(platform::decodeResponseHeaders(421, {}).m_claims.m_notRun);
     const platform::ResponseHeaders failed = platform::decodeResponseHeaders(503, {{"Attempt-Id", "r1"}, {"Server-Stamp", "s"}});
-    CHECK(!failed.m_notRun);
-    CHECK(failed.m_signed);
-    CHECK(platform::decodeResponseHeaders(200, {{"Content-Encoding", "gzip"}}).m_contentEncoded);
+    CHECK(!failed.m_claims.m_notRun);
+    CHECK(failed.m_claims.m_signed);
+    CHECK(platform::decodeResponseHeaders(200, {{"Content-Encoding", "gzip"}}).m_claims.m_contentEncoded);
+    CHECK(platform::decodeResponseHeaders(200, {}).m_claims.m_success);
     const HttpReply refusal = platform::makeErrorReply(503, "r1", 250, "overloaded");
     CHECK(headerValue(refusal.m_headers, "Retry-After") == "0.25");
     CHECK(headerValue(refusal.m_headers, "Server-Stamp").empty());
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -71,6 +71,7 @@
     add("knapweedslip_said_leaving_total", "Upstreams whose answers said that they leave", metrics.m_saidLeaving);
     add("knapweedslip_turned_away_total", "Times that an upstream began to turn requests away for a time that it gave", metrics.m_turnedAway);
     add("knapweedslip_retry_after_ignored_total", "Answers that gave that time in a form that is ignored", metrics.m_retryAfterIgnored);
+    add("knapweedslip_other_answers_total", "Late answers to other requests that were dropped", metrics.m_otherAnswers);
     add("knapweedslip_upstreams_ended_total",
         "Upstreams that ended while a request of this daemon had just begun to run there",
         metrics.m_endChecks.at(static_cast<std::size_t>(EndCheckOutcome::Ended)));
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -27,14 +27,12 @@
 /** Time over which the daemons begin to try a request again that ran on upstreams which were lost together, in ms. */
 constexpr std::uint64_t CrashTrialSpreadMs = 4'000;
 
+/** Answers to other requests that are dropped before the answer to one request: more of them are no late copies. */
+constexpr int MaxSkippedAnswers = 4;
+
 /** When a client should retry if this daemon is stopping, in ms: another daemon accepts its new connection at once. */
 constexpr std::int64_t DrainingRetryMs = 20;
 
-bool sameRequest(const platform::ResponseHeaders &answer, const std::string &requestId)
-{
-    return answer.m_requestId == requestId;
-}
-
 std::string workspaceName(const EntryCall &call)
 {
     return call.m_admission.m_workspace == nullptr ? std::string() : call.m_admission.m_workspace->m_name;
@@ -61,10 +59,7 @@
         m_upstream.m_startedMs = listed->second.m_startedMs;
     }
     m_call.m_running->m_cause = m_call.m_running->m_cause == AbortCause::CallerLeft ? AbortCause::CallerLeft : AbortCause::None;
-    m_connection = context.m_connections.take(context.m_io.get_executor(), target.m_address, target.m_upstream);
-    if (m_connection != nullptr && maxIdleMs > 0 && steadyMs() - m_connection->m_idleSinceMs >= maxIdleMs) {
-        m_connection.reset();
-    }
+    m_connection = takePooled(maxIdleMs);
     if (m_connection == nullptr) {
         Result<HttpConnectionPtr> fresh = co_await httpConnect(target.m_address, std::min(ConnectTimeoutMs, std::max<std::int64_t>(1, timeLeftMs(m_call))));
         if (failed(fresh)) {
@@ -94,10 +89,14 @@
     headers.m_priority = std::clamp(m_call.m_admission.m_priority, 0, 9);
     request.m_headers = platform::makeUpstreamHeaders(m_call.m_exchange.request().m_headers, headers);
     ++m_call.m_sends;
+    m_call.m_sentTo.insert(target.m_upstream);
     m_sentMs = steadyMs();
     m_call.m_running->m_connection = m_connection.get();
     m_stream = std::make_unique<HttpStream>(*m_connection);
-    const Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
+    Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
+    if (!failed(opened)) {
+        opened = co_await readHeader();
+    }
     if (failed(opened)) {
         m_error = describe(errorOf(opened));
         if (errorOf(opened).m_code == ErrorCode::ConnectionLost) {
@@ -105,13 +104,47 @@
         }
         co_return OpenResult::Lost;
     }
-    m_status = m_stream->status();
-    m_headers = m_stream->headers();
-    m_answer = platform::decodeResponseHeaders(m_status, m_headers);
     recordKeepAlive(*m_connection, m_headers);
     co_return OpenResult::Answered;
 }
 
+HttpConnectionPtr EntryAttempt::takePooled(std::int64_t maxIdleMs)
+{
+    EntryContext &context = m_call.m_context;
+    if (m_call.m_sentTo.count(m_upstream.m_id) > 0) {
+        return nullptr;
+    }
+    HttpConnectionPtr connection = context.m_connections.take(context.m_io.get_executor(), m_upstream.m_address, m_upstream.m_id);
+    const bool isFresh = connection != nullptr && (maxIdleMs == 0 || steadyMs() - connection->m_idleSinceMs < maxIdleMs);
+    return isFresh ? std::move(connection) : nullptr;
+}
+
+awaitable<Result<Done>> EntryAttempt::readHeader()
+{
+    for (int skipped = 0;; ++skipped) {
+        m_status = m_stream->status();
+        m_headers = m_stream->headers();
+        m_answer = platform::decodeResponseHeaders(m_status, m_headers);
+        m_proof = proveAnswer(m_answer.m_claims, m_call.m_caller.m_requestId, m_connection->m_reused);
+        if (m_proof != AnswerProof::OtherRequest) {
+            co_return Done{};
+        }
+        ++m_call.m_context.m_metrics.m_otherAnswers;
+        logEvent(LogEvent::OtherAnswerDropped,
+                 {{"request", m_call.m_caller.m_requestId},
+                  {"upstream", m_upstream.m_id},
+                  {"answers", m_answer.m_claims.m_requestId},
+                  {"status", static_cast<std::int64_t>(m_status)}});
+        if (skipped == MaxSkippedAnswers) {
+            co_return Error{ErrorCode::ProtocolViolation, "too many answers to other requests"};
+        }
+        const Result<Done> next = co_await m_stream->skipAnswer(MaxAnswerBytes, HttpStream::NoTimeout);
+        if (failed(next)) {
+            co_return errorOf(next);
+        }
+    }
+}
+
 HttpStream &EntryAttempt::stream()
 {
     return *m_stream;
@@ -132,15 +165,14 @@
     return m_answer;
 }
 
-bool EntryAttempt::isAuthentic() const
+AnswerProof EntryAttempt::proof() const
 {
-    return m_answer.m_signed && !m_answer.m_contentEncoded && sameRequest(m_answer, m_call.m_caller.m_requestId);
+    return m_proof;
 }
 
 void EntryAttempt::learnFromAnswer()
 {
-    const bool isRefusal = m_answer.m_notRun && !m_answer.m_contentEncoded && sameRequest(m_answer, m_call.m_caller.m_requestId);
-    if (isRefusal || isAuthentic()) {
+    if (m_proof == AnswerProof::NotRun || m_proof == AnswerProof::Answered) {
         knapweedslip::learnFromAnswer(m_call.m_context, {m_upstream.m_id, m_upstream.m_startedMs}, m_answer, m_call.m_caller.m_requestId);
     }
 }
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -4,11 +4,13 @@
 #include "daemons/entrycrashes.h"
 #include "kernel/admitcall.h"
 #include "kernel/attemptcounter.h"
+#include "kernel/upstreamanswer.h"
 #include "platform/callheaders.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace knapweedslip
@@ -36,8 +38,9 @@
     std::int64_t m_arrivedMs = 0;
     /** When the final answer is due. */
     std::int64_t m_deadlineMs = 0;
-    /** How often the request was sent to an upstream so far. */
+    /** How often the request was sent to an upstream so far, and to which ones. */
     int m_sends = 0;
+    std::set<std::string> m_sentTo;
     /** Time of the first event as predicted at the first send, in ms after the arrival; -1 if there was no prediction. */
     double m_expectedMs = -1.0;
     /** Time at which the first event came, in ms after the arrival; -1 if none came. */
@@ -72,19 +75,19 @@
     EntryAttempt &operator=(const EntryAttempt &) = delete;
 
     /**
-     * Connects, sends the request and reads the header of the answer. If @p maxIdleMs is above 0, a pooled connection is reused only if it was
-     * idle for less than that.
+     * Connects, sends the request and reads the header of its answer; late copies of answers to other requests that come first are dropped. If
+     * @p maxIdleMs is above 0, a pooled connection is reused only if it was idle for less than that. An upstream that was sent this request before gets
+     * it on a new connection, where no copy of its earlier answer can come.
      */
     awaitable<OpenResult> open(AttemptTarget target, std::optional<std::int64_t> lastEventId, std::int64_t maxIdleMs);
     HttpStream &stream();
     unsigned status() const;
     const HeaderFields &headers() const;
     const platform::ResponseHeaders &answer() const;
-    /** Returns true if the answer is signed, belongs to this request, and has the body that the upstream sent. */
-    bool isAuthentic() const;
+    /** Returns what the answer proves. Must be asked before anything else of the answer is used; it is never OtherRequest. */
+    AnswerProof proof() const;
     /**
-     * Must be called when the answer is known to be the upstream's own: it refused to run the request, or its answer was authentic and, but for a stream,
-     * read to its end. Records what the upstream says of itself there.
+     * Records what the upstream says of itself in an answer that proves to be its own. Must be called when that was, but for a stream, read to its end.
      */
     void learnFromAnswer();
     /** Returns what went wrong, for the log. */
@@ -117,6 +120,10 @@
 private:
     /** Returns whether the request has run for so long that it is not what ends the upstream. */
     bool ranOn() const;
+    /** Takes a pooled connection to the upstream, or null if there is none that this request may use. */
+    HttpConnectionPtr takePooled(std::int64_t maxIdleMs);
+    /** Decodes the header of the answer, and drops answers to other requests that came before it. */
+    awaitable<Result<Done>> readHeader();
 
     EntryCall &m_call;
     UpstreamInstance m_upstream;
@@ -127,6 +134,7 @@
     std::unique_ptr<HttpStream> m_stream;
     HeaderFields m_headers;
     platform::ResponseHeaders m_answer;
+    AnswerProof m_proof = AnswerProof::Spoiled;
     unsigned m_status = 0;
     std::string m_error;
     /** This attempt's part of EntryContext::m_bufferedAnswerBytes. */
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -118,6 +118,8 @@
     std::uint64_t m_turnedAway = 0;
     /** Answers that gave that time in a form that is ignored. */
     std::uint64_t m_retryAfterIgnored = 0;
+    /** Late answers to other requests that were dropped. */
+    std::uint64_t m_otherAnswers = 0;
     std::uint64_t m_orders = 0;
     std::uint64_t m_probes = 0;
     std::uint64_t m_silences = 0;
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -113,7 +113,7 @@
         co_return AttemptResult::Failed;
     }
     attempt.finish();
-    if (!attempt.isAuthentic()) {
+    if (attempt.proof() != AnswerProof::Answered) {
         co_return AttemptResult::Failed;
     }
     attempt.learnFromAnswer();
@@ -217,7 +217,7 @@
         state.m_mayHaveRun = true;
         co_return AttemptResult::Failed;
     }
-    if (attempt.answer().m_notRun) {
+    if (attempt.proof() == AnswerProof::NotRun) {
         constexpr unsigned Misdirected = 421;
         const bool isFull = attempt.status() != Misdirected;
         const WithheldReason reason = isFull ? WithheldReason::Full : WithheldReason::Unreachable;
@@ -228,7 +228,7 @@
         co_return AttemptResult::NotRun;
     }
     state.m_mayHaveRun = true;
-    if (attempt.status() != Ok || !attempt.isAuthentic()) {
+    if (attempt.status() != Ok || attempt.proof() != AnswerProof::Answered) {
         logAttemptFailed(call, head, AttemptOutcome::MayHaveRun, "answered with status " + std::to_string(attempt.status()));
         co_return co_await readFailure(attempt, state);
     }
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -77,7 +77,7 @@
     }
     HttpReply reply;
     const Result<Done> read = co_await attempt.readBody(reply.m_body);
-    if (attempt.answer().m_notRun) {
+    if (attempt.proof() == AnswerProof::NotRun) {
         if (!failed(read)) {
             attempt.handleRefusal();
         }
@@ -86,7 +86,7 @@
         attempt.finish();
         co_return AttemptResult::NotRun;
     }
-    if (failed(read) || !attempt.isAuthentic()) {
+    if (failed(read) || attempt.proof() != AnswerProof::Answered) {
         context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Lost, -1, steadyMs());
         logAttemptFailed(call,
                          upstream,
--- a/daemons/servicecall.cpp
+++ b/daemons/servicecall.cpp
@@ -7,6 +7,7 @@
 
 #include "daemons/attempt.h"
 #include "kernel/hashing.h"
+#include "kernel/upstreamanswer.h"
 #include "net/logging.h"
 
 #include <algorithm>
@@ -69,18 +70,29 @@
     return request;
 }
 
+/** Returns what a reply on a connection that is @p reused or new proves about the call. */
+AnswerProof proveReply(const CallState &state, const HttpReply &reply, bool reused)
+{
+    constexpr unsigned FirstError = 400;
+    AnswerClaims claims;
+    claims.m_requestId = headerValue(reply.m_headers, "X-Request-Id");
+    claims.m_success = reply.m_status < FirstError;
+    claims.m_notRun = !headerValue(reply.m_headers, "X-Not-Run").empty();
+    // These upstreams do not sign.
+    claims.m_signed = true;
+    return proveAnswer(claims, state.m_requestId, reused);
+}
+
 /** Returns the outcome of a call from a complete reply. */
-CallResult classifyReply(const CallState &state, const HttpReply &reply)
+CallResult classifyReply(const HttpReply &reply, AnswerProof proof)
 {
     CallResult result;
-    const bool refused = !headerValue(reply.m_headers, "X-Not-Run").empty();
-    if (refused) {
+    if (proof == AnswerProof::NotRun) {
         result.m_end = AttemptEnd::Refused;
         result.m_error = Error{ErrorCode::UpstreamRefused, std::string(headerValue(reply.m_headers, "X-Not-Run"))};
         return result;
     }
-    const std::string_view echoed = headerValue(reply.m_headers, "X-Request-Id");
-    if (echoed != state.m_requestId) {
+    if (proof != AnswerProof::Answered) {
         result.m_outcome = RunOutcome::Unknown;
         result.m_error = Error{ErrorCode::ProtocolViolation, "the reply belongs to another request"};
         return result;
@@ -115,13 +127,16 @@
         result.m_end = lost && !connection->m_reused ? AttemptEnd::UpstreamLost : AttemptEnd::Unreachable;
         co_return result;
     }
-    const HeaderFields &headers = valueOf(reply).m_headers;
-    applyEngineHeaders(state.m_context,
-                       upstream,
-                       std::string(headerValue(headers, "X-Engine-Running")),
-                       headerValue(headers, "X-Engine-Cold") == "1",
-                       headerValue(headers, "X-Engine-Leaving") == "1");
-    result = classifyReply(state, valueOf(reply));
+    const AnswerProof proof = proveReply(state, valueOf(reply), connection->m_reused);
+    if (proof == AnswerProof::Answered || proof == AnswerProof::NotRun) {
+        const HeaderFields &headers = valueOf(reply).m_headers;
+        applyEngineHeaders(state.m_context,
+                           upstream,
+                           std::string(headerValue(headers, "X-Engine-Running")),
+                           headerValue(headers, "X-Engine-Cold") == "1",
+                           headerValue(headers, "X-Engine-Leaving") == "1");
+    }
+    result = classifyReply(valueOf(reply), proof);
     if (result.m_outcome == RunOutcome::Ran) {
         state.m_context.m_connections.give(std::move(connection));
     }
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -94,7 +94,7 @@
 }
 
 # Sends innocent requests through all daemons until $RUN/stop exists: COUNT at a time, each with a body of its own, on the paths given in turn. Prints
-# "status path" for each answer into $RUN/innocent, with INNOCENT_TIMES also the time when it was sent. The Attempt-Id begins with "dN-" for daemon N.
+# "status path" for each answer into $RUN/innocent, with INNOCENT_TIMES also the time when it was sent, with INNOCENT_IDS its Attempt-Id, which ends with that word. The Attempt-Id begins with "dN-" for daemon N.
 # INNOCENT_KEY is their caller's key, INNOCENT_PROMPT the parts of their prompts: ROUND and NUMBER there make a part the request's own, GROUP is one of three.
 start_innocents() { # count path...
     local count=$1
@@ -108,14 +108,14 @@
             for i in $(seq 1 "$count"); do
                 path=${*:$((i % $# + 1)):1}
                 [ "$i" = 1 ] || echo next
-                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer %s"\nheader = "Attempt-Id: d%s-%s-%s"\n' \
-                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$key" "$((i % ENTRIES + 1))" "$round" "$i"
+                printf 'url = "http://%s:7000%s"\nrequest = POST\nheader = "Host: api"\nheader = "Authorization: Bearer %s"\nheader = "Attempt-Id: d%s-%s-%s%s"\n' \
+                    "$(entry_ip $((i % ENTRIES + 1)))" "$path" "$key" "$((i % ENTRIES + 1))" "$round" "$i" "${INNOCENT_IDS:+-$INNOCENT_IDS}"
                 printf 'header = "Deadline-Ms: 8000"\nheader = "Model: model"\nheader = "Token-Usage: 100,100"\ndata = "innocent %s %s"\n' "$round" "$i"
                 prompt=${INNOCENT_PROMPT:-}
                 prompt=${prompt//ROUND/$round}
                 prompt=${prompt//NUMBER/$i}
                 [ -z "$prompt" ] || printf 'header = "Prompt-Prefix: %s"\n' "${prompt//GROUP/$((i % 3))}"
-                printf 'output = "/dev/null"\nsilent\nmax-time = 12\nwrite-out = "%%{http_code} %s%s\\n"\n' "$path" "$sent"
+                printf 'output = "/dev/null"\nsilent\nmax-time = 12\nwrite-out = "%%{http_code} %s%s%s\\n"\n' "$path" "$sent" "${INNOCENT_IDS:+ d$((i % ENTRIES + 1))-$round-$i-$INNOCENT_IDS}"
             done >"$RUN/innocent.curl"
             curl -Z --parallel-max "$count" -K "$RUN/innocent.curl" >>"$RUN/innocent" 2>/dev/null
         done
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -54,6 +54,7 @@
     UpstreamWithheld,
     RetryAfterIgnored,
     UpstreamChecked,
+    OtherAnswerDropped,
     DomainClaimed,
     DomainReleased,
     DomainLost,
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -217,7 +217,7 @@
     : m_connection(connection)
     , m_readBuffer(ReadBufferBytes)
 {
-    m_parser.body_limit(boost::none);
+    resetParser();
 }
 
 void HttpStream::extendDeadline(std::int64_t timeoutMs)
@@ -246,39 +246,75 @@
             *sent = !error;
         });
     }
-    const auto [readError, size] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
-    if (readError) {
-        co_return toError(readError);
+    co_return co_await readHeader();
+}
+
+void HttpStream::resetParser()
+{
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+}
+
+awaitable<Result<Done>> HttpStream::readHeader()
+{
+    const auto [error, size] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, *m_parser, UseTuple);
+    if (error) {
+        co_return toError(error);
     }
     co_return Done{};
 }
 
+awaitable<Result<Done>> HttpStream::skipAnswer(std::size_t maxBodyBytes, std::int64_t timeoutMs)
+{
+    m_skippedAnswer = true;
+    if (m_parser->need_eof()) {
+        co_return Error{ErrorCode::ConnectionLost, "an answer to another request ends with the connection"};
+    }
+    std::size_t dropped = 0;
+    for (bool atEnd = false; !atEnd;) {
+        const Result<std::string_view> piece = co_await read(timeoutMs);
+        if (failed(piece)) {
+            co_return errorOf(piece);
+        }
+        dropped += valueOf(piece).size();
+        if (dropped > maxBodyBytes) {
+            co_return Error{ErrorCode::ProtocolViolation, "an answer to another request is too long"};
+        }
+        atEnd = valueOf(piece).empty();
+    }
+    if (!m_parser->get().keep_alive()) {
+        co_return Error{ErrorCode::ConnectionLost, "the connection ends with an answer to another request"};
+    }
+    resetParser();
+    co_return co_await readHeader();
+}
+
 unsigned HttpStream::status() const
 {
-    return m_parser.get().result_int();
+    return m_parser->get().result_int();
 }
 
 std::string HttpStream::header(std::string_view name) const
 {
-    return std::string(m_parser.get()[beast::string_view(name.data(), name.size())]);
+    return std::string(m_parser->get()[beast::string_view(name.data(), name.size())]);
 }
 
 HeaderFields HttpStream::headers() const
 {
-    return toFields(m_parser.get());
+    return toFields(m_parser->get());
 }
 
 awaitable<Result<std::string_view>> HttpStream::read(std::int64_t timeoutMs)
 {
-    while (!m_parser.is_done()) {
-        m_parser.get().body().data = m_readBuffer.data();
-        m_parser.get().body().size = m_readBuffer.size();
+    while (!m_parser->is_done()) {
+        m_parser->get().body().data = m_readBuffer.data();
+        m_parser->get().body().size = m_readBuffer.size();
         extendDeadline(timeoutMs);
-        auto [error, size] = co_await http::async_read_some(m_connection.m_stream, m_connection.m_buffer, m_parser, UseTuple);
+        auto [error, size] = co_await http::async_read_some(m_connection.m_stream, m_connection.m_buffer, *m_parser, UseTuple);
         if (error && error != http::error::need_buffer) {
             co_return toError(error);
         }
-        const std::size_t received = m_readBuffer.size() - m_parser.get().body().size;
+        const std::size_t received = m_readBuffer.size() - m_parser->get().body().size;
         if (received > 0) {
             co_return std::string_view(m_readBuffer.data(), received);
         }
@@ -288,17 +324,17 @@
 
 bool HttpStream::endsWithConnection() const
 {
-    return m_parser.need_eof();
+    return m_parser->need_eof();
 }
 
 bool HttpStream::finished() const
 {
-    return m_parser.is_done();
+    return m_parser->is_done();
 }
 
 bool HttpStream::reusable() const
 {
-    return m_parser.is_done() && *m_requestSent && m_parser.get().keep_alive() && m_connection.m_buffer.size() == 0;
+    return !m_skippedAnswer && m_parser->is_done() && *m_requestSent && m_parser->get().keep_alive() && m_connection.m_buffer.size() == 0;
 }
 
 std::vector<std::string> EventSplitter::feed(std::string_view text)
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace knapweedslip
@@ -99,6 +100,11 @@
 
     /** Sends the request and reads the header of the response, even if that arrives before a long request body is sent completely. */
     awaitable<Result<Done>> open(const HttpRequest &request, std::int64_t timeoutMs);
+    /**
+     * Drops the answer whose header was read, which belongs to another request, and reads the header of the next one on the connection. Fails with
+     * ProtocolViolation if the dropped answer is longer than @p maxBodyBytes, and with ConnectionLost if none can follow it.
+     */
+    awaitable<Result<Done>> skipAnswer(std::size_t maxBodyBytes, std::int64_t timeoutMs);
     unsigned status() const;
     std::string header(std::string_view name) const;
     HeaderFields headers() const;
@@ -112,18 +118,24 @@
     /** Returns whether the body was read to its end. */
     bool finished() const;
     /**
-     * Returns whether the connection may be used again: request and response are complete, no further bytes were received, and the response
-     * keeps the connection open.
+     * Returns whether the connection may be used again: request and response are complete, no further bytes were received, the response keeps the
+     * connection open, and no answer was skipped.
      */
     bool reusable() const;
 
 private:
     static constexpr std::size_t ReadBufferBytes = 8 * 1024;
 
+    using Parser = http::response_parser<http::buffer_body>;
+
     void extendDeadline(std::int64_t timeoutMs);
+    void resetParser();
+    awaitable<Result<Done>> readHeader();
 
     HttpConnection &m_connection;
-    http::response_parser<http::buffer_body> m_parser;
+    std::optional<Parser> m_parser;
+    /** An answer to another request came on the connection. */
+    bool m_skippedAnswer = false;
     std::vector<char> m_readBuffer;
     /** The request was written completely. Shared with the write of a long body, which may outlive this object. */
     std::shared_ptr<bool> m_requestSent = std::make_shared<bool>(false);
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -41,11 +41,23 @@
     return words;
 }
 
+AnswerFaults parseFaults(const json::object &object)
+{
+    AnswerFaults faults;
+    faults.m_refusedShare = doubleField(object, "refused");
+    faults.m_copiedRefusalShare = doubleField(object, "copied_refusals");
+    faults.m_copiedAnswerShare = doubleField(object, "copied_answers");
+    faults.m_copiesWhileIdle = boolField(object, "copies_while_idle");
+    faults.m_cutShare = doubleField(object, "cut");
+    faults.m_resetShare = doubleField(object, "reset");
+    return faults;
+}
+
 using Upstreams = std::vector<std::unique_ptr<HostingEngine>>;
 
 /**
- * Applies {"first":n,"count":n,"leaving":b,"listed":b,"turn_away_ms":n,"retry_after":s}, or ends the upstreams with "lost":true, and returns the ids of
- * the upstreams that it names.
+ * Applies {"first":n,"count":n,"leaving":b,"listed":b,"turn_away_ms":n,"retry_after":s}, sets how answers are spoiled with "faults":{..}, or ends the
+ * upstreams with "lost":true, and returns the ids of the upstreams that it names.
  */
 std::string applyWords(const Upstreams &upstreams, const std::string &body)
 {
@@ -60,7 +72,13 @@
     json::array ids;
     for (std::size_t i = first; i < end; ++i) {
         ids.emplace_back(upstreams[i]->entry().m_id);
-        boolField(object, "lost") ? upstreams[i]->loseProcess() : upstreams[i]->setWords(words);
+        if (const json::value *faults = object.if_contains("faults"); faults != nullptr && faults->is_object()) {
+            upstreams[i]->setFaults(parseFaults(faults->as_object()));
+        } else if (boolField(object, "lost")) {
+            upstreams[i]->loseProcess();
+        } else {
+            upstreams[i]->setWords(words);
+        }
     }
     return json::serialize(ids);
 }
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -8,6 +8,7 @@
 #include "platform/names.h"
 
 #include <array>
+#include <sstream>
 #include <utility>
 
 namespace knapweedslip::standin
@@ -27,6 +28,9 @@
 constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
 constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
 
+/** Time between an answer and its copy on the idle connection, in ms. */
+constexpr std::int64_t IdleCopyMs = 2;
+
 bool contains(const std::string &text, const char *word)
 {
     return text.find(word) != std::string::npos;
@@ -72,7 +76,7 @@
         co_return !error;
     }
 
-    awaitable<bool> respond(const HttpReply &reply, const HttpRequest &request)
+    static std::string toText(const HttpReply &reply, const HttpRequest &request)
     {
         http::response<http::string_body> message(static_cast<http::status>(reply.m_status), 11);
         message.set(platform::header::RequestId, std::string(headerValue(request.m_headers, platform::header::RequestId)));
@@ -81,12 +85,21 @@
         }
         message.body() = reply.m_body;
         message.prepare_payload();
-        const auto [error, size] = co_await http::async_write(m_stream, message, UseTuple);
-        co_return !error;
+        std::ostringstream text;
+        text << message;
+        return text.str();
+    }
+
+    awaitable<bool> respond(const HttpReply &reply, const HttpRequest &request)
+    {
+        std::string text = toText(reply, request);
+        co_return co_await write(std::move(text));
     }
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    /** Copy of an earlier answer, which comes before the next one. */
+    std::string m_lateCopy;
 };
 
 HostingEngine::HostingEngine(asio::io_context &io,
@@ -103,6 +116,7 @@
     , m_address(address)
     , m_entry(std::move(entry))
     , m_times(times)
+    , m_random(std::hash<std::string>()(address))
 {
 }
 
@@ -141,6 +155,39 @@
     publish();
 }
 
+void HostingEngine::setFaults(const AnswerFaults &faults)
+{
+    m_faults = faults;
+}
+
+bool HostingEngine::happens(double share)
+{
+    return std::uniform_real_distribution<double>()(m_random) < share;
+}
+
+awaitable<void> HostingEngine::answerClient(Connection &connection, HttpReply reply, const HttpRequest &request, double copiedShare)
+{
+    if (m_words.m_leaving) {
+        reply.m_headers.emplace_back(platform::header::Leaving, "1");
+    }
+    std::string text = Connection::toText(reply, request);
+    if (happens(m_faults.m_cutShare)) {
+        text.resize(text.size() - 1);
+        co_await connection.write(std::move(text));
+        boost::system::error_code ignored;
+        connection.m_stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+        co_return;
+    }
+    std::string copy = happens(copiedShare) ? text : std::string();
+    co_await connection.write(std::move(text));
+    if (!copy.empty() && m_faults.m_copiesWhileIdle) {
+        co_await sleepFor(IdleCopyMs);
+        co_await connection.write(std::move(copy));
+    } else {
+        connection.m_lateCopy = std::move(copy);
+    }
+}
+
 const UpstreamEntry &HostingEngine::entry() const
 {
     return m_entry;
@@ -281,6 +328,11 @@
         }
         request.m_body = parser.get().body();
         request.m_body += wordsOfParts(request, m_partWords);
+        if (!connection->m_lateCopy.empty()) {
+            record(m_history, "late-copy", describeRequest(request, m_entry.m_id));
+            std::string copy = std::exchange(connection->m_lateCopy, {});
+            co_await connection->write(std::move(copy));
+        }
         co_await serveRequest(*connection, request, lifetime);
     }
     m_connections.erase(connection);
@@ -408,6 +460,13 @@
         co_await respond(connection, std::move(reply), request);
         co_return;
     }
+    if (happens(m_faults.m_refusedShare)) {
+        reply.m_status = NotExecutedStatus;
+        reply.m_headers.emplace_back(platform::header::NotRun, "1");
+        co_await answerClient(connection, std::move(reply), request, m_faults.m_copiedRefusalShare);
+        co_return;
+    }
+    record(m_history, "ran", describeRequest(request, m_entry.m_id));
     co_await sleepFor(m_times.m_prefillMs);
     if (lifetime != m_lifetime || !m_alive) {
         co_return;
@@ -448,8 +507,14 @@
         co_await streamEvents(connection, request, lifetime);
         co_return;
     }
+    if (happens(m_faults.m_resetShare)) {
+        boost::system::error_code ignored;
+        connection.m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        connection.m_stream.socket().close(ignored);
+        co_return;
+    }
     reply = jsonReply(200, R"({"done":true})");
     reply.m_headers.emplace_back(platform::header::Signature, "stand-in");
-    co_await respond(connection, std::move(reply), request);
+    co_await answerClient(connection, std::move(reply), request, m_faults.m_copiedAnswerShare);
 }
 }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -43,6 +44,21 @@
     std::string m_retryAfter;
 };
 
+/** How an upstream spoils its answers to clients' requests. All shares are from 0 to 1. */
+struct AnswerFaults
+{
+    /** Share of the requests that are turned away, as a full upstream does. */
+    double m_refusedShare = 0.0;
+    /** Share of these refusals, and of the other answers of a plain service, that come once more on their connection. */
+    double m_copiedRefusalShare = 0.0;
+    double m_copiedAnswerShare = 0.0;
+    /** The copies come while the connection is idle; otherwise where the next answer is due. */
+    bool m_copiesWhileIdle = false;
+    /** Share of the answers of a plain service that are cut short, and of its connections that are reset while the request runs. */
+    double m_cutShare = 0.0;
+    double m_resetShare = 0.0;
+};
+
 /** Words by the id of a part of a prompt: a request whose prompt has the part, other than as its last, is treated as if its body contained the words. */
 using PartWords = std::map<std::string, std::string>;
 
@@ -69,6 +85,7 @@
     awaitable<void> run();
     /** Changes what the engine says of itself, until its lifetime ends. */
     void setWords(const HostingEngineWords &words);
+    void setFaults(const AnswerFaults &faults);
     const UpstreamEntry &entry() const;
     /** Ends this lifetime for no reason of its requests: every connection is reset, and nothing listens until the next one. */
     void loseProcess();
@@ -82,6 +99,10 @@
     awaitable<void> serveRequest(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
     awaitable<void> streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
     HttpReply executeOrder(const std::string &body);
+    /** Returns whether a fault with this share happens now. */
+    bool happens(double share);
+    /** Sends the answer to a client's request, and a second copy of it with the probability @p copiedShare. */
+    awaitable<void> answerClient(Connection &connection, HttpReply reply, const HttpRequest &request, double copiedShare);
     /** Adds the fields of all answers to @p reply and sends it. */
     awaitable<void> respond(Connection &connection, HttpReply reply, const HttpRequest &request);
     /** Returns the fields of all answers, as lines of a header. */
@@ -105,6 +126,8 @@
     bool m_alive = false;
     std::int64_t m_orders = 0;
     HostingEngineWords m_words;
+    AnswerFaults m_faults;
+    std::mt19937_64 m_random;
     std::shared_ptr<Tcp::acceptor> m_acceptor;
     std::set<ConnectionPtr> m_connections;
 };
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -70,6 +70,7 @@
     const HttpRequest &request = exchange.request();
     if (service.m_leaving || service.m_refuse) {
         HttpReply reply = jsonReply(503, R"({"error":"refused"})");
+        reply.m_headers.emplace_back("X-Request-Id", std::string(headerValue(request.m_headers, "X-Request-Id")));
         reply.m_headers.emplace_back("X-Not-Run", service.m_leaving ? "leaving" : "refused");
         reply.m_headers.emplace_back("X-Engine-Leaving", service.m_leaving ? "1" : "0");
         co_await exchange.respond(std::move(reply));
