--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -27,9 +27,6 @@
 /** Time over which the daemons begin to try a request again that ran on upstreams which were lost together, in ms. */
 constexpr std::uint64_t CrashTrialSpreadMs = 4'000;
 
-/** Answers to other requests that are dropped before the answer to one request: more of them are no late copies. */
-constexpr int MaxSkippedAnswers = 4;
-
 /** When a client should retry if this daemon is stopping, in ms: another daemon accepts its new connection at once. */
 constexpr std::int64_t DrainingRetryMs = 20;
 
@@ -135,7 +132,7 @@
                   {"upstream", m_upstream.m_id},
                   {"answers", m_answer.m_claims.m_requestId},
                   {"status", static_cast<std::int64_t>(m_status)}});
-        if (skipped == MaxSkippedAnswers) {
+        if (skipped == MaxSkippedResponses) {
             co_return Error{ErrorCode::ProtocolViolation, "too many answers to other requests"};
         }
         const Result<Done> next = co_await m_stream->skipAnswer(MaxAnswerBytes, HttpStream::NoTimeout);
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -23,6 +23,13 @@
 /** Longest answer of an engine to an order or a probe: a report has a few hundred bytes. */
 constexpr std::size_t MaxEngineReplyBytes = 256 * 1024;
 
+/** Returns whether an engine's answer on a connection that is shared with clients' requests was made for one of those: orders and probes have no id. */
+bool answersClient(const HttpReply &answer)
+{
+    const platform::ResponseHeaders headers = platform::decodeResponseHeaders(answer.m_status, answer.m_headers);
+    return proveAnswer(headers.m_claims, {}, true) == AnswerProof::OtherRequest;
+}
+
 /** Reads an engine's answer to an order or a probe for what the engine says of itself. */
 void learnFromReply(EntryContext &context, const UpstreamLifetime &engine, const Result<HttpReply> &answer)
 {
@@ -43,7 +50,8 @@
     const std::uint64_t fence = context.m_leadership.m_fence;
     ++context.m_metrics.m_orders;
     HttpRequest request = platform::makeOrderRequest(order);
-    const Result<HttpReply> answer = co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxEngineReplyBytes);
+    const Result<HttpReply> answer =
+        co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxEngineReplyBytes, answersClient);
     learnFromReply(context, engine, answer);
     OrderReply reply = OrderReply::Unanswered;
     if (!failed(answer)) {
@@ -78,7 +86,7 @@
     const UpstreamLifetime lifetime{engine, known->m_startedMs};
     ++context.m_metrics.m_probes;
     HttpRequest request = platform::makeReportRequest(engine);
-    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxEngineReplyBytes);
+    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxEngineReplyBytes, answersClient);
     const std::int64_t nowMs = steadyMs();
     constexpr unsigned Ok = 200;
     if (failed(answer) || valueOf(answer).m_status != Ok) {
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -158,22 +158,19 @@
     return error.m_code == ErrorCode::ConnectFailed && error.m_detail.find(refused.message()) != std::string::npos;
 }
 
-awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes)
+namespace
+{
+/** Reads one complete response, within the time that is set for the connection. */
+awaitable<Result<HttpReply>> readReply(HttpConnection &connection, const std::string &method, std::size_t maxBodyBytes)
 {
-    const http::request<http::string_body> message = toMessage(connection, request);
-    connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
-    const auto [writeError, written] = co_await http::async_write(connection.m_stream, message, UseTuple);
-    if (writeError) {
-        co_return toError(writeError);
-    }
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxBodyBytes);
-    if (request.m_method == "HEAD") {
+    if (method == "HEAD") {
         parser.skip(true);
     }
-    const auto [readError, size] = co_await http::async_read(connection.m_stream, connection.m_buffer, parser, UseTuple);
-    if (readError) {
-        co_return toError(readError);
+    const auto [error, size] = co_await http::async_read(connection.m_stream, connection.m_buffer, parser, UseTuple);
+    if (error) {
+        co_return toError(error);
     }
     HttpReply reply;
     reply.m_status = parser.get().result_int();
@@ -183,13 +180,42 @@
     connection.m_closing = !parser.get().keep_alive();
     co_return reply;
 }
+}
+
+awaitable<Result<HttpReply>>
+httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes, IsOtherResponse isOther)
+{
+    const http::request<http::string_body> message = toMessage(connection, request);
+    connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
+    const auto [writeError, written] = co_await http::async_write(connection.m_stream, message, UseTuple);
+    if (writeError) {
+        co_return toError(writeError);
+    }
+    for (int skipped = 0;; ++skipped) {
+        Result<HttpReply> reply = co_await readReply(connection, request.m_method, maxBodyBytes);
+        if (failed(reply)) {
+            co_return reply;
+        }
+        if (isOther == nullptr || !isOther(valueOf(reply))) {
+            connection.m_closing = connection.m_closing || skipped > 0;
+            co_return reply;
+        }
+        if (connection.m_closing) {
+            co_return Error{ErrorCode::ConnectionLost, "the connection ends with a response to another request"};
+        }
+        if (!connection.m_reused || skipped == MaxSkippedResponses) {
+            co_return Error{ErrorCode::ProtocolViolation, "the response belongs to another request"};
+        }
+    }
+}
 
-awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes)
+awaitable<Result<HttpReply>>
+httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes, IsOtherResponse isOther)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     HttpConnectionPtr connection = pool.take(executor, address, {});
     if (connection != nullptr) {
-        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes);
+        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes, isOther);
         if (!failed(reply)) {
             if (!connection->m_closing) {
                 pool.give(std::move(connection));
@@ -206,7 +232,7 @@
         co_return errorOf(fresh);
     }
     connection = std::move(valueOf(fresh));
-    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes);
+    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes, isOther);
     if (!failed(reply) && !connection->m_closing) {
         pool.give(std::move(connection));
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -75,19 +75,33 @@
 /** Longest body of a response that is read as a whole, unless the caller sets another limit. The store's changes and other daemons' snapshots of it fit. */
 inline constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 
+/** Returns whether a response belongs to another request than the one that was sent, such as a late second copy of an earlier one. */
+using IsOtherResponse = bool (*)(const HttpReply &);
+
+/** Responses to other requests that are dropped before the response to one request: more of them are no late copies. */
+inline constexpr int MaxSkippedResponses = 4;
+
 /**
  * Sends @p request and reads the complete response, both within @p timeoutMs. Fails with ProtocolViolation if its header or body is too long, at the
- * moment at which that is known. After an error the connection must not be used again.
+ * moment at which that is known. After an error the connection must not be used again. Responses that @p isOther recognises are dropped, and the
+ * connection then counts as closing.
  */
-awaitable<Result<HttpReply>>
-httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes = MaxResponseBytes);
+awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection,
+                                          const HttpRequest &request,
+                                          std::int64_t timeoutMs,
+                                          std::size_t maxBodyBytes = MaxResponseBytes,
+                                          IsOtherResponse isOther = nullptr);
 
 /**
  * Sends @p request over a pooled or a new connection and reads the complete response. If a pooled connection is lost, a GET or HEAD request
  * is sent once more over a new connection.
  */
-awaitable<Result<HttpReply>>
-httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes = MaxResponseBytes);
+awaitable<Result<HttpReply>> httpCall(ConnectionPool &pool,
+                                      std::string address,
+                                      HttpRequest request,
+                                      std::int64_t timeoutMs,
+                                      std::size_t maxBodyBytes = MaxResponseBytes,
+                                      IsOtherResponse isOther = nullptr);
 
 /** A response whose body is read incrementally. */
 class HttpStream
