--- a/autotests/processes/spoiltanswers.sh
+++ b/autotests/processes/spoiltanswers.sh
@@ -27,7 +27,7 @@
     rm -f "$RUN/stop" "$RUN/innocent"
     INNOCENT_IDS=$name
     history | wc -l >"$RUN/before"
-    start_innocents 40 "$path"
+    start_innocents "${CALLERS:-40}" "$path"
     sleep $LOAD_S
     stop_innocents
     curl -sf -X PUT -d '{"first":0,"count":100,"faults":{}}' "http://$PREFIX.9.1:8500/standin/engines" >/dev/null
--- a/autotests/upstreamavailabilitytest.cpp
+++ b/autotests/upstreamavailabilitytest.cpp
@@ -181,6 +181,40 @@
     }
 }
 
+// Guards against callers who are refused although every upstream is up: a spoiled answer took its upstream out of use for a time.
+TEST_CASE("a spoiled answer or a caller that leaves does not take an upstream out of use, an upstream that cannot be reached is", "[availability]")
+{
+    struct Row
+    {
+        CallOutcome m_outcome;
+        WithheldReason m_reason;
+        /** The next call prefers another upstream. */
+        bool m_countsAsFailure;
+    };
+    const Row row = GENERATE(values<Row>({{CallOutcome::Answered, WithheldReason::None, false},
+                                          {CallOutcome::Failed, WithheldReason::None, true},
+                                          {CallOutcome::Refused, WithheldReason::Full, false},
+                                          {CallOutcome::Spoiled, WithheldReason::None, true},
+                                          {CallOutcome::Unreachable, WithheldReason::Unreachable, true},
+                                          {CallOutcome::Abandoned, WithheldReason::None, false}}));
+    CAPTURE(static_cast<int>(row.m_outcome));
+    UpstreamAvailability availability;
+    UpstreamSelector selector;
+    std::vector<TrackedUpstream> upstreams(2);
+    upstreams[0].m_id = "a";
+    upstreams[1].m_id = "b";
+    selector.setUpstreams("s", upstreams);
+    for (const TrackedUpstream &upstream : upstreams) {
+        availability.observe(listed(upstream.m_id, 1), 0);
+    }
+    selector.begin(availability, "s", "a", 1'000);
+    selector.end(availability, "s", "a", row.m_outcome, -1, 1'000);
+    CHECK(availability.check("a", AnyEpoch, 1'001).m_reason == row.m_reason);
+    const TrackedUpstream *only = selector.choose(availability, "s", "z", {"b"}, 1'001);
+    CHECK((only != nullptr) == (row.m_reason == WithheldReason::None));
+    CHECK((selector.choose(availability, "s", "z", {}, 2'000)->m_id == "b") == row.m_countsAsFailure);
+}
+
 // Guards against an upstream that is lost for good because of one enormous value.
 TEST_CASE("the time for which an upstream is withheld is bounded", "[availability]")
 {
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -44,6 +44,19 @@
     bool m_hasFailure = false;
 };
 
+/** Returns what the end of an attempt without a usable answer tells of the upstream. */
+CallOutcome outcomeWithoutAnswer(const EntryCall &call)
+{
+    switch (call.m_running->m_cause) {
+    case AbortCause::None:
+        return CallOutcome::Spoiled;
+    case AbortCause::CallerLeft:
+        return CallOutcome::Abandoned;
+    default:
+        return CallOutcome::Unreachable;
+    }
+}
+
 /** Sends the answer of an upstream to the client and logs the end of the call with @p outcome. */
 awaitable<void> forwardReply(EntryCall &call, HttpReply reply, const char *outcome)
 {
@@ -71,7 +84,8 @@
     const OpenResult opened = co_await attempt.open(std::move(target), std::nullopt, repeatable ? 0 : NonRepeatableMaxIdleMs);
     const std::int64_t nowMs = steadyMs();
     if (opened != OpenResult::Answered) {
-        context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Lost, -1, nowMs);
+        const CallOutcome outcome = opened == OpenResult::NotSent ? CallOutcome::Unreachable : outcomeWithoutAnswer(call);
+        context.m_upstreamSelector.end(context.m_availability, service, upstream, outcome, -1, nowMs);
         logAttemptFailed(call, upstream, opened == OpenResult::NotSent ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun, attempt.error());
         co_return opened == OpenResult::NotSent ? AttemptResult::NotRun : AttemptResult::Unknown;
     }
@@ -87,7 +101,7 @@
         co_return AttemptResult::NotRun;
     }
     if (failed(read) || attempt.proof() != AnswerProof::Answered) {
-        context.m_upstreamSelector.end(context.m_availability, service, upstream, CallOutcome::Lost, -1, steadyMs());
+        context.m_upstreamSelector.end(context.m_availability, service, upstream, outcomeWithoutAnswer(call), -1, steadyMs());
         logAttemptFailed(call,
                          upstream,
                          AttemptOutcome::MayHaveRun,
--- a/kernel/upstreamselector.cpp
+++ b/kernel/upstreamselector.cpp
@@ -19,8 +19,8 @@
 constexpr double CrossZoneWeight = 0.05;
 /** A reported load is used for this long: a call takes some tens of ms. */
 constexpr std::int64_t ReportLifeMs = 100;
-/** An upstream whose connection was lost gets no calls for this long, a tenth of a client's usual deadline. */
-constexpr std::int64_t LostRestMs = 150;
+/** An upstream that cannot be reached gets no calls for this long, a tenth of a client's usual deadline. */
+constexpr std::int64_t UnreachableRestMs = 150;
 /** An upstream that refused a call gets no calls for this long: it stays full for about the time of one call. */
 constexpr std::int64_t RefusedRestMs = 30;
 }
@@ -120,10 +120,17 @@
         tracked->m_reportedRequests = reported;
         tracked->m_reportedMs = nowMs;
     }
+    if (outcome == CallOutcome::Abandoned) {
+        return;
+    }
     const double failure = outcome == CallOutcome::Answered || outcome == CallOutcome::Refused ? 0.0 : 1.0;
     tracked->m_failureRate += FailureSmoothing * (failure - tracked->m_failureRate);
-    if (outcome == CallOutcome::Lost) {
-        availability.withhold(upstream, UpstreamAvailability::AnyEpoch, WithheldReason::Unreachable, LostRestMs, nowMs);
+    if (outcome == CallOutcome::Spoiled) {
+        // Nothing is known to be wrong but with this answer; the connection is not used again.
+        return;
+    }
+    if (outcome == CallOutcome::Unreachable) {
+        availability.withhold(upstream, UpstreamAvailability::AnyEpoch, WithheldReason::Unreachable, UnreachableRestMs, nowMs);
     } else if (outcome == CallOutcome::Refused) {
         availability.withhold(upstream, UpstreamAvailability::AnyEpoch, WithheldReason::Full, RefusedRestMs, nowMs);
     } else {
--- a/kernel/upstreamselector.h
+++ b/kernel/upstreamselector.h
@@ -38,8 +38,12 @@
     Failed,
     /** The upstream refused the call without running it. */
     Refused,
-    /** The connection could not be made or broke. */
-    Lost,
+    /** No usable answer came, although the upstream was reached: the answer was spoiled, or its connection broke. It may take the next call. */
+    Spoiled,
+    /** No connection could be made, or the upstream was silent. */
+    Unreachable,
+    /** The caller left first, which tells nothing of the upstream. */
+    Abandoned,
 };
 
 /** Tracks the load and the failures of the upstreams of the plain services as seen by one gateway, and chooses the upstream for the next call. */
--- a/simulation/talkativeupstreams.h
+++ b/simulation/talkativeupstreams.h
@@ -255,7 +255,7 @@
                 continue;
             }
             learn(daemon, upstream, answer, nowMs);
-            const CallOutcome outcome = answer.m_refused ? CallOutcome::Refused : answer.m_ran ? CallOutcome::Answered : CallOutcome::Lost;
+            const CallOutcome outcome = answer.m_refused ? CallOutcome::Refused : answer.m_ran ? CallOutcome::Answered : CallOutcome::Unreachable;
             daemon.m_selector.end(daemon.m_availability, "service", upstream.m_id, outcome, -1, nowMs);
             if (!answer.m_ran) {
                 serve(answer.m_daemon, answer.m_tried, nowMs);
