--- a/autotests/eventreassemblertest.cpp
+++ b/autotests/eventreassemblertest.cpp
@@ -41,7 +41,9 @@
             std::size_t at = 0;
             while (left > 0) {
                 const std::size_t piece = std::min<std::size_t>(left, 1 + random() % 40);
-                forwarded += reassembler.feed(std::string_view(text).substr(at, piece)).m_bytes;
+                const EventBatch batch = reassembler.feed(std::string_view(text).substr(at, piece));
+                forwarded += batch.m_bytes;
+                reassembler.recordDelivered(batch);
                 at += piece;
                 left -= piece;
             }
@@ -123,3 +125,118 @@
         CHECK_FALSE(reassembler.hasPartialEvent());
     }
 }
+
+namespace
+{
+/** Where one attempt of a stream goes wrong. */
+enum class StreamFault {
+    None,
+    /** The bytes of an event cannot be read. */
+    Spoilt,
+    /** An event is left out. */
+    Gap,
+    /** An event does not end. */
+    Endless,
+    /** The connection breaks at any byte. */
+    Cut,
+};
+
+/** Returns the events from @p first on as an upstream sends them, with @p fault at the event @p at. */
+std::string faultyText(int first, int last, StreamFault fault, int at)
+{
+    switch (fault) {
+    case StreamFault::None:
+        return eventsText(first, last);
+    case StreamFault::Spoilt:
+        return eventsText(first, at - 1) + "\x01?\xfe: #\n\x02\n\n" + eventsText(at + 1, last);
+    case StreamFault::Gap:
+        return eventsText(first, at - 1) + eventsText(at + 1, last);
+    case StreamFault::Endless:
+        return eventsText(first, at - 1) + "data: " + std::string(EventReassembler::MaxEventBytes + 1, 'x');
+    case StreamFault::Cut:
+        return eventsText(first, at - 1) + eventText(at).substr(0, 9);
+    }
+    return {};
+}
+}
+
+// Guards against streams that end as complete although events are missing (rule ORDER): the sound events before a spoilt one in the same bytes were dropped,
+// and the next upstream went on after them.
+TEST_CASE("a stream has each event once and in order, wherever an attempt goes wrong and whatever the client's connection takes", "[entry][stream]")
+{
+    constexpr int Events = 24;
+    const StreamFault fault = GENERATE(StreamFault::Spoilt, StreamFault::Gap, StreamFault::Endless, StreamFault::Cut);
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        EventReassembler reassembler;
+        std::string delivered;
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            reassembler.startAttempt();
+            const int first = static_cast<int>(reassembler.lastEventId().value_or(-1)) + 1;
+            const int at = std::min(Events - 1, first + 1 + static_cast<int>(random() % 5));
+            const std::string text = faultyText(first, Events - 1, attempt < 2 ? fault : StreamFault::None, at);
+            // The pieces of a connection end anywhere: most hold several events.
+            const std::size_t pieceBytes = 1 + random() % 200;
+            // In some attempts a batch is lost on its way to the client.
+            const std::size_t lostBatch = random() % 8;
+            std::size_t batches = 0;
+            bool isLost = false;
+            for (std::size_t start = 0; start < text.size() && !isLost && reassembler.state() == EventReassemblyState::Good; start += pieceBytes) {
+                const EventBatch batch = reassembler.feed(std::string_view(text).substr(start, pieceBytes));
+                isLost = attempt < 2 && batch.m_events > 0 && batches++ == lostBatch;
+                if (!isLost) {
+                    delivered += batch.m_bytes;
+                    reassembler.recordDelivered(batch);
+                }
+            }
+            INFO("seed " << seed << ", attempt " << attempt);
+            CHECK(eventsText(0, Events - 1).rfind(delivered, 0) == 0);
+        }
+        INFO("seed " << seed);
+        CHECK(delivered == eventsText(0, Events - 1));
+        CHECK(reassembler.endsStream(false));
+    }
+}
+
+// Guards against sound events that are dropped with the spoilt one after them.
+TEST_CASE("events before a spoilt one in the same bytes are returned", "[entry][stream]")
+{
+    EventReassembler reassembler(5);
+    const EventBatch batch = reassembler.feed(eventText(6) + eventText(7) + "\x01\n\n" + eventText(9));
+    CHECK(batch.m_bytes == eventText(6) + eventText(7));
+    CHECK(reassembler.state() == EventReassemblyState::Broken);
+    CHECK(reassembler.lastEventId() == 5);
+    reassembler.recordDelivered(batch);
+    CHECK(reassembler.lastEventId() == 7);
+}
+
+// Guards against a resumed stream that ends as complete because the next upstream answered without an event and closed.
+TEST_CASE("an answer ends a stream only where it ended between events and its end is its own", "[entry][stream]")
+{
+    struct Row
+    {
+        const char *m_description;
+        std::optional<std::int64_t> m_lastEventId;
+        std::string m_text;
+        bool m_endsWithConnection;
+        bool m_endsStream;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"events and an end", std::nullopt, eventsText(0, 3), false, true},
+        {"events, ended with the connection", std::nullopt, eventsText(0, 3), true, true},
+        {"no event of a new stream", std::nullopt, "", false, false},
+        {"nothing was left of a resumed one", 5, "", false, true},
+        {"resumed, and the connection closed after the header", 5, "", true, false},
+        {"resumed with events that the client has, and closed", 5, eventsText(4, 5), true, false},
+        {"resumed with the next event", 5, eventText(6), true, true},
+        {"inside an event", 5, eventText(6) + "id: 7\nda", true, false},
+        {"the text of an error", 5, "{\"title\":\"overloaded\"}", false, false},
+        {"the text of an error with an empty line", 5, "overloaded\n\n", false, false},
+        {"a whole head of another answer", 5, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n\r\n", false, false},
+    }));
+    CAPTURE(row.m_description);
+    EventReassembler reassembler(row.m_lastEventId);
+    reassembler.startAttempt();
+    reassembler.recordDelivered(reassembler.feed(row.m_text));
+    CHECK(reassembler.endsStream(row.m_endsWithConnection) == row.m_endsStream);
+}
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -122,10 +122,31 @@
     co_return AttemptResult::Failed;
 }
 
+/** Hands @p events over to the client, after the header of the answer if these are the first. */
+awaitable<Result<Done>> deliverEvents(EntryCall &call, const EntryAttempt &attempt, GenerationState &state, const EventBatch &events)
+{
+    EntryMetrics &metrics = call.m_context.m_metrics;
+    metrics.m_events += static_cast<std::uint64_t>(events.m_events);
+    if (call.m_firstEventMs < 0) {
+        call.m_firstEventMs = steadyMs() - call.m_arrivedMs;
+        metrics.m_firstEvent.add(static_cast<double>(call.m_firstEventMs));
+    }
+    if (!state.m_headerSent) {
+        const Result<Done> begun = co_await sendHeader(call, attempt, state);
+        if (failed(begun)) {
+            co_return errorOf(begun);
+        }
+    }
+    const Result<Done> sent = co_await call.m_exchange.writeChunk(events.m_bytes);
+    if (!failed(sent)) {
+        state.m_reassembler.recordDelivered(events);
+    }
+    co_return sent;
+}
+
 /** Forwards the events of one attempt to the client. */
 awaitable<AttemptResult> relayEvents(EntryCall &call, EntryAttempt &attempt, GenerationState &state, AttemptRegistration &registration)
 {
-    bool counted = false;
     while (true) {
         const Result<std::string_view> piece = co_await attempt.stream().read(HttpStream::NoTimeout);
         if (failed(piece)) {
@@ -137,39 +158,22 @@
             break;
         }
         const EventBatch events = state.m_reassembler.feed(valueOf(piece));
-        if (state.m_reassembler.state() == EventReassemblyState::Broken) {
-            logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "an event is missing, cannot be read or does not end");
-            co_return AttemptResult::Failed;
-        }
-        if (events.m_events == 0) {
-            continue;
-        }
-        registration.event(events.m_events);
-        attempt.recordEvent();
-        call.m_context.m_metrics.m_events += static_cast<std::uint64_t>(events.m_events);
-        if (!counted) {
-            counted = true;
-            if (call.m_firstEventMs < 0) {
-                call.m_firstEventMs = steadyMs() - call.m_arrivedMs;
-                call.m_context.m_metrics.m_firstEvent.add(static_cast<double>(steadyMs() - call.m_arrivedMs));
+        if (events.m_events > 0) {
+            registration.event(events.m_events);
+            attempt.recordEvent();
+            const Result<Done> sent = co_await deliverEvents(call, attempt, state, events);
+            if (failed(sent)) {
+                abortAttempt(*call.m_running, AbortCause::CallerLeft);
+                co_return AttemptResult::Failed;
             }
         }
-        Result<Done> sent = Done{};
-        if (!state.m_headerSent) {
-            sent = co_await sendHeader(call, attempt, state);
-        }
-        if (!failed(sent)) {
-            sent = co_await call.m_exchange.writeChunk(events.m_bytes);
-        }
-        if (failed(sent)) {
-            abortAttempt(*call.m_running, AbortCause::CallerLeft);
+        if (state.m_reassembler.state() == EventReassemblyState::Broken) {
+            logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, "an event is missing, cannot be read or does not end");
             co_return AttemptResult::Failed;
         }
     }
-    // An answer without a length ends with its connection, and so does one whose upstream has ended.
-    const bool hasNoEvents = !state.m_reassembler.lastEventId().has_value();
-    if (state.m_reassembler.hasPartialEvent() || hasNoEvents) {
-        const std::string what = hasNoEvents ? "the answer ended before its first event" : "the answer ended inside an event";
+    if (!state.m_reassembler.endsStream(attempt.stream().endsWithConnection())) {
+        const std::string what = state.m_reassembler.hasPartialEvent() ? "the answer ended inside an event" : "the answer ended without an event";
         logAttemptFailed(call, call.m_running->m_replica.m_name, AttemptOutcome::MayHaveRun, what);
         attempt.handleMissingAnswer();
         co_return AttemptResult::Failed;
--- a/kernel/eventreassembler.cpp
+++ b/kernel/eventreassembler.cpp
@@ -1,6 +1,7 @@
 // Problem: an upstream may stop in the middle of an event and another upstream may continue the stream, but the client must receive each
 // event once, complete and in order.
-// Approach: bytes are buffered until an event is complete. Events that the client already has are dropped, and a gap ends the attempt.
+// Approach: bytes are buffered until an event is complete. Events that the client already has are dropped, and a gap ends the attempt. What was read and
+// what was delivered are two positions; the next attempt continues after the second.
 // Forwarding bytes as they arrive would join part of an event of one attempt with an event of the next attempt.
 
 #include "kernel/eventreassembler.h"
@@ -57,7 +58,8 @@
 }
 
 EventReassembler::EventReassembler(std::optional<std::int64_t> lastEventId)
-    : m_lastEventId(lastEventId)
+    : m_deliveredId(lastEventId)
+    , m_readId(lastEventId)
 {
 }
 
@@ -65,6 +67,8 @@
 {
     m_partialEvent.clear();
     m_lineStart = 0;
+    m_readId = m_deliveredId;
+    m_hasNewEvents = false;
     m_state = EventReassemblyState::Good;
 }
 
@@ -81,15 +85,17 @@
         left.remove_prefix(length);
         m_lineStart = 0;
         const std::optional<std::int64_t> number = parseEventId(event);
-        if (!number || (m_lastEventId && *number > *m_lastEventId + 1)) {
+        if (!number || (m_readId && *number > *m_readId + 1)) {
             m_state = EventReassemblyState::Broken;
             break;
         }
-        if (m_lastEventId && *number <= *m_lastEventId) {
+        if (m_readId && *number <= *m_readId) {
             continue;
         }
-        m_lastEventId = number;
+        m_readId = number;
+        m_hasNewEvents = true;
         batch.m_bytes.append(event);
+        batch.m_lastEventId = *number;
         ++batch.m_events;
     }
     m_partialEvent.erase(0, m_partialEvent.size() - left.size());
@@ -99,6 +105,19 @@
     return batch;
 }
 
+void EventReassembler::recordDelivered(const EventBatch &batch)
+{
+    if (batch.m_events > 0) {
+        m_deliveredId = batch.m_lastEventId;
+    }
+}
+
+bool EventReassembler::endsStream(bool endsWithConnection) const
+{
+    const bool hasEvents = m_deliveredId.has_value() && (m_hasNewEvents || !endsWithConnection);
+    return m_state == EventReassemblyState::Good && m_partialEvent.empty() && hasEvents;
+}
+
 EventReassemblyState EventReassembler::state() const
 {
     return m_state;
@@ -111,6 +130,6 @@
 
 std::optional<std::int64_t> EventReassembler::lastEventId() const
 {
-    return m_lastEventId;
+    return m_deliveredId;
 }
 }
--- a/kernel/eventreassembler.h
+++ b/kernel/eventreassembler.h
@@ -15,6 +15,8 @@
     std::string m_bytes;
     /** Number of events in m_bytes. */
     int m_events = 0;
+    /** Id of the last event in m_bytes. */
+    std::int64_t m_lastEventId = -1;
 };
 
 enum class EventReassemblyState {
@@ -26,6 +28,9 @@
 /**
  * Combines the server-sent events of several attempts into one stream: complete events only, each id once, in order. An event that an
  * attempt left incomplete is discarded. Memory: at most MaxEventBytes of one incomplete event. Each byte is examined once.
+ *
+ * Only recordDelivered() moves the point from which the next attempt continues: events that were read but not delivered, for whatever reason, are
+ * requested again.
  */
 class EventReassembler
 {
@@ -36,18 +41,32 @@
     /** @param lastEventId id of the last event that the client has received; empty if it has received none. */
     explicit EventReassembler(std::optional<std::int64_t> lastEventId = std::nullopt);
 
-    /** Starts a new attempt: discards the incomplete event of the previous one and clears Broken. */
+    /** Starts a new attempt: discards what the previous one read and did not deliver, and clears Broken. */
     void startAttempt();
-    /** Adds bytes of the current attempt and returns the events to be forwarded now; none once the attempt is Broken. */
+    /**
+     * Adds bytes of the current attempt and returns the events to be forwarded now: all complete ones, also those before a place where the attempt turns
+     * out to be Broken; none after it.
+     */
     EventBatch feed(std::string_view bytes);
+    /** Records that the events of @p batch were handed over to the client's connection. */
+    void recordDelivered(const EventBatch &batch);
     EventReassemblyState state() const;
     /** Returns whether the bytes of an incomplete event are buffered. */
     bool hasPartialEvent() const;
-    /** Returns the id of the last event that was returned by feed() or that the client had before; empty if there is none. */
+    /**
+     * Returns whether an attempt whose answer has ended ended the stream with it. An answer without a length ends with its connection, and so does one whose
+     * upstream has ended: without an event of its own it proves nothing. @p endsWithConnection tells whether this is such an answer.
+     */
+    bool endsStream(bool endsWithConnection) const;
+    /** Returns the id of the last event that was delivered or that the client had before; empty if there is none. */
     std::optional<std::int64_t> lastEventId() const;
 
 private:
-    std::optional<std::int64_t> m_lastEventId;
+    std::optional<std::int64_t> m_deliveredId;
+    /** Id of the last event that the current attempt brought, or m_deliveredId. */
+    std::optional<std::int64_t> m_readId;
+    /** The current attempt brought an event that the client did not have. */
+    bool m_hasNewEvents = false;
     std::string m_partialEvent;
     /** Start of the last line in m_partialEvent, which is not complete. */
     std::size_t m_lineStart = 0;
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -1,7 +1,7 @@
 // Problem: the entry daemon is what runs on the hosting platform, and tests of real processes need that platform.
 // Approach: the store and all upstreams in one process on one thread. PUT /standin/key?key=K writes a key as the operators do,
-// PUT /standin/faults {"store_down_ms":n} makes the store unavailable, PUT /standin/engines changes what upstreams say of themselves, GET /standin/history
-// returns what reached the upstreams.
+// PUT /standin/faults {"store_down_ms":n} makes the store unavailable or brings it back from a copy, PUT /standin/engines changes what upstreams say of
+// themselves, GET /standin/history returns what reached the upstreams.
 
 #include "net/jsonfields.h"
 #include "platform/names.h"
@@ -50,6 +50,9 @@
     faults.m_copiesWhileIdle = boolField(object, "copies_while_idle");
     faults.m_cutShare = doubleField(object, "cut");
     faults.m_resetShare = doubleField(object, "reset");
+    faults.m_spoiltStreamShare = doubleField(object, "spoilt_streams");
+    faults.m_brokenStreamShare = doubleField(object, "broken_streams");
+    faults.m_resumedReply = enumFromName<ResumedReply>(ResumedReplyNames, stringField(object, "resumed")).value_or(ResumedReply::Events);
     return faults;
 }
 
@@ -83,7 +86,35 @@
     return json::serialize(ids);
 }
 
-awaitable<void> serve(HostingStore &store, History &history, const Upstreams &upstreams, HttpExchange &exchange)
+/** Takes the store away for @p awayMs and brings it back from its copy; after another @p againMs the operators and the upstreams write again. */
+awaitable<void> playDrill(HostingStore &store, const Upstreams &upstreams, std::int64_t awayMs, std::int64_t againMs, std::uint64_t skippedRevisions)
+{
+    store.m_downUntilMs = steadyMs() + awayMs;
+    co_await sleepFor(awayMs);
+    const std::map<std::string, std::string> items = hostingRestoreCopy(store, skippedRevisions, steadyMs());
+    co_await sleepFor(againMs);
+    hostingWriteAgain(store, items);
+    for (const std::unique_ptr<HostingEngine> &upstream : upstreams) {
+        upstream->publishAgain();
+    }
+}
+
+/** Applies {"store_down_ms":n}, {"copy":true}, or {"drill_ms":n,"again_ms":n,"skip":n}, which see playDrill(). */
+void applyStoreFaults(IoThreads &threads, HostingStore &store, const Upstreams &upstreams, const std::string &body)
+{
+    const json::object object = parseJsonObject(body);
+    if (boolField(object, "copy")) {
+        hostingTakeCopy(store);
+    } else if (object.contains("drill_ms")) {
+        const std::uint64_t skipped = static_cast<std::uint64_t>(integerField(object, "skip"));
+        asio::co_spawn(
+            threads.control(), playDrill(store, upstreams, integerField(object, "drill_ms"), integerField(object, "again_ms"), skipped), asio::detached);
+    } else {
+        store.m_downUntilMs = steadyMs() + integerField(object, "store_down_ms");
+    }
+}
+
+awaitable<void> serve(IoThreads &threads, HostingStore &store, History &history, const Upstreams &upstreams, HttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
     const std::string path(pathOf(request.m_target));
@@ -91,7 +122,10 @@
         hostingPut(store, queryValue(request.m_target, "key"), request.m_body);
         co_await exchange.respond(jsonReply(200, "{}"));
     } else if (path == "/standin/faults") {
-        store.m_downUntilMs = steadyMs() + integerField(parseJsonObject(request.m_body), "store_down_ms");
+        applyStoreFaults(threads, store, upstreams, request.m_body);
+        co_await exchange.respond(jsonReply(200, "{}"));
+    } else if (path == "/standin/removed-key") {
+        hostingRemove(store, queryValue(request.m_target, "key"));
         co_await exchange.respond(jsonReply(200, "{}"));
     } else if (path == "/standin/engines") {
         co_await exchange.respond(jsonReply(200, applyWords(upstreams, request.m_body)));
@@ -132,8 +166,8 @@
     const bool listens = listenOn(
         threads,
         options.m_storeListen,
-        [&store, &history, &upstreams](HttpExchange &exchange) {
-            return serve(store, history, upstreams, exchange);
+        [&threads, &store, &history, &upstreams](HttpExchange &exchange) {
+            return serve(threads, store, history, upstreams, exchange);
         },
         servers);
     if (!listens) {
@@ -174,6 +208,8 @@
     app.add_option("--prefill-ms", options.m_times.m_prefillMs, "how long after its arrival a request begins to run");
     app.add_option("--part", options.m_partWords, "id=words: a request whose prompt has this part is treated as if its body contained the words");
     app.add_option("--events", options.m_times.m_events, "events of each stream");
+    app.add_option("--event-ms", options.m_times.m_eventMs, "time that an engine takes for an event");
+    app.add_option("--events-per-pass", options.m_times.m_eventsPerPass, "events that are written at once");
     CLI11_PARSE(app, argc, argv);
     return knapweedslip::standin::run(options);
 }
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 constexpr unsigned NotExecutedStatus = 503;
+constexpr unsigned FailedStatus = 500;
 constexpr unsigned MisdirectedStatus = 421;
 constexpr const char *CrashWord = "CRASH";
 constexpr const char *CrashInAnswerWord = "CRASH-IN-ANSWER";
@@ -211,11 +212,19 @@
     hostingPut(m_store, std::string(platform::key::Upstream) + m_entry.m_id, entryText());
 }
 
+void HostingEngine::publishAgain()
+{
+    if (m_alive) {
+        publish();
+    }
+}
+
 void HostingEngine::beginLifetime()
 {
     ++m_lifetime;
     m_alive = true;
     m_orders = 0;
+    m_fence = 0;
     m_words = {};
     m_entry.m_id = "i-" + toHex(randomId());
     m_entry.m_startedMs = unixSeconds() * 1'000;
@@ -343,6 +352,10 @@
     const json::object order = parseJsonObject(body);
     const std::string kind = stringField(order, "op");
     const ReplicaRef replica{stringField(order, "group"), static_cast<std::uint64_t>(integerField(order, "epoch"))};
+    if (integerField(order, "fencingToken") < m_fence) {
+        return jsonReply(412, "{}");
+    }
+    m_fence = integerField(order, "fencingToken");
     ++m_orders;
     const auto later = [this](MemberPhase phase, std::int64_t afterMs) {
         const std::uint64_t lifetime = m_lifetime;
@@ -396,19 +409,59 @@
     return jsonReply(200, "{}");
 }
 
+awaitable<void> HostingEngine::answerResumed(Connection &connection, const HttpRequest &request)
+{
+    const ResumedReply kind = m_faults.m_resumedReply;
+    record(m_history, "answered-otherwise", describeRequest(request, m_entry.m_id));
+    if (kind == ResumedReply::Closed) {
+        std::string head = unsizedHead(request, headerLines());
+        co_await connection.write(std::move(head));
+        boost::system::error_code ignored;
+        connection.m_stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+        co_return;
+    }
+    HttpReply reply;
+    reply.m_status = kind == ResumedReply::ErrorText ? 200 : kind == ResumedReply::Refusal ? NotExecutedStatus : FailedStatus;
+    reply.m_body = "ERROR: the engine has failed\n\n";
+    if (kind == ResumedReply::Refusal) {
+        reply.m_headers.emplace_back(platform::header::NotRun, "1");
+    } else if (kind != ResumedReply::Error) {
+        reply.m_headers.emplace_back(platform::header::Signature, "stand-in");
+    }
+    co_await respond(connection, std::move(reply), request);
+}
+
 awaitable<void> HostingEngine::streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime)
 {
     const platform::CallerHeaders caller = platform::decodeCallerHeaders(request);
+    if (caller.m_lastEventId && m_faults.m_resumedReply != ResumedReply::Events) {
+        co_await answerResumed(connection, request);
+        co_return;
+    }
+    std::uniform_int_distribution<std::int64_t> anyEvent(0, m_times.m_events - 1);
+    const std::int64_t spoilt = !caller.m_lastEventId && happens(m_faults.m_spoiltStreamShare) ? anyEvent(m_random) : -1;
+    const std::int64_t broken = !caller.m_lastEventId && happens(m_faults.m_brokenStreamShare) ? anyEvent(m_random) : -1;
     const bool isUnsized = contains(request.m_body, UnsizedWord);
     const std::string head = unsizedHead(request, headerLines() + (isUnsized ? "" : "Transfer-Encoding: chunked\r\n"));
     bool open = co_await connection.write(head);
-    for (std::int64_t event = caller.m_lastEventId.value_or(-1) + 1; open && event < m_times.m_events; ++event) {
-        const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+    for (std::int64_t event = caller.m_lastEventId.value_or(-1) + 1; open && event < m_times.m_events;) {
+        const std::int64_t passEnd = std::min<std::int64_t>(event + m_times.m_eventsPerPass, m_times.m_events);
+        const std::int64_t events = passEnd - event;
+        const bool breaks = event <= broken && broken < passEnd;
+        std::string text;
+        for (; event < passEnd; ++event) {
+            text += event == spoilt ? "\x01?\xfe: #\n\x02\n\n" : "id: " + std::to_string(event) + "\ndata: token\n\n";
+        }
         std::array<char, 32> size{};
         std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
         const std::string chunk = isUnsized ? text : size.data() + text + "\r\n";
         open = co_await connection.write(chunk);
-        co_await sleepFor(m_times.m_eventMs);
+        if (breaks) {
+            boost::system::error_code ignored;
+            connection.m_stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+            co_return;
+        }
+        co_await sleepFor(m_times.m_eventMs * events);
         if (lifetime != m_lifetime || !m_alive) {
             co_return;
         }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/enumnames.h"
 #include "kernel/upstreams.h"
 #include "net/http.h"
 #include "standins/history.h"
@@ -21,6 +22,8 @@
     /** Between two events of a stream. */
     std::int64_t m_eventMs = 40;
     int m_events = 25;
+    /** Events that are written at once, as one chunk. */
+    int m_eventsPerPass = 1;
     /** How long the engine stays away after it has crashed. */
     std::int64_t m_restartMs = 2'000;
     /** How long the connections of an engine that has crashed silently stay open. */
@@ -44,6 +47,22 @@
     std::string m_retryAfter;
 };
 
+/** How an upstream answers a request to continue a stream. */
+enum class ResumedReply {
+    /** With the events that are left. */
+    Events,
+    /** With an error that it signs, one that it does not, and a refusal. */
+    SignedError,
+    Error,
+    Refusal,
+    /** With status 200 and the text of an error. */
+    ErrorText,
+    /** With a header and no event; the connection closes, or the answer has its end. */
+    Closed,
+};
+
+inline constexpr EnumNames<6> ResumedReplyNames{"events", "signed-error", "error", "refusal", "error-text", "closed"};
+
 /** How an upstream spoils its answers to clients' requests. All shares are from 0 to 1. */
 struct AnswerFaults
 {
@@ -57,6 +76,10 @@
     /** Share of the answers of a plain service that are cut short, and of its connections that are reset while the request runs. */
     double m_cutShare = 0.0;
     double m_resetShare = 0.0;
+    /** Share of the streams in which the bytes of one event cannot be read, and of those that break off. Streams that are resumed have neither. */
+    double m_spoiltStreamShare = 0.0;
+    double m_brokenStreamShare = 0.0;
+    ResumedReply m_resumedReply = ResumedReply::Events;
 };
 
 /** Words by the id of a part of a prompt: a request whose prompt has the part, other than as its last, is treated as if its body contained the words. */
@@ -86,6 +109,8 @@
     /** Changes what the engine says of itself, until its lifetime ends. */
     void setWords(const HostingEngineWords &words);
     void setFaults(const AnswerFaults &faults);
+    /** Writes its entry to the store again, if it is alive. */
+    void publishAgain();
     const UpstreamEntry &entry() const;
     /** Ends this lifetime for no reason of its requests: every connection is reset, and nothing listens until the next one. */
     void loseProcess();
@@ -97,6 +122,8 @@
     awaitable<void> acceptConnections(std::shared_ptr<Tcp::acceptor> acceptor, std::uint64_t lifetime);
     awaitable<void> serve(ConnectionPtr connection, std::uint64_t lifetime);
     awaitable<void> serveRequest(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
+    /** Answers a request to continue a stream with something else than its events. */
+    awaitable<void> answerResumed(Connection &connection, const HttpRequest &request);
     awaitable<void> streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
     HttpReply executeOrder(const std::string &body);
     /** Returns whether a fault with this share happens now. */
@@ -125,6 +152,8 @@
     std::uint64_t m_lifetime = 0;
     bool m_alive = false;
     std::int64_t m_orders = 0;
+    /** Highest fencing token of an order in this lifetime. */
+    std::int64_t m_fence = 0;
     HostingEngineWords m_words;
     AnswerFaults m_faults;
     std::mt19937_64 m_random;
--- a/standins/hostingstore.cpp
+++ b/standins/hostingstore.cpp
@@ -92,7 +92,14 @@
 {
     constexpr std::int64_t PollMs = 10;
     const std::int64_t untilMs = steadyMs() + waitMs;
+    const std::uint64_t era = store.m_era;
     while (true) {
+        if (store.m_era != era || steadyMs() < store.m_downUntilMs) {
+            co_return jsonReply(503, "{}");
+        }
+        if (after > store.m_revision) {
+            co_return jsonReply(410, "{}");
+        }
         if (!store.m_history.empty() && store.m_history.front().m_revision > after + 1 && store.m_history.size() >= HostingStore::MaxHistory) {
             co_return jsonReply(410, "{}");
         }
@@ -199,6 +206,53 @@
     apply(store, std::move(item));
 }
 
+void hostingTakeCopy(HostingStore &store)
+{
+    store.m_copy = {store.m_revision, store.m_nextLease, store.m_items, store.m_history, store.m_leases};
+}
+
+namespace
+{
+std::map<std::string, std::string> operatorItems(const HostingStore &store)
+{
+    const std::string prefix = "op/";
+    std::map<std::string, std::string> items;
+    for (const std::pair<const std::string, HostingStoreItem> &item : store.m_items) {
+        if (hasPrefix(item.first, prefix)) {
+            items[item.first] = item.second.m_value;
+        }
+    }
+    return items;
+}
+}
+
+std::map<std::string, std::string> hostingRestoreCopy(HostingStore &store, std::uint64_t skippedRevisions, std::int64_t nowMs)
+{
+    std::map<std::string, std::string> items = operatorItems(store);
+    store.m_revision = store.m_copy.m_revision + skippedRevisions;
+    store.m_nextLease = store.m_copy.m_nextLease;
+    store.m_items = store.m_copy.m_items;
+    store.m_history = store.m_copy.m_history;
+    store.m_leases = store.m_copy.m_leases;
+    for (std::pair<const std::uint64_t, HostingLease> &lease : store.m_leases) {
+        lease.second.m_endsMs = nowMs + lease.second.m_ttlMs;
+    }
+    ++store.m_era;
+    return items;
+}
+
+void hostingWriteAgain(HostingStore &store, const std::map<std::string, std::string> &items)
+{
+    for (const std::pair<const std::string, std::string> &old : operatorItems(store)) {
+        if (items.count(old.first) == 0) {
+            hostingRemove(store, old.first);
+        }
+    }
+    for (const std::pair<const std::string, std::string> &item : items) {
+        hostingPut(store, item.first, item.second);
+    }
+}
+
 void hostingExpireLeases(HostingStore &store, std::int64_t nowMs)
 {
     if (nowMs < store.m_downUntilMs) {
@@ -244,6 +298,7 @@
     }
     ++store.m_calls[hasPrefix(path, platform::path::StoreLeaseRenew) ? platform::path::StoreLeaseRenew : path];
     store.m_bytes += request.m_body.size() + reply.m_body.size();
+    reply.m_headers.emplace_back(platform::header::StoreEra, std::to_string(store.m_era));
     co_await exchange.respond(std::move(reply));
 }
 }
--- a/standins/hostingstore.h
+++ b/standins/hostingstore.h
@@ -26,6 +26,16 @@
     std::int64_t m_endsMs = 0;
 };
 
+/** What a copy of the store holds. */
+struct HostingStoreCopy
+{
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_nextLease = 1;
+    std::map<std::string, HostingStoreItem> m_items;
+    std::deque<HostingStoreItem> m_history;
+    std::map<std::uint64_t, HostingLease> m_leases;
+};
+
 /** The hosting platform's store: items under one revision counter, their history, and leases. Times are of steadyMs(). */
 struct HostingStore
 {
@@ -42,8 +52,21 @@
     /** Number of calls of each kind, and of bytes in their bodies, both ways. */
     std::map<std::string, std::uint64_t> m_calls;
     std::uint64_t m_bytes = 0;
+    /** Rises each time that the store comes back from its copy. */
+    std::uint64_t m_era = 1;
+    HostingStoreCopy m_copy;
 };
 
+/** Makes the copy from which the store can come back. */
+void hostingTakeCopy(HostingStore &store);
+/**
+ * Brings the store back from its copy: what was written since is gone, and revisions and ids of leases are given out again, from @p skippedRevisions further
+ * on. Returns the operators' items that the store held before.
+ */
+std::map<std::string, std::string> hostingRestoreCopy(HostingStore &store, std::uint64_t skippedRevisions, std::int64_t nowMs);
+/** Makes the operators' items equal to @p items. */
+void hostingWriteAgain(HostingStore &store, const std::map<std::string, std::string> &items);
+
 /** Writes @p key as a platform's own writer does, without conditions. */
 void hostingPut(HostingStore &store, const std::string &key, const std::string &value);
 /** Removes @p key if it exists. */
