--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -27,11 +27,11 @@
 
 TEST_CASE("the operators' configuration is decoded with its units", "[entry][platform]")
 {
-    const Result<CallConfigPtr> decoded = platform::decodeConfig(ConfigText, 42);
+    const Result<CallConfigPtr> decoded = platform::decodeConfig(ConfigText, {3, 42});
     REQUIRE(!failed(decoded));
     const CallConfig &config = *valueOf(decoded);
     CHECK(config.m_version == 7);
-    CHECK(config.m_revision == 42);
+    CHECK(config.m_position == StorePosition{3, 42});
     const CallRoute *route = findRoute(config, "a.example", "/x/1");
     REQUIRE(route != nullptr);
     CHECK(route->m_kind == CallKind::Streaming);
@@ -47,8 +47,8 @@
     CHECK(!config.m_services.at("s2").m_engines);
     CHECK(config.m_limits.m_idleTimeoutMs == 400);
     CHECK(findWorkspace(config, "k2")->m_priority == 0);
-    CHECK(failed(platform::decodeConfig("{\"version\":8}", 43)));
-    CHECK(failed(platform::decodeConfig("not json", 44)));
+    CHECK(failed(platform::decodeConfig("{\"version\":8}", {3, 43})));
+    CHECK(failed(platform::decodeConfig("not json", {3, 44})));
 }
 
 TEST_CASE("a complete upstream entry is decoded, and one without a usable field is an error", "[entry][platform]")
--- a/autotests/storemirrortest.cpp
+++ b/autotests/storemirrortest.cpp
@@ -17,7 +17,7 @@
     StoreItem result;
     result.m_key = key;
     result.m_value = value;
-    result.m_revision = revision;
+    result.m_position = {0, revision};
     return result;
 }
 
@@ -31,7 +31,7 @@
 /** Applies updates as a daemon that follows another one does. */
 void applyUpdates(StoreMirror &mirror, const StoreUpdates &updates)
 {
-    std::map<std::string, std::uint64_t> before = mirror.revisions();
+    std::map<std::string, StorePosition> before = mirror.positions();
     for (const StoreItem &update : updates.m_items) {
         before.erase(update.m_key);
         if (mirror.isNewer(update)) {
@@ -39,20 +39,22 @@
         }
     }
     if (updates.m_isSnapshot) {
-        for (const std::pair<const std::string, std::uint64_t> &missing : before) {
-            mirror.put(removal(missing.first, updates.m_completeRevision), true);
+        for (const std::pair<const std::string, StorePosition> &missing : before) {
+            StoreItem gone = removal(missing.first, 0);
+            gone.m_position = updates.m_completeTo;
+            mirror.put(gone, true);
         }
-        mirror.resetTo(updates.m_completeRevision);
+        mirror.resetTo(updates.m_completeTo);
     }
-    mirror.markCompleteTo(updates.m_completeRevision);
+    mirror.markCompleteTo(updates.m_completeTo);
 }
 
 std::map<std::string, std::string> contentOf(const StoreMirror &mirror)
 {
     std::map<std::string, std::string> values;
     StoreMirror copy = mirror;
-    copy.resetTo(mirror.completeRevision());
-    for (const StoreItem &stored : copy.updatesSince(0).m_items) {
+    copy.resetTo(mirror.completeTo());
+    for (const StoreItem &stored : copy.updatesSince({}).m_items) {
         values[stored.m_key] = stored.m_value;
     }
     return values;
@@ -62,23 +64,23 @@
 TEST_CASE("changes and removals are sent, renewals are not", "[entry][news]")
 {
     StoreMirror mirror;
-    mirror.resetTo(10);
+    mirror.resetTo({0, 10});
     mirror.put(item("a", "1", 11), true);
     mirror.put(item("b", "1", 12), true);
-    mirror.markCompleteTo(12);
-    CHECK(mirror.updatesSince(12).m_items.empty());
-    CHECK_FALSE(mirror.hasUpdates(12));
+    mirror.markCompleteTo({0, 12});
+    CHECK(mirror.updatesSince({0, 12}).m_items.empty());
+    CHECK_FALSE(mirror.hasUpdates({0, 12}));
     mirror.put(item("a", "1", 13), false);
-    mirror.markCompleteTo(13);
-    CHECK(mirror.updatesSince(12).m_items.empty());
-    CHECK_FALSE(mirror.hasUpdates(12));
+    mirror.markCompleteTo({0, 13});
+    CHECK(mirror.updatesSince({0, 12}).m_items.empty());
+    CHECK_FALSE(mirror.hasUpdates({0, 12}));
     mirror.put(removal("b", 14), true);
-    mirror.markCompleteTo(14);
-    REQUIRE(mirror.updatesSince(13).m_items.size() == 1);
-    CHECK(mirror.updatesSince(13).m_items.front().m_deleted);
-    CHECK_FALSE(mirror.updatesSince(13).m_isSnapshot);
-    CHECK(mirror.updatesSince(9).m_isSnapshot);
-    CHECK(mirror.hasUpdates(9));
+    mirror.markCompleteTo({0, 14});
+    REQUIRE(mirror.updatesSince({0, 13}).m_items.size() == 1);
+    CHECK(mirror.updatesSince({0, 13}).m_items.front().m_deleted);
+    CHECK_FALSE(mirror.updatesSince({0, 13}).m_isSnapshot);
+    CHECK(mirror.updatesSince({0, 9}).m_isSnapshot);
+    CHECK(mirror.hasUpdates({0, 9}));
 }
 
 TEST_CASE("a follower holds what its sources hold, whichever it asks and however often they restart", "[entry][news]")
@@ -92,7 +94,7 @@
         std::vector<StoreItem> history;
         std::uint64_t revision = 100;
         for (StoreMirror &source : sources) {
-            source.resetTo(revision);
+            source.resetTo({0, revision});
         }
         for (int step = 0; step < 400; ++step) {
             const std::string key(1, static_cast<char>('a' + random() % 12));
@@ -107,11 +109,11 @@
             for (StoreMirror &source : sources) {
                 if (random() % 3 == 0) {
                     for (const StoreItem &event : history) {
-                        if (event.m_revision > source.completeRevision() && source.isNewer(event)) {
+                        if (event.m_position > source.completeTo() && source.isNewer(event)) {
                             source.put(event, true);
                         }
                     }
-                    source.markCompleteTo(revision);
+                    source.markCompleteTo({0, revision});
                 } else if (random() % 40 == 0) {
                     source = StoreMirror();
                     for (const std::pair<const std::string, std::string> &entry : store) {
@@ -120,13 +122,13 @@
                         });
                         source.put(*written, true);
                     }
-                    source.resetTo(revision);
+                    source.resetTo({0, revision});
                 }
             }
             if (random() % 3 == 0) {
                 const StoreMirror &source = sources[random() % sources.size()];
-                if (source.completeRevision() >= follower.completeRevision()) {
-                    applyUpdates(follower, source.updatesSince(follower.completeRevision()));
+                if (source.completeTo() >= follower.completeTo()) {
+                    applyUpdates(follower, source.updatesSince(follower.completeTo()));
                     CHECK(contentOf(follower) == contentOf(source));
                 }
             }
@@ -138,13 +140,14 @@
 {
     StoreUpdatesReply answer;
     answer.m_updates.m_items = {item("a", std::string("x\0y", 3), 5), removal("b", 6)};
-    answer.m_updates.m_completeRevision = 7;
+    answer.m_updates.m_completeTo = {3, 7};
     answer.m_confirmationAgeMs = 42;
     const Result<StoreUpdatesReply> decoded = decodeStoreUpdates(encodeStoreUpdates(answer));
     REQUIRE_FALSE(failed(decoded));
     CHECK(valueOf(decoded).m_updates.m_items.front().m_value == std::string("x\0y", 3));
+    CHECK(valueOf(decoded).m_updates.m_items.front().m_position == StorePosition{3, 5});
     CHECK(valueOf(decoded).m_updates.m_items.back().m_deleted);
-    CHECK(valueOf(decoded).m_updates.m_completeRevision == 7);
+    CHECK(valueOf(decoded).m_updates.m_completeTo == StorePosition{3, 7});
     CHECK(valueOf(decoded).m_confirmationAgeMs == 42);
     CHECK(valueOf(decoded).m_recoveredAgeMs == -1);
     CHECK(failed(decodeStoreUpdates("no news")));
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -78,6 +78,7 @@
     add("knapweedslip_orders_total", "Orders given to engines", metrics.m_orders);
     add("knapweedslip_probes_total", "Engines asked for a report", metrics.m_probes);
     add("knapweedslip_store_calls_total", "Calls to the platform's store", context.m_store.m_calls);
+    add("knapweedslip_store_eras_unreadable_total", "Answers of the store whose era could not be read", context.m_store.m_unreadableEras);
     add("knapweedslip_news_served_total", "Questions of other daemons for the store's news", metrics.m_updatesServed);
     add("knapweedslip_news_asked_total", "Questions to other daemons for the store's news", metrics.m_updatesRequested);
     add("knapweedslip_log_lines_dropped_total", "Log lines dropped", droppedLogLines());
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -135,9 +135,9 @@
 /** This daemon's term as the leader, which manages the replicas. */
 struct Leadership
 {
-    /** Fencing token of the term: the store's revision at which the term began. 0 if this daemon does not lead. */
+    /** Fencing token of the term, see fencingToken(). 0 if this daemon does not lead. */
     std::uint64_t m_fence = 0;
-    std::uint64_t m_lease = 0;
+    platform::StoreLease m_lease;
     /** The lease is certainly held until this time. */
     std::int64_t m_validUntilMs = 0;
     /** The lease must be renewed at once instead of at its regular time. */
@@ -161,6 +161,8 @@
     bool m_mirrorSynced = false;
     /** When the store answered again after its last outage; negative if no outage was seen. */
     std::int64_t m_storeRecoveredMs = -1;
+    /** When this daemon learned that the store had come back from a copy; negative if it did not. */
+    std::int64_t m_eraRisenMs = -1;
     CallConfigPtr m_config;
     /** Confirmation time: every change that the store accepted before it is known here. Negative if the store was not read yet. */
     std::int64_t m_confirmedMs = -1;
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -153,15 +153,15 @@
     }
 }
 
-/** Grants a lease for the observations if there is none or it has run for half of its time. Returns 0 if that fails. */
-awaitable<std::uint64_t> leaseForCrashes(EntryContext &context, std::uint64_t lease, std::int64_t grantedMs)
+/** Grants a lease for the observations if there is none or it has run for half of its time. Returns none if that fails. */
+awaitable<platform::StoreLease> leaseForCrashes(EntryContext &context, platform::StoreLease lease, std::int64_t grantedMs)
 {
-    if (lease != 0 && steadyMs() - grantedMs < CrashLedger::RetentionMs / 2) {
+    if (lease.m_id != 0 && lease.m_era == context.m_store.m_era && steadyMs() - grantedMs < CrashLedger::RetentionMs / 2) {
         co_return lease;
     }
     const Result<platform::StoreLease> granted =
         co_await platform::storeGrantLease(context.m_store, CrashLedger::RetentionMs, context.m_settings.m_storeTimeoutMs);
-    co_return failed(granted) ? 0 : valueOf(granted).m_id;
+    co_return failed(granted) ? platform::StoreLease() : valueOf(granted);
 }
 }
 
@@ -210,28 +210,33 @@
 
 awaitable<void> publishCrashes(EntryContext &context)
 {
-    std::uint64_t lease = 0;
+    platform::StoreLease lease;
     std::int64_t grantedMs = 0;
     std::uint64_t storedVersion = 0;
+    std::uint64_t storedEra = 0;
     while (true) {
-        if (!context.m_mirrorSynced || context.m_crashLedger.ownVersion() == storedVersion) {
+        // What was stored in an earlier era may be lost.
+        const bool isStored = context.m_crashLedger.ownVersion() == storedVersion && (storedVersion == 0 || storedEra == context.m_store.m_era);
+        if (!context.m_mirrorSynced || isStored) {
             co_await sleepFor(PublishPollMs);
             continue;
         }
         const std::int64_t askedMs = steadyMs();
-        const std::uint64_t current = co_await leaseForCrashes(context, lease, grantedMs);
-        grantedMs = current == lease ? grantedMs : askedMs;
+        const platform::StoreLease current = co_await leaseForCrashes(context, lease, grantedMs);
+        grantedMs = current.m_id == lease.m_id && current.m_era == lease.m_era ? grantedMs : askedMs;
         lease = current;
         bool stored = false;
-        if (lease != 0) {
+        if (lease.m_id != 0) {
             const std::uint64_t version = context.m_crashLedger.ownVersion();
             const std::vector<CrashObservation> own = context.m_crashLedger.ownObservations(CrashLedger::MaxOwn, CrashLedger::RetentionMs, steadyMs());
             platform::StoreTransaction transaction;
-            transaction.m_writes.push_back({std::string(CrashesPrefix) + context.m_settings.m_name, encodeCrashes(own), lease});
+            transaction.m_writes.push_back({std::string(CrashesPrefix) + context.m_settings.m_name, encodeCrashes(own), lease.m_id});
             const Result<platform::StoreCommitResult> written =
                 co_await platform::storeCommit(context.m_store, std::move(transaction), context.m_settings.m_storeTimeoutMs);
-            stored = !failed(written);
-            lease = failed(written) && errorOf(written).m_code == ErrorCode::NotFound ? 0 : lease;
+            stored = !failed(written) && valueOf(written).m_position.m_era == lease.m_era;
+            storedEra = lease.m_era;
+            const bool leaseEnded = failed(written) && errorOf(written).m_code == ErrorCode::NotFound;
+            lease = leaseEnded ? platform::StoreLease() : lease;
             storedVersion = stored ? version : storedVersion;
             context.m_crashesStored = context.m_crashesStored || stored;
         }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -58,6 +58,8 @@
 constexpr std::int64_t AvoidFailedSourceMs = 4'000;
 /** Time to live of this daemon's registration, in ms: longer than the balancer takes to notice a restart, shorter than the window of resends. */
 constexpr std::int64_t RegistrationTtlMs = 4'000;
+/** All daemons that have to register again do so within this time for each of them, in ms: both calls of each stay within half of the store's rate. */
+constexpr std::int64_t RegisterAgainPerDaemonMs = 10;
 /** Renewals within the time to live of a lease: two may be lost. */
 constexpr std::int64_t RenewalsPerTtl = 3;
 /** The lease counts as held until this long before its end, in ms: only the time at which a renewal was sent is known, not when the store received it. */
@@ -85,26 +87,40 @@
     bool m_watchesForZone = false;
     /** Number of items in the last answer to a watch. */
     std::size_t m_lastItemCount = 0;
-    /** Upstreams whose entries expired during an outage of the store, and the time until which they are kept. */
+    /** Keys of upstreams and evacuated zones that the store lost in an outage, and the time until which what they say is kept. */
     std::map<std::string, std::int64_t> m_pendingRemovals;
     /** Upstreams with an unreadable entry that was already logged. */
     std::set<std::string> m_loggedUnreadable;
 };
 
+std::int64_t revisionOf(const StoreItem &item)
+{
+    return static_cast<std::int64_t>(item.m_position.m_revision);
+}
+
 void applyConfig(EntryContext &context, const StoreItem &item)
 {
-    if (item.m_deleted || (context.m_config != nullptr && item.m_revision <= context.m_config->m_revision)) {
+    if (item.m_deleted) {
         return;
     }
-    Result<CallConfigPtr> config = platform::decodeConfig(item.m_value, item.m_revision);
+    Result<CallConfigPtr> config = platform::decodeConfig(item.m_value, item.m_position);
     if (failed(config)) {
-        logEvent(LogEvent::ConfigUnreadable, {{"revision", static_cast<std::int64_t>(item.m_revision)}, {"error", describe(errorOf(config))}});
+        logEvent(LogEvent::ConfigUnreadable, {{"revision", revisionOf(item)}, {"error", describe(errorOf(config))}});
+        return;
+    }
+    if (context.m_config != nullptr && !supersedes(*valueOf(config), *context.m_config)) {
+        logEvent(LogEvent::ConfigKept,
+                 {{"version", context.m_config->m_version},
+                  {"offered_version", valueOf(config)->m_version},
+                  {"era", static_cast<std::int64_t>(item.m_position.m_era)},
+                  {"revision", revisionOf(item)}});
         return;
     }
     context.m_config = valueOf(config);
     logEvent(LogEvent::ConfigAdopted,
              {{"version", context.m_config->m_version},
-              {"revision", static_cast<std::int64_t>(item.m_revision)},
+              {"era", static_cast<std::int64_t>(item.m_position.m_era)},
+              {"revision", revisionOf(item)},
               {"routes", static_cast<std::int64_t>(context.m_config->m_routes.size())},
               {"workspaces", static_cast<std::int64_t>(context.m_config->m_workspaces.size())}});
     if (const CallService *service = findEngineService(*context.m_config)) {
@@ -112,13 +128,23 @@
     }
 }
 
-void applyEvacuation(EntryContext &context, const std::string &zone, const StoreItem &item)
+/** Returns whether @p sinceMs, a time or -1, is so recent that keys which the store lost then may still be written again. */
+bool mayBeWrittenAgain(const EntryContext &context, std::int64_t sinceMs)
+{
+    return sinceMs >= 0 && steadyMs() - sinceMs < context.m_settings.m_addressReuseMs;
+}
+
+void applyEvacuation(EntryContext &context, FollowState &followState, const std::string &zone, const StoreItem &item)
 {
+    if (item.m_deleted && context.m_evacuatedZones.count(zone) > 0 && mayBeWrittenAgain(context, context.m_eraRisenMs)) {
+        followState.m_pendingRemovals[item.m_key] = context.m_eraRisenMs + context.m_settings.m_addressReuseMs;
+        return;
+    }
+    followState.m_pendingRemovals.erase(item.m_key);
     const bool changed = item.m_deleted ? context.m_evacuatedZones.erase(zone) > 0 : context.m_evacuatedZones.insert(zone).second;
     if (changed) {
         context.m_availability.setZonesOutOfService(context.m_evacuatedZones);
-        logEvent(LogEvent::EvacuationChanged,
-                 {{"availability_zone", zone}, {"out_of_service", !item.m_deleted}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
+        logEvent(LogEvent::EvacuationChanged, {{"availability_zone", zone}, {"out_of_service", !item.m_deleted}, {"revision", revisionOf(item)}});
     }
 }
 
@@ -148,16 +174,14 @@
 {
     const std::int64_t nowMs = steadyMs();
     if (item.m_deleted) {
-        const std::int64_t recoveredMs = context.m_storeRecoveredMs;
-        const bool storeWasDown = recoveredMs >= 0 && nowMs - recoveredMs < context.m_settings.m_addressReuseMs;
-        if (storeWasDown && context.m_upstreams.count(id) > 0) {
-            followState.m_pendingRemovals.emplace(id, recoveredMs + context.m_settings.m_addressReuseMs);
+        if (mayBeWrittenAgain(context, context.m_storeRecoveredMs) && context.m_upstreams.count(id) > 0) {
+            followState.m_pendingRemovals.emplace(item.m_key, context.m_storeRecoveredMs + context.m_settings.m_addressReuseMs);
         } else {
             dropUpstream(context, id, "gone");
         }
         return true;
     }
-    followState.m_pendingRemovals.erase(id);
+    followState.m_pendingRemovals.erase(item.m_key);
     Result<UpstreamEntry> decoded = platform::decodeEntry(id, item.m_value, nowMs);
     if (failed(decoded)) {
         if (followState.m_loggedUnreadable.insert(id).second) {
@@ -181,7 +205,7 @@
                   {"rank", static_cast<std::int64_t>(entry.m_rank)},
                   {"phase", std::string(enumName(MemberPhaseNames, entry.m_phase))},
                   {"cold_ms", entry.m_coldUntilMs > 0 ? entry.m_coldUntilMs - nowMs : std::int64_t(0)},
-                  {"revision", static_cast<std::int64_t>(item.m_revision)}});
+                  {"revision", revisionOf(item)}});
     }
     if (!entry.m_domain.empty()) {
         context.m_reconciler.observe(entry, nowMs);
@@ -215,7 +239,7 @@
     if (item.m_key == platform::key::Config) {
         applyConfig(context, item);
     } else if (startsWith(item.m_key, platform::key::EvacuatedZone)) {
-        applyEvacuation(context, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
+        applyEvacuation(context, followState, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
     } else if (startsWith(item.m_key, platform::key::Upstream)) {
         changed = applyUpstream(context, followState, item.m_key.substr(platform::key::Upstream.size()), item);
     } else if (startsWith(item.m_key, DaemonPrefix)) {
@@ -224,7 +248,7 @@
         applyStoredCrashes(context, item.m_key.substr(CrashesPrefix.size()), item);
     } else if (item.m_key == LeaderKey) {
         context.m_leader = item.m_deleted ? std::string() : item.m_value;
-        logEvent(LogEvent::LeaderSeen, {{"leader", context.m_leader}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
+        logEvent(LogEvent::LeaderSeen, {{"leader", context.m_leader}, {"revision", revisionOf(item)}});
     }
     context.m_mirror.put(item, changed);
 }
@@ -248,32 +272,61 @@
     }
 }
 
-/** Applies the removal of @p keys (with the revision of their last write), which were found missing as of @p revision. */
-void removeKeys(EntryContext &context, FollowState &followState, const std::map<std::string, std::uint64_t> &keys, std::uint64_t revision)
+/**
+ * Must be called before the first items of @p era are applied. What the store lost may be written again: until then what is known of upstreams and evacuated
+ * zones is kept.
+ */
+void enterEra(EntryContext &context, std::uint64_t era)
 {
-    for (const std::pair<const std::string, std::uint64_t> &entry : keys) {
+    const StorePosition known = context.m_mirror.completeTo();
+    if (era <= known.m_era) {
+        return;
+    }
+    if (known == StorePosition()) {
+        // Nothing was read before.
+        return;
+    }
+    context.m_store.m_era = std::max(context.m_store.m_era, era);
+    context.m_eraRisenMs = steadyMs();
+    context.m_storeRecoveredMs = context.m_eraRisenMs;
+    logEvent(LogEvent::StoreEraRisen,
+             {{"era", static_cast<std::int64_t>(era)},
+              {"known_era", static_cast<std::int64_t>(known.m_era)},
+              {"known_revision", static_cast<std::int64_t>(known.m_revision)},
+              {"config_version", context.m_config == nullptr ? std::int64_t(-1) : context.m_config->m_version}});
+}
+
+/** Applies the removal of @p keys (with the position of their last write), which were found missing as of @p position. */
+void removeKeys(EntryContext &context, FollowState &followState, const std::map<std::string, StorePosition> &keys, const StorePosition &position)
+{
+    for (const std::pair<const std::string, StorePosition> &entry : keys) {
         StoreItem removal;
         removal.m_key = entry.first;
         removal.m_deleted = true;
-        removal.m_revision = std::max(revision, entry.second + 1);
+        removal.m_position = std::max(position, {entry.second.m_era, entry.second.m_revision + 1});
         applyItem(context, followState, removal);
     }
 }
 
-/** Reads all keys, page by page. The pages are not one snapshot, so the watch continues from the revision of the first. */
+/** Reads all keys, page by page. The pages are not one snapshot, so the watch continues from the position of the first. */
 awaitable<Result<Done>> readWholeStore(EntryContext &context, FollowState &followState)
 {
-    std::map<std::string, std::uint64_t> missing = context.m_mirror.revisions();
+    std::map<std::string, StorePosition> missing = context.m_mirror.positions();
     std::string after;
-    std::uint64_t firstRevision = 0;
+    std::optional<StorePosition> first;
     const std::int64_t askedMs = steadyMs();
+    context.m_mirrorSynced = false;
     while (true) {
         Result<StoreItems> page = co_await platform::storeRange(context.m_store, WatchedPrefix, after, context.m_settings.m_storeTimeoutMs);
         if (failed(page)) {
             co_return errorOf(page);
         }
         recordStoreAnswer(context, followState, -1);
-        firstRevision = firstRevision == 0 ? valueOf(page).m_completeRevision : firstRevision;
+        first = first.value_or(valueOf(page).m_completeTo);
+        if (valueOf(page).m_completeTo.m_era != first->m_era) {
+            co_return Error{ErrorCode::StoreUnavailable, "the store came back from a copy while it was read"};
+        }
+        enterEra(context, first->m_era);
         for (const StoreItem &item : valueOf(page).m_items) {
             missing.erase(item.m_key);
             applyItem(context, followState, item);
@@ -283,20 +336,32 @@
             break;
         }
     }
-    removeKeys(context, followState, missing, firstRevision);
-    context.m_mirror.resetTo(firstRevision);
+    removeKeys(context, followState, missing, *first);
+    context.m_mirror.resetTo(*first);
     context.m_mirrorSynced = true;
     recordStoreAnswer(context, followState, askedMs);
     co_return Done{};
 }
 
-/** Removes the upstreams of m_pendingRemovals whose time has passed. */
+void removePending(EntryContext &context, const std::string &key)
+{
+    if (startsWith(key, platform::key::Upstream)) {
+        dropUpstream(context, key.substr(platform::key::Upstream.size()), "not listed again after the store's outage");
+        return;
+    }
+    const std::string zone = key.substr(platform::key::EvacuatedZone.size());
+    context.m_evacuatedZones.erase(zone);
+    context.m_availability.setZonesOutOfService(context.m_evacuatedZones);
+    logEvent(LogEvent::EvacuationChanged, {{"availability_zone", zone}, {"out_of_service", false}, {"revision", std::int64_t(0)}});
+}
+
+/** Removes what m_pendingRemovals keeps once its time has passed. */
 void applyPendingRemovals(EntryContext &context, FollowState &followState)
 {
     const std::int64_t nowMs = steadyMs();
     for (auto it = followState.m_pendingRemovals.begin(); it != followState.m_pendingRemovals.end();) {
         if (nowMs >= it->second) {
-            dropUpstream(context, it->first, "not listed again after the store's outage");
+            removePending(context, it->first);
             it = followState.m_pendingRemovals.erase(it);
         } else {
             ++it;
@@ -361,18 +426,19 @@
     if (valueOf(answer).m_recoveredAgeMs >= 0) {
         context.m_storeRecoveredMs = std::max(context.m_storeRecoveredMs, askedMs - valueOf(answer).m_recoveredAgeMs);
     }
+    enterEra(context, updates.m_completeTo.m_era);
     for (const StoreItem &item : updates.m_items) {
         applyItem(context, followState, item);
     }
     if (updates.m_isSnapshot) {
-        std::map<std::string, std::uint64_t> missing = context.m_mirror.revisions();
+        std::map<std::string, StorePosition> missing = context.m_mirror.positions();
         for (const StoreItem &item : updates.m_items) {
             missing.erase(item.m_key);
         }
-        removeKeys(context, followState, missing, updates.m_completeRevision);
-        context.m_mirror.resetTo(updates.m_completeRevision);
+        removeKeys(context, followState, missing, updates.m_completeTo);
+        context.m_mirror.resetTo(updates.m_completeTo);
     }
-    context.m_mirror.markCompleteTo(updates.m_completeRevision);
+    context.m_mirror.markCompleteTo(updates.m_completeTo);
     // The source determined the age after the request was sent, so the confirmation is at least as recent as this.
     recordStoreAnswer(context, followState, askedMs - valueOf(answer).m_confirmationAgeMs);
     co_return Done{};
@@ -383,19 +449,24 @@
     const std::int64_t askedMs = steadyMs();
     const std::int64_t waitMs = followState.m_watchesForZone ? SourceWatchWaitMs : WatchWaitMs;
     Result<StoreItems> changes =
-        co_await platform::storeWatch(context.m_store, WatchedPrefix, context.m_mirror.completeRevision(), waitMs, context.m_settings.m_storeTimeoutMs);
+        co_await platform::storeWatch(context.m_store, WatchedPrefix, context.m_mirror.completeTo().m_revision, waitMs, context.m_settings.m_storeTimeoutMs);
     if (failed(changes)) {
         if (errorOf(changes).m_code == ErrorCode::NotFound) {
             context.m_mirrorSynced = false;
-            logEvent(LogEvent::HistoryLost, {{"revision", static_cast<std::int64_t>(context.m_mirror.completeRevision())}});
+            logEvent(LogEvent::HistoryLost, {{"revision", static_cast<std::int64_t>(context.m_mirror.completeTo().m_revision)}});
         }
         co_return errorOf(changes);
     }
+    if (valueOf(changes).m_completeTo.m_era != context.m_mirror.completeTo().m_era) {
+        // The revision that was asked for is not one of this era.
+        context.m_mirrorSynced = false;
+        co_return Error{ErrorCode::NotFound, "the store came back from a copy"};
+    }
     followState.m_lastItemCount = valueOf(changes).m_items.size();
     for (const StoreItem &item : valueOf(changes).m_items) {
         applyItem(context, followState, item);
     }
-    context.m_mirror.markCompleteTo(valueOf(changes).m_completeRevision);
+    context.m_mirror.markCompleteTo(valueOf(changes).m_completeTo);
     recordStoreAnswer(context, followState, askedMs);
     co_return Done{};
 }
@@ -409,7 +480,7 @@
         Result<Done> done = Done{};
         if (!source.empty()) {
             done = co_await fetchFromPeer(context, followState, source);
-        } else if (context.m_mirrorSynced) {
+        } else if (context.m_mirrorSynced && context.m_store.m_era == context.m_mirror.completeTo().m_era) {
             done = co_await watchStore(context, followState);
         } else {
             done = co_await readWholeStore(context, followState);
@@ -436,9 +507,9 @@
     const std::string value = json::serialize(json::object{{"address", context.m_settings.m_peerListen},
                                                            {"availability_zone", context.m_settings.m_availabilityZone},
                                                            {"cpu_share", context.m_settings.m_cpuShare}});
-    std::uint64_t lease = 0;
+    platform::StoreLease lease;
     while (!context.m_stopping) {
-        if (lease == 0) {
+        if (lease.m_id == 0) {
             const Result<platform::StoreLease> granted =
                 co_await platform::storeGrantLease(context.m_store, RegistrationTtlMs, context.m_settings.m_storeTimeoutMs);
             if (!failed(granted)) {
@@ -446,18 +517,24 @@
                 transaction.m_writes.push_back({key, value, valueOf(granted).m_id});
                 const Result<platform::StoreCommitResult> written =
                     co_await platform::storeCommit(context.m_store, std::move(transaction), context.m_settings.m_storeTimeoutMs);
-                lease = failed(written) ? 0 : valueOf(granted).m_id;
+                const bool registered = !failed(written) && valueOf(written).m_position.m_era == valueOf(granted).m_era;
+                lease = registered ? valueOf(granted) : platform::StoreLease();
             }
         } else {
             const Result<std::int64_t> kept = co_await platform::storeRenewLease(context.m_store, lease, context.m_settings.m_storeTimeoutMs);
             if (failed(kept) && errorOf(kept).m_code == ErrorCode::NotFound) {
-                lease = 0;
+                const bool isEarlierEra = lease.m_era != context.m_store.m_era;
+                lease = {};
+                // All daemons register again after the store came back from a copy.
+                const std::int64_t spreadMs = isEarlierEra ? RegisterAgainPerDaemonMs * daemonCount(context) : 0;
+                std::uniform_int_distribution<std::int64_t> pauseMs(0, spreadMs);
+                co_await sleepFor(pauseMs(context.m_random));
                 continue;
             }
         }
-        co_await sleepFor(lease == 0 ? RetryPauseMs : RegistrationTtlMs / RenewalsPerTtl);
+        co_await sleepFor(lease.m_id == 0 ? RetryPauseMs : RegistrationTtlMs / RenewalsPerTtl);
     }
-    if (lease != 0) {
+    if (lease.m_id != 0) {
         co_await platform::storeEndLease(context.m_store, lease, context.m_settings.m_storeTimeoutMs);
     }
 }
@@ -514,11 +591,20 @@
     const Result<platform::StoreCommitResult> answer = co_await platform::storeCommit(context.m_store, std::move(transaction), timeoutMs);
     if (failed(answer) || !valueOf(answer).m_committed) {
         // If it is not known whether the write was applied, ending the lease removes it.
-        co_await platform::storeEndLease(context.m_store, valueOf(lease).m_id, timeoutMs);
+        co_await platform::storeEndLease(context.m_store, valueOf(lease), timeoutMs);
         co_return;
     }
-    context.m_leadership.m_fence = valueOf(answer).m_revision;
-    context.m_leadership.m_lease = valueOf(lease).m_id;
+    const StorePosition begun = valueOf(answer).m_position;
+    if (begun.m_era != valueOf(lease).m_era) {
+        // The key hangs on a lease of another era, which may be another daemon's by now.
+        platform::StoreTransaction undo;
+        undo.m_conditions.push_back({LeaderKey, begun.m_revision});
+        undo.m_deletes.emplace_back(LeaderKey);
+        co_await platform::storeCommit(context.m_store, std::move(undo), timeoutMs);
+        co_return;
+    }
+    context.m_leadership.m_fence = fencingToken(begun);
+    context.m_leadership.m_lease = valueOf(lease);
     context.m_leadership.m_validUntilMs = askedMs + valueOf(lease).m_ttlMs - LeaseMarginMs;
     context.m_leader = context.m_settings.m_name;
     logEvent(LogEvent::LeadershipTaken, {{"fence", static_cast<std::int64_t>(context.m_leadership.m_fence)}, {"lease_ms", valueOf(lease).m_ttlMs}});
@@ -530,6 +616,15 @@
 }
 }
 
+namespace
+{
+/** Returns whether a leader that does not know yet that the store came back from a copy may still lead, as far as its own clock tells it. */
+bool mayHaveOtherLeader(const EntryContext &context)
+{
+    return context.m_eraRisenMs >= 0 && steadyMs() - context.m_eraRisenMs < context.m_settings.m_leaseMs;
+}
+}
+
 awaitable<void> runLeaderElection(EntryContext &context)
 {
     std::int64_t vacantSinceMs = -1;
@@ -545,7 +640,7 @@
                 context.m_leadership.m_renewNow = false;
                 co_await renewLeadership(context);
             }
-        } else if (!context.m_leader.empty() || context.m_confirmedMs < 0 || context.m_config == nullptr) {
+        } else if (!context.m_leader.empty() || context.m_confirmedMs < 0 || context.m_config == nullptr || mayHaveOtherLeader(context)) {
             vacantSinceMs = -1;
         } else {
             vacantSinceMs = vacantSinceMs < 0 ? nowMs : vacantSinceMs;
@@ -562,7 +657,7 @@
 awaitable<void> releaseLeadership(EntryContext &context)
 {
     if (context.m_leadership.m_fence != 0) {
-        const std::uint64_t lease = context.m_leadership.m_lease;
+        const platform::StoreLease lease = context.m_leadership.m_lease;
         endLeadership(context, "planned stop");
         co_await platform::storeEndLease(context.m_store, lease, context.m_settings.m_storeTimeoutMs);
     }
--- a/daemons/entrystoreupdates.cpp
+++ b/daemons/entrystoreupdates.cpp
@@ -14,6 +14,7 @@
 {
 constexpr const char *UpdatesPath = "/news";
 constexpr const char *AfterParameter = "after";
+constexpr const char *EraParameter = "era";
 /** Longest wait for updates at the other daemon, in ms: the requester's confirmation gets older by this much and has to stay below a second. */
 constexpr std::int64_t UpdatesWaitMs = 300;
 /** Interval between checks for updates while a request waits, in ms: a fraction of the pause between two watches. */
@@ -26,13 +27,20 @@
  */
 constexpr std::int64_t MaxSourceConfirmationAgeMs = 1'500;
 
-std::uint64_t parseAfterRevision(const HttpExchange &exchange)
+std::uint64_t numberParameter(const HttpExchange &exchange, const char *name, std::uint64_t fallback)
 {
-    const std::string text = queryValue(exchange.request().m_target, AfterParameter);
-    std::uint64_t after = 0;
-    // A value that is not a number requests all keys.
-    std::from_chars(text.data(), text.data() + text.size(), after);
-    return after;
+    const std::string text = queryValue(exchange.request().m_target, name);
+    std::uint64_t number = fallback;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+/** Returns the position up to which the requester is complete. Without a revision that is a number it needs all keys. */
+StorePosition parseAfter(const EntryContext &context, const HttpExchange &exchange)
+{
+    // Daemons that do not know eras name none.
+    const std::uint64_t era = numberParameter(exchange, EraParameter, context.m_mirror.completeTo().m_era);
+    return {era, numberParameter(exchange, AfterParameter, 0)};
 }
 }
 
@@ -44,9 +52,14 @@
         co_await exchange.respond(std::move(reply));
         co_return;
     }
-    const std::uint64_t after = parseAfterRevision(exchange);
+    const StorePosition after = parseAfter(context, exchange);
     const std::int64_t untilMs = steadyMs() + UpdatesWaitMs;
-    while (context.m_mirrorSynced && !context.m_stopping && !context.m_mirror.hasUpdates(after) && steadyMs() < untilMs) {
+    // A mirror that is read again soon has what the requester needs.
+    const bool isReadAgain = !context.m_mirrorSynced && context.m_mirror.completeTo() != StorePosition();
+    const auto mustWait = [&context, &after, isReadAgain]() {
+        return context.m_mirrorSynced ? !context.m_mirror.hasUpdates(after) : isReadAgain;
+    };
+    while (!context.m_stopping && mustWait() && steadyMs() < untilMs) {
         co_await sleepFor(UpdatesPollMs);
     }
     if (!context.m_mirrorSynced || context.m_stopping) {
@@ -69,7 +82,9 @@
 {
     HttpRequest request;
     request.m_method = "GET";
-    request.m_target = std::string(UpdatesPath) + "?" + AfterParameter + "=" + std::to_string(context.m_mirror.completeRevision());
+    const StorePosition known = context.m_mirror.completeTo();
+    request.m_target =
+        std::string(UpdatesPath) + "?" + AfterParameter + "=" + std::to_string(known.m_revision) + "&" + EraParameter + "=" + std::to_string(known.m_era);
     ++context.m_metrics.m_updatesRequested;
     const Result<HttpReply> reply = co_await httpCall(context.m_connections, std::move(address), std::move(request), UpdatesWaitMs + ResponseSlackMs);
     if (failed(reply)) {
@@ -83,6 +98,9 @@
     if (!failed(answer) && (valueOf(answer).m_confirmationAgeMs < 0 || valueOf(answer).m_confirmationAgeMs > MaxSourceConfirmationAgeMs)) {
         co_return Error{ErrorCode::StoreUnavailable, "the source's confirmation is " + std::to_string(valueOf(answer).m_confirmationAgeMs) + " ms old"};
     }
+    if (!failed(answer) && valueOf(answer).m_updates.m_completeTo.m_era < context.m_mirror.completeTo().m_era) {
+        co_return Error{ErrorCode::StoreUnavailable, "the source is in an earlier era of the store"};
+    }
     co_return answer;
 }
 }
--- a/kernel/callconfig.cpp
+++ b/kernel/callconfig.cpp
@@ -20,6 +20,12 @@
 }
 }
 
+bool supersedes(const CallConfig &candidate, const CallConfig &current)
+{
+    const bool isLaterEra = candidate.m_position.m_era > current.m_position.m_era;
+    return candidate.m_position > current.m_position && (!isLaterEra || candidate.m_version >= current.m_version);
+}
+
 void indexConfig(CallConfig &config)
 {
     config.m_routesByHost.clear();
--- a/kernel/callconfig.h
+++ b/kernel/callconfig.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kernel/storeposition.h"
+
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -136,10 +138,10 @@
 /** The operators' configuration. Must not be changed once it is shared through CallConfigPtr. */
 struct CallConfig
 {
-    /** Version number that the operators gave it; not used to order configurations. */
+    /** Version number that the operators gave it; it rises from one configuration to the next. */
     std::int64_t m_version = 0;
-    /** Store revision at which the configuration was written. Of two configurations, the one with the higher revision is newer. */
-    std::uint64_t m_revision = 0;
+    /** Position in the store at which the configuration was written. */
+    StorePosition m_position;
     std::vector<CallRoute> m_routes;
     std::map<std::string, CallService> m_services;
     std::vector<CallWorkspace> m_workspaces;
@@ -152,6 +154,12 @@
 
 using CallConfigPtr = std::shared_ptr<const CallConfig>;
 
+/**
+ * Returns whether @p candidate is newer than @p current. Within an era of the store the later write is. A later era may begin with an older configuration,
+ * since the store came back from a copy; the operators write theirs again, and until then the one in force stays. So between eras their versions decide.
+ */
+bool supersedes(const CallConfig &candidate, const CallConfig &current);
+
 /** Fills the indices; must be called after m_routes and m_workspaces are set. */
 void indexConfig(CallConfig &config);
 
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -35,6 +35,8 @@
     LeaderSeen,
     NewsSourceChanged,
     NewsSourceFailed,
+    StoreEraRisen,
+    ConfigKept,
     RequestRefused,
     AttemptFailed,
     StreamResumed,
--- a/kernel/storemirror.h
+++ b/kernel/storemirror.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kernel/storeposition.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -13,8 +15,8 @@
 {
     std::string m_key;
     std::string m_value;
-    /** Store revision of the last write, or of the removal. */
-    std::uint64_t m_revision = 0;
+    /** Position of the last write, or of the removal. */
+    StorePosition m_position;
     /** Id of the lease that the key is attached to; 0 for none. */
     std::uint64_t m_lease = 0;
     bool m_deleted = false;
@@ -23,16 +25,16 @@
 /** The changes that a daemon sends to one that gets its store updates from it. */
 struct StoreUpdates
 {
-    /** Ordered by revision. */
+    /** Ordered by position; all are of the era of m_completeTo. */
     std::vector<StoreItem> m_items;
-    /** With these changes the receiver has everything that the store accepted up to this revision. */
-    std::uint64_t m_completeRevision = 0;
+    /** With these changes the receiver has everything that the store accepted up to this position. */
+    StorePosition m_completeTo;
     /** The items are the complete content of the store: keys that are not among them no longer exist. */
     bool m_isSnapshot = false;
 };
 
 /**
- * A daemon's copy of the store, from which it can also send updates to other daemons. For each key it holds the revision of the last change
+ * A daemon's copy of the store, from which it can also send updates to other daemons. For each key it holds the position of the last change
  * as well as that of the last write, so that writes that only renew a value are not sent. Memory: the store's content and MaxTombstones keys.
  */
 class StoreMirror
@@ -45,38 +47,38 @@
     bool isNewer(const StoreItem &item) const;
     /** Stores a newer item or removes its key. @p changed is false for an item that only renews the stored value. */
     void put(const StoreItem &item, bool changed);
-    /** Records that the mirror contains every write up to @p revision. */
-    void markCompleteTo(std::uint64_t revision);
-    /** Records that the whole store was read again as of @p revision: earlier removals are unknown. */
-    void resetTo(std::uint64_t revision);
+    /** Records that the mirror contains every write up to @p position. */
+    void markCompleteTo(const StorePosition &position);
+    /** Records that the whole store was read again as of @p position: earlier removals are unknown. */
+    void resetTo(const StorePosition &position);
 
-    /** Returns the revision up to which the mirror contains every write. */
-    std::uint64_t completeRevision() const;
-    /** Returns the stored keys with the revision of their last write. */
-    std::map<std::string, std::uint64_t> revisions() const;
-    /** Returns the changes that a daemon complete up to @p revision lacks. Iterates over all keys. */
-    StoreUpdates updatesSince(std::uint64_t revision) const;
-    /** Returns whether updatesSince(@p revision) would return any change or a snapshot. */
-    bool hasUpdates(std::uint64_t revision) const;
+    /** Returns the position up to which the mirror contains every write. */
+    StorePosition completeTo() const;
+    /** Returns the stored keys with the position of their last write. */
+    std::map<std::string, StorePosition> positions() const;
+    /** Returns the changes that a daemon complete up to @p position lacks. Iterates over all keys. */
+    StoreUpdates updatesSince(const StorePosition &position) const;
+    /** Returns whether updatesSince(@p position) would return any change or a snapshot. */
+    bool hasUpdates(const StorePosition &position) const;
 
 private:
     struct Entry
     {
         StoreItem m_item;
-        /** Revision of the last write that changed the value. */
-        std::uint64_t m_changeRevision = 0;
+        /** Position of the last write that changed the value. */
+        StorePosition m_changed;
     };
 
-    void addTombstone(const std::string &key, std::uint64_t revision);
+    void addTombstone(const std::string &key, const StorePosition &position);
 
     std::map<std::string, Entry> m_entries;
     /** The last removals, at most MaxTombstones, oldest first. */
     std::deque<StoreItem> m_tombstones;
-    /** All removals after this revision are in m_tombstones. */
-    std::uint64_t m_removalsKnownAfter = 0;
-    /** The mirror contains every write up to this revision. */
-    std::uint64_t m_completeRevision = 0;
-    /** Revision of the last change or removal, not counting renewals. */
-    std::uint64_t m_lastChangeRevision = 0;
+    /** All removals after this position are in m_tombstones. */
+    StorePosition m_removalsKnownAfter;
+    /** The mirror contains every write up to this position. */
+    StorePosition m_completeTo;
+    /** Position of the last change or removal, not counting renewals. */
+    StorePosition m_lastChanged;
 };
 }
--- a/net/storeupdatescodec.cpp
+++ b/net/storeupdatescodec.cpp
@@ -26,14 +26,15 @@
         const flatbuffers::Offset<flatbuffers::String> key = builder.CreateString(item.m_key);
         const flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value =
             builder.CreateVector(reinterpret_cast<const std::uint8_t *>(item.m_value.data()), item.m_value.size());
-        items.push_back(wire::CreateNewsItem(builder, key, value, item.m_revision, item.m_lease, item.m_deleted));
+        items.push_back(wire::CreateNewsItem(builder, key, value, item.m_position.m_revision, item.m_lease, item.m_deleted));
     }
     builder.Finish(wire::CreateNews(builder,
-                                    reply.m_updates.m_completeRevision,
+                                    reply.m_updates.m_completeTo.m_revision,
                                     reply.m_updates.m_isSnapshot,
                                     clampToInt32(reply.m_confirmationAgeMs),
                                     clampToInt32(reply.m_recoveredAgeMs),
-                                    builder.CreateVector(items)));
+                                    builder.CreateVector(items),
+                                    reply.m_updates.m_completeTo.m_era));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -45,7 +46,7 @@
     }
     const wire::News *root = wire::GetNews(bytes.data());
     StoreUpdatesReply reply;
-    reply.m_updates.m_completeRevision = root->at();
+    reply.m_updates.m_completeTo = {root->era(), root->at()};
     reply.m_updates.m_isSnapshot = root->whole();
     reply.m_confirmationAgeMs = root->proof_age_ms();
     reply.m_recoveredAgeMs = root->regained_age_ms();
@@ -59,7 +60,7 @@
             if (item->value() != nullptr) {
                 decoded.m_value.assign(reinterpret_cast<const char *>(item->value()->data()), item->value()->size());
             }
-            decoded.m_revision = item->revision();
+            decoded.m_position = {root->era(), item->revision()};
             decoded.m_lease = item->lease();
             decoded.m_deleted = item->deleted();
             reply.m_updates.m_items.push_back(std::move(decoded));
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -86,29 +86,48 @@
     return json::serialize(ids);
 }
 
-/** Takes the store away for @p awayMs and brings it back from its copy; after another @p againMs the operators and the upstreams write again. */
-awaitable<void> playDrill(HostingStore &store, const Upstreams &upstreams, std::int64_t awayMs, std::int64_t againMs, std::uint64_t skippedRevisions)
+/** How the store comes back from its copy. */
+struct Drill
 {
-    store.m_downUntilMs = steadyMs() + awayMs;
-    co_await sleepFor(awayMs);
-    const std::map<std::string, std::string> items = hostingRestoreCopy(store, skippedRevisions, steadyMs());
-    co_await sleepFor(againMs);
+    std::int64_t m_awayMs = 0;
+    /** Time after the return in which the operators and the upstreams write again. */
+    std::int64_t m_againMs = 0;
+    /** Time after the return in which the daemons do not reach the store yet, and revisions that others use up meanwhile. */
+    std::int64_t m_apartMs = 0;
+    std::uint64_t m_skippedRevisions = 0;
+};
+
+awaitable<void> playDrill(HostingStore &store, const Upstreams &upstreams, Drill drill)
+{
+    store.m_downUntilMs = steadyMs() + drill.m_awayMs + drill.m_apartMs;
+    co_await sleepFor(drill.m_awayMs);
+    const std::map<std::string, std::string> items = hostingRestoreCopy(store, steadyMs());
+    if (drill.m_againMs > 0) {
+        co_await sleepFor(drill.m_againMs);
+    }
     hostingWriteAgain(store, items);
     for (const std::unique_ptr<HostingEngine> &upstream : upstreams) {
         upstream->publishAgain();
     }
+    if (drill.m_apartMs > 0) {
+        constexpr std::int64_t EarlierMs = 20;
+        co_await sleepFor(drill.m_apartMs - EarlierMs);
+        store.m_revision += drill.m_skippedRevisions;
+    }
 }
 
-/** Applies {"store_down_ms":n}, {"copy":true}, or {"drill_ms":n,"again_ms":n,"skip":n}, which see playDrill(). */
+/** Applies {"store_down_ms":n}, {"copy":true}, or {"drill_ms":n,"again_ms":n,"apart_ms":n,"skip":n}, see Drill. */
 void applyStoreFaults(IoThreads &threads, HostingStore &store, const Upstreams &upstreams, const std::string &body)
 {
     const json::object object = parseJsonObject(body);
     if (boolField(object, "copy")) {
         hostingTakeCopy(store);
     } else if (object.contains("drill_ms")) {
-        const std::uint64_t skipped = static_cast<std::uint64_t>(integerField(object, "skip"));
-        asio::co_spawn(
-            threads.control(), playDrill(store, upstreams, integerField(object, "drill_ms"), integerField(object, "again_ms"), skipped), asio::detached);
+        const Drill drill{integerField(object, "drill_ms"),
+                          integerField(object, "again_ms"),
+                          integerField(object, "apart_ms"),
+                          static_cast<std::uint64_t>(integerField(object, "skip"))};
+        asio::co_spawn(threads.control(), playDrill(store, upstreams, drill), asio::detached);
     } else {
         store.m_downUntilMs = steadyMs() + integerField(object, "store_down_ms");
     }
--- a/standins/hostingstore.cpp
+++ b/standins/hostingstore.cpp
@@ -226,10 +226,10 @@
 }
 }
 
-std::map<std::string, std::string> hostingRestoreCopy(HostingStore &store, std::uint64_t skippedRevisions, std::int64_t nowMs)
+std::map<std::string, std::string> hostingRestoreCopy(HostingStore &store, std::int64_t nowMs)
 {
     std::map<std::string, std::string> items = operatorItems(store);
-    store.m_revision = store.m_copy.m_revision + skippedRevisions;
+    store.m_revision = store.m_copy.m_revision;
     store.m_nextLease = store.m_copy.m_nextLease;
     store.m_items = store.m_copy.m_items;
     store.m_history = store.m_copy.m_history;
--- a/standins/hostingstore.h
+++ b/standins/hostingstore.h
@@ -60,10 +60,10 @@
 /** Makes the copy from which the store can come back. */
 void hostingTakeCopy(HostingStore &store);
 /**
- * Brings the store back from its copy: what was written since is gone, and revisions and ids of leases are given out again, from @p skippedRevisions further
- * on. Returns the operators' items that the store held before.
+ * Brings the store back from its copy: what was written since is gone, and revisions and ids of leases are given out again. Returns the operators' items that
+ * the store held before.
  */
-std::map<std::string, std::string> hostingRestoreCopy(HostingStore &store, std::uint64_t skippedRevisions, std::int64_t nowMs);
+std::map<std::string, std::string> hostingRestoreCopy(HostingStore &store, std::int64_t nowMs);
 /** Makes the operators' items equal to @p items. */
 void hostingWriteAgain(HostingStore &store, const std::map<std::string, std::string> &items);
 
--- a/wire/news_generated.h
+++ b/wire/news_generated.h
@@ -147,6 +147,7 @@
   int32_t proof_age_ms = 0;
   int32_t regained_age_ms = -1;
   std::vector<std::unique_ptr<knapweedslip::wire::NewsItemT>> items{};
+  uint64_t era = 0;
   NewsT() = default;
   NewsT(const NewsT &o);
   NewsT(NewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -161,7 +162,8 @@
     VT_WHOLE = 6,
     VT_PROOF_AGE_MS = 8,
     VT_REGAINED_AGE_MS = 10,
-    VT_ITEMS = 12
+    VT_ITEMS = 12,
+    VT_ERA = 14
   };
   uint64_t at() const {
     return GetField<uint64_t>(VT_AT, 0);
@@ -178,6 +180,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>> *>(VT_ITEMS);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AT, 8) &&
@@ -187,6 +192,7 @@
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   NewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -213,6 +219,9 @@
   void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>>> items) {
     fbb_.AddOffset(News::VT_ITEMS, items);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(News::VT_ERA, era, 0);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -230,8 +239,10 @@
     bool whole = false,
     int32_t proof_age_ms = 0,
     int32_t regained_age_ms = -1,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>>> items = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>>> items = 0,
+    uint64_t era = 0) {
   NewsBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_at(at);
   builder_.add_items(items);
   builder_.add_regained_age_ms(regained_age_ms);
@@ -246,7 +257,8 @@
     bool whole = false,
     int32_t proof_age_ms = 0,
     int32_t regained_age_ms = -1,
-    const std::vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>> *items = nullptr) {
+    const std::vector<flatbuffers::Offset<knapweedslip::wire::NewsItem>> *items = nullptr,
+    uint64_t era = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::NewsItem>>(*items) : 0;
   return knapweedslip::wire::CreateNews(
       _fbb,
@@ -254,7 +266,8 @@
       whole,
       proof_age_ms,
       regained_age_ms,
-      items__);
+      items__,
+      era);
 }
 
 flatbuffers::Offset<News> CreateNews(flatbuffers::FlatBufferBuilder &_fbb, const NewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -301,7 +314,8 @@
       : at(o.at),
         whole(o.whole),
         proof_age_ms(o.proof_age_ms),
-        regained_age_ms(o.regained_age_ms) {
+        regained_age_ms(o.regained_age_ms),
+        era(o.era) {
   items.reserve(o.items.size());
   for (const auto &items_ : o.items) { items.emplace_back((items_) ? new knapweedslip::wire::NewsItemT(*items_) : nullptr); }
 }
@@ -312,6 +326,7 @@
   std::swap(proof_age_ms, o.proof_age_ms);
   std::swap(regained_age_ms, o.regained_age_ms);
   std::swap(items, o.items);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -329,6 +344,7 @@
   { auto _e = proof_age_ms(); _o->proof_age_ms = _e; }
   { auto _e = regained_age_ms(); _o->regained_age_ms = _e; }
   { auto _e = items(); if (_e) { _o->items.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->items[_i] = std::unique_ptr<knapweedslip::wire::NewsItemT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<News> News::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -344,13 +360,15 @@
   auto _proof_age_ms = _o->proof_age_ms;
   auto _regained_age_ms = _o->regained_age_ms;
   auto _items = _o->items.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::NewsItem>> (_o->items.size(), [](size_t i, _VectorArgs *__va) { return CreateNewsItem(*__va->__fbb, __va->__o->items[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _era = _o->era;
   return knapweedslip::wire::CreateNews(
       _fbb,
       _at,
       _whole,
       _proof_age_ms,
       _regained_age_ms,
-      _items);
+      _items,
+      _era);
 }
 
 inline const knapweedslip::wire::News *GetNews(const void *buf) {
