--- a/kernel/storeposition.h
+++ b/kernel/storeposition.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 
@@ -15,7 +14,23 @@
     std::uint64_t m_era = 0;
     std::uint64_t m_revision = 0;
 
-    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+    friend bool operator==(const StorePosition &, const StorePosition &) = default;
+    friend bool operator<(const StorePosition &a, const StorePosition &b)
+    {
+        return a.m_era != b.m_era ? a.m_era < b.m_era : a.m_revision < b.m_revision;
+    }
+    friend bool operator>(const StorePosition &a, const StorePosition &b)
+    {
+        return b < a;
+    }
+    friend bool operator<=(const StorePosition &a, const StorePosition &b)
+    {
+        return !(b < a);
+    }
+    friend bool operator>=(const StorePosition &a, const StorePosition &b)
+    {
+        return !(a < b);
+    }
 };
 
 /** Eras beyond this are not believed: fencing tokens and epochs have to stay exact as JSON numbers. */
