--- a/autotests/processes/crashingpart.sh
+++ b/autotests/processes/crashingpart.sh
@@ -91,28 +91,10 @@
     process_pids=()
 }
 
-# Rows run in parallel, each in a shell with its own processes.
-results=$(mktemp -d)
-running=()
+selected=()
 for row in "${cases[@]}"; do
-    IFS='|' read -r -a fields <<<"$row"
-    [ "${1:-}" = "${fields[0]}" ] || { [ $# -eq 0 ] && [[ $by_hand != *" ${fields[0]} "* ]]; } || continue
-    (
-        status=0
-        run_case "${fields[@]}"
-        exit $status
-    ) >"$results/${fields[0]}" 2>&1 &
-    running+=("$!")
-    if [ ${#running[@]} -ge $PARALLEL ]; then
-        wait "${running[0]}" || touch "$results/failed"
-        running=("${running[@]:1}")
-    fi
-done
-for pid in "${running[@]}"; do
-    wait "$pid" || touch "$results/failed"
+    name=${row%%|*}
+    [ "${1:-}" = "$name" ] || { [ $# -eq 0 ] && [[ $by_hand != *" $name "* ]]; } || continue
+    selected+=("$row")
 done
-[ ! -e "$results/failed" ]
-status=$?
-rm -f "$results/failed"
-cat "$results"/*
-exit $status
+run_rows "${selected[@]}"
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -138,3 +138,32 @@
         /"kind":"arrived"/ { last = at; later += ended >= ends && at > third + limit }
         END { print ended + 0, third + 0, later + 0, last - third }'
 }
+
+# Calls run_case with the fields of each row, PARALLEL rows at a time, each in a shell with its own processes and a variable "status" of its own. Prints what
+# they printed, in the order of their names; returns 1 if one has set its status.
+run_rows() { # rows, whose fields are separated by |
+    local results row pid running=() fields
+    results=$(mktemp -d)
+    for row in "$@"; do
+        IFS='|' read -r -a fields <<<"$row"
+        (
+            status=0
+            run_case "${fields[@]}"
+            exit $status
+        ) >"$results/${fields[0]}" 2>&1 &
+        running+=("$!")
+        if [ ${#running[@]} -ge "$PARALLEL" ]; then
+            wait "${running[0]}" || touch "$results/failed"
+            running=("${running[@]:1}")
+        fi
+    done
+    for pid in "${running[@]}"; do
+        wait "$pid" || touch "$results/failed"
+    done
+    [ ! -e "$results/failed" ]
+    status=$?
+    rm -f "$results/failed"
+    cat "$results"/*
+    rm -r "$results"
+    return $status
+}
