A rise of the store's era is noticed once, not with each page that is read

Found by reading the diff: enterEra() compared with the mirror, whose position moves only when the whole store was read. In a store of several pages, or when a read failed half way, the rise was logged again, and the times for which lost entries are kept and nobody tries to lead began anew. The latest era that was entered is remembered now. Also HttpStream::skipAnswer() is skipResponse(), the word of that header.

--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -135,7 +135,7 @@
         if (skipped == MaxSkippedResponses) {
             co_return Error{ErrorCode::ProtocolViolation, "too many answers to other requests"};
         }
-        const Result<Done> next = co_await m_stream->skipAnswer(MaxAnswerBytes, HttpStream::NoTimeout);
+        const Result<Done> next = co_await m_stream->skipResponse(MaxAnswerBytes, HttpStream::NoTimeout);
         if (failed(next)) {
             co_return errorOf(next);
         }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -161,6 +161,8 @@
     bool m_mirrorSynced = false;
     /** When the store answered again after its last outage; negative if no outage was seen. */
     std::int64_t m_storeRecoveredMs = -1;
+    /** Latest era of the store of which items were applied. */
+    std::uint64_t m_followedEra = 0;
     /** When this daemon learned that the store had come back from a copy; negative if it did not. */
     std::int64_t m_eraRisenMs = -1;
     CallConfigPtr m_config;
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -273,20 +273,21 @@
 }
 
 /**
- * Must be called before the first items of @p era are applied. What the store lost may be written again: until then what is known of upstreams and evacuated
- * zones is kept.
+ * Must be called before items of @p era are applied. If it is a later one than before, the store may get again what it lost: until then what is known of
+ * upstreams and evacuated zones is kept.
  */
 void enterEra(EntryContext &context, std::uint64_t era)
 {
-    const StorePosition known = context.m_mirror.completeTo();
-    if (era <= known.m_era) {
+    if (era <= context.m_followedEra) {
         return;
     }
+    const StorePosition known = context.m_mirror.completeTo();
+    context.m_followedEra = era;
+    context.m_store.m_era = std::max(context.m_store.m_era, era);
     if (known == StorePosition()) {
         // Nothing was read before.
         return;
     }
-    context.m_store.m_era = std::max(context.m_store.m_era, era);
     context.m_eraRisenMs = steadyMs();
     context.m_storeRecoveredMs = context.m_eraRisenMs;
     logEvent(LogEvent::StoreEraRisen,
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -290,9 +290,9 @@
     co_return Done{};
 }
 
-awaitable<Result<Done>> HttpStream::skipAnswer(std::size_t maxBodyBytes, std::int64_t timeoutMs)
+awaitable<Result<Done>> HttpStream::skipResponse(std::size_t maxBodyBytes, std::int64_t timeoutMs)
 {
-    m_skippedAnswer = true;
+    m_skippedResponse = true;
     if (m_parser->need_eof()) {
         co_return Error{ErrorCode::ConnectionLost, "an answer to another request ends with the connection"};
     }
@@ -360,7 +360,7 @@
 
 bool HttpStream::reusable() const
 {
-    return !m_skippedAnswer && m_parser->is_done() && *m_requestSent && m_parser->get().keep_alive() && m_connection.m_buffer.size() == 0;
+    return !m_skippedResponse && m_parser->is_done() && *m_requestSent && m_parser->get().keep_alive() && m_connection.m_buffer.size() == 0;
 }
 
 std::vector<std::string> EventSplitter::feed(std::string_view text)
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -118,7 +118,7 @@
      * Drops the answer whose header was read, which belongs to another request, and reads the header of the next one on the connection. Fails with
      * ProtocolViolation if the dropped answer is longer than @p maxBodyBytes, and with ConnectionLost if none can follow it.
      */
-    awaitable<Result<Done>> skipAnswer(std::size_t maxBodyBytes, std::int64_t timeoutMs);
+    awaitable<Result<Done>> skipResponse(std::size_t maxBodyBytes, std::int64_t timeoutMs);
     unsigned status() const;
     std::string header(std::string_view name) const;
     HeaderFields headers() const;
@@ -149,7 +149,7 @@
     HttpConnection &m_connection;
     std::optional<Parser> m_parser;
     /** An answer to another request came on the connection. */
-    bool m_skippedAnswer = false;
+    bool m_skippedResponse = false;
     std::vector<char> m_readBuffer;
     /** The request was written completely. Shared with the write of a long body, which may outlive this object. */
     std::shared_ptr<bool> m_requestSent = std::make_shared<bool>(false);
