--- a/autotests/admitcalltest.cpp
+++ b/autotests/admitcalltest.cpp
@@ -159,7 +159,25 @@
         {"a call that may not", CallKind::Idempotent, 7'900, 8'700, false},
     }));
     INFO(row.m_description);
-    CHECK(acceptsDuringShutdown(ShutdownDeadlines{3'600, 8'200}, row.m_kind, row.m_nowMs, row.m_callEndMs) == row.m_accepted);
+    CHECK(acceptsDuringShutdown(ShutdownDeadlines{3'600, 8'200, 8'600}, row.m_kind, row.m_nowMs, row.m_callEndMs) == row.m_accepted);
+}
+
+// Guards against requests that are taken when the time for a stop is nearly over, where the platform gives little of it (LOST).
+TEST_CASE("a shutdown leaves what it accepts as much time as it accepts, and time to answer what cannot end", "[entry][admit]")
+{
+    struct Row
+    {
+        std::int64_t m_graceMs;
+        std::int64_t m_acceptMs;
+        std::int64_t m_endMs;
+    };
+    const Row row = GENERATE(values<Row>({{8'000, 2'600, 7'200}, {30'000, 2'600, 27'000}, {4'000, 1'800, 3'600}, {1'000, 450, 900}, {100, 45, 90}}));
+    constexpr std::int64_t NowMs = 50;
+    const ShutdownDeadlines deadlines = planShutdown(NowMs, row.m_graceMs);
+    CHECK(deadlines.m_acceptUntilMs == NowMs + row.m_acceptMs);
+    CHECK(deadlines.m_endMs == NowMs + row.m_endMs);
+    CHECK(deadlines.m_exitMs > deadlines.m_endMs);
+    CHECK(deadlines.m_exitMs < NowMs + row.m_graceMs);
 }
 
 TEST_CASE("a request that may have run never gets a status that rules out a run", "[entry][admit]")
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -33,10 +33,6 @@
 constexpr std::int64_t MaxReadyConfirmationAgeMs = 3'500;
 /** Interval between checks of the settings file, in ms: it may change without a signal. */
 constexpr std::int64_t SettingsPollMs = 1'000;
-/** How long requests are accepted after a stop signal, in ms: the balancer needs two failed polls, a second apart, to send clients elsewhere. */
-constexpr std::int64_t StopAcceptMs = 2'600;
-/** Fraction of the time between the stop signal and the kill after which a stop no longer waits for running requests. */
-constexpr double StopLimitFraction = 0.9;
 
 bool isReady(const EntryContext &context)
 {
@@ -162,21 +158,26 @@
 awaitable<void> stopGracefully(EntryContext &context, HttpServer &server)
 {
     const std::int64_t startedMs = steadyMs();
-    const std::int64_t limitMs = startedMs + static_cast<std::int64_t>(StopLimitFraction * static_cast<double>(context.m_settings.m_stopGraceMs));
     logEvent(LogEvent::ProcessStopping, {{"running", static_cast<std::int64_t>(context.m_running.size())}});
     context.m_stopping = true;
     context.m_coldMembers.withdraw();
     context.m_resendMembers.withdraw();
     refreshSelectors(context);
-    context.m_shutdownDeadlines = {startedMs + StopAcceptMs, limitMs};
+    const ShutdownDeadlines deadlines = planShutdown(startedMs, context.m_settings.m_stopGraceMs);
+    context.m_shutdownDeadlines = deadlines;
     server.closeAfterResponses();
     co_await releaseLeadership(context);
     constexpr std::int64_t PollMs = 20;
-    while (steadyMs() < limitMs && (steadyMs() - startedMs < StopAcceptMs || server.activeRequests() > 0)) {
+    while (steadyMs() < deadlines.m_endMs && (steadyMs() < deadlines.m_acceptUntilMs || server.activeRequests() > 0)) {
         co_await sleepFor(PollMs);
     }
     if (server.activeRequests() > 0) {
         logEvent(LogEvent::DrainLimitReached, {{"running", static_cast<std::int64_t>(server.activeRequests())}});
+        // Their clients read an answer instead of a closed connection.
+        context.m_endsNow = true;
+        while (steadyMs() < deadlines.m_exitMs && server.activeRequests() > 0) {
+            co_await sleepFor(PollMs);
+        }
     }
     logEvent(LogEvent::ProcessStopped, {{"took_ms", steadyMs() - startedMs}});
     context.m_io.stop();
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -27,9 +27,6 @@
 /** Time over which the daemons begin to try a request again that ran on upstreams which were lost together, in ms. */
 constexpr std::uint64_t CrashTrialSpreadMs = 4'000;
 
-/** When a client should retry if this daemon is stopping, in ms: another daemon accepts its new connection at once. */
-constexpr std::int64_t DrainingRetryMs = 20;
-
 std::string workspaceName(const EntryCall &call)
 {
     return call.m_admission.m_workspace == nullptr ? std::string() : call.m_admission.m_workspace->m_name;
@@ -253,7 +250,12 @@
 
 std::int64_t timeLeftMs(const EntryCall &call)
 {
-    return call.m_deadlineMs - steadyMs();
+    return call.m_context.m_endsNow ? 0 : call.m_deadlineMs - steadyMs();
+}
+
+RefusalReason overdueReason(const EntryCall &call)
+{
+    return call.m_context.m_endsNow ? RefusalReason::Draining : RefusalReason::TimeOver;
 }
 
 void logCallEnd(const EntryCall &call, const char *outcome, unsigned status, const std::string &detail)
@@ -329,8 +331,10 @@
         if (judgeCrashes(call).m_verdict == CrashVerdict::MaySend) {
             // Copies that wait at several daemons go on at different times, so that the fate of the first one stops the others.
             std::uniform_int_distribution<std::int64_t> spreadMs(0, CrashSpreadMs);
-            const std::int64_t pauseMs = spreadMs(call.m_context.m_random);
-            co_await sleepFor(pauseMs);
+            const std::int64_t untilMs = steadyMs() + spreadMs(call.m_context.m_random);
+            while (steadyMs() < untilMs && timeLeftMs(call) > 0) {
+                co_await sleepFor(PollMs);
+            }
         }
     }
     co_return judgeCrashes(call).m_verdict;
@@ -343,6 +347,11 @@
 
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs)
 {
+    if (reason == RefusalReason::Draining) {
+        // Another daemon accepts the client's new connection at once.
+        constexpr std::int64_t DrainingRetryMs = 20;
+        retryAfterMs = DrainingRetryMs;
+    }
     const unsigned status = refusalStatus(reason);
     ++call.m_context.m_metrics.m_refused.at(static_cast<std::size_t>(reason));
     const CrashFinding finding = reason == RefusalReason::PoisonRequest ? judgeCrashes(call) : CrashFinding();
@@ -387,7 +396,7 @@
         co_return;
     }
     if (context.m_stopping && !acceptsDuringShutdown(context.m_shutdownDeadlines, call.m_admission.m_route->m_kind, call.m_arrivedMs, call.m_deadlineMs)) {
-        co_await refuseCall(call, RefusalReason::Draining, DrainingRetryMs);
+        co_await refuseCall(call, RefusalReason::Draining, 0);
         co_return;
     }
     context.m_serving = true;
@@ -453,7 +462,9 @@
     }
     const std::vector<std::uint64_t> stuck = context.m_replicaSelector.findStuckStreams(nowMs);
     for (const std::shared_ptr<RunningCall> &call : context.m_running) {
-        if (nowMs >= call->m_deadlineMs) {
+        if (context.m_endsNow) {
+            abortAttempt(*call, AbortCause::Stopping);
+        } else if (nowMs >= call->m_deadlineMs) {
             abortAttempt(*call, AbortCause::TimeOver);
         } else if (call->m_attemptDeadlineMs > 0 && nowMs >= call->m_attemptDeadlineMs) {
             abortAttempt(*call, AbortCause::AttemptTimeout);
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -148,8 +148,10 @@
 /** Longest wait for a new connection, in ms: connecting takes a few ms within a region, and a lost first packet is sent again after a second. */
 inline constexpr std::int64_t ConnectTimeoutMs = 150;
 
-/** Returns the time until the final answer is due, in ms; negative when it is overdue. */
+/** Returns the time until the final answer is due, in ms; 0 or less when it is overdue. */
 std::int64_t timeLeftMs(const EntryCall &call);
+/** Returns why a request that is overdue gets its final answer: its time or that of the daemon is over. */
+RefusalReason overdueReason(const EntryCall &call);
 
 /** Returns whether the request may be sent (again), as far as is known of upstreams that ended under it or a part of its prompt. */
 CrashFinding judgeCrashes(const EntryCall &call);
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -38,9 +38,11 @@
     ReplicaSilent,
     /** The replica makes progress on other requests, but sends no events for this one. */
     StreamStuck,
+    /** The time for a planned stop is over. */
+    Stopping,
 };
 
-inline constexpr EnumNames<6> AbortCauseNames{"none", "caller-left", "time-over", "attempt-timeout", "replica-silent", "stream-stuck"};
+inline constexpr EnumNames<7> AbortCauseNames{"none", "caller-left", "time-over", "attempt-timeout", "replica-silent", "stream-stuck", "stopping"};
 
 /** What was found out about an upstream at which an attempt had ended without an answer. */
 enum class EndCheckOutcome {
@@ -212,6 +214,8 @@
     bool m_stopping = false;
     /** Set when a planned stop begins. */
     ShutdownDeadlines m_shutdownDeadlines;
+    /** The time for a planned stop is over: requests that still run are answered at once. */
+    bool m_endsNow = false;
 };
 
 /** Returns true if this daemon leads and its lease is certainly held. */
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -282,7 +282,7 @@
     const std::int64_t nowMs = steadyMs();
     const std::int64_t untilMs = turnedAwayUntilMs(call, nowMs);
     if (timeLeftMs(call) <= 0) {
-        co_await giveUp(call, state, RefusalReason::TimeOver, NoReplicaRetryMs);
+        co_await giveUp(call, state, overdueReason(call), NoReplicaRetryMs);
     } else if (untilMs > nowMs) {
         co_await giveUp(call, state, RefusalReason::TurnedAway, spreadOwnReturnMs(call.m_context, untilMs - nowMs));
     } else {
@@ -367,8 +367,9 @@
         }
         countAttempt(state.m_attempts, end == AttemptResult::NotRun ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun);
         const AbortCause cause = call.m_running->m_cause;
-        if (cause == AbortCause::CallerLeft || cause == AbortCause::TimeOver || call.m_exchange.callerDisconnected()) {
-            co_await giveUp(call, state, RefusalReason::TimeOver, 0);
+        const bool isOver = cause == AbortCause::CallerLeft || cause == AbortCause::TimeOver || cause == AbortCause::Stopping;
+        if (isOver || call.m_exchange.callerDisconnected()) {
+            co_await giveUp(call, state, overdueReason(call), 0);
             co_return;
         }
         if (end == AttemptResult::Failed && !mayTryAnotherUpstream(state.m_attempts, route)) {
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -134,7 +134,7 @@
         logCallEnd(call, "caller-left", 0, {});
         call.m_exchange.abort();
     } else if (state.m_unknown) {
-        co_await refuseCall(call, timeLeftMs(call) <= 0 ? RefusalReason::TimeOver : RefusalReason::OutcomeUnknown, 0);
+        co_await refuseCall(call, timeLeftMs(call) <= 0 ? reasonAfterDispatch(overdueReason(call), true) : RefusalReason::OutcomeUnknown, 0);
     } else {
         co_await refuseCall(call, reason, reason == RefusalReason::PoisonRequest ? poisonRetryAfterMs(call) : retryAfterMs);
     }
@@ -157,6 +157,7 @@
 {
     const CallRoute &route = *call.m_admission.m_route;
     const bool repeatable = route.m_kind == CallKind::Idempotent;
+    const EntryContext &context = call.m_context;
     CallState state;
     while (true) {
         call.m_running->m_attemptDeadlineMs = 0;
@@ -165,11 +166,10 @@
             co_return;
         }
         if (call.m_exchange.callerDisconnected() || timeLeftMs(call) <= 0) {
-            co_await giveUp(call, state, RefusalReason::NoTime);
+            co_await giveUp(call, state, context.m_endsNow ? RefusalReason::Draining : RefusalReason::NoTime);
             co_return;
         }
         const std::int64_t nowMs = steadyMs();
-        const EntryContext &context = call.m_context;
         const TrackedUpstream *chosen =
             context.m_upstreamSelector.choose(context.m_availability, call.m_service->m_name, context.m_settings.m_availabilityZone, state.m_tried, nowMs);
         if (chosen == nullptr) {
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -36,9 +36,9 @@
     cat <<END
 {"version":1,"limits":{},
 "routes":[
-{"name":"stream","host":"api","pathPrefix":"/stream/","routeType":"streaming","service":"llm","timeoutMs":8000,"latencyTargetMs":1000,"maxAttempts":3,"resumable":true},
-{"name":"once","host":"api","pathPrefix":"/once/","routeType":"non_idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":500,"maxAttempts":2},
-{"name":"read","host":"api","pathPrefix":"/read/","routeType":"idempotent","service":"app","timeoutMs":1500,"latencyTargetMs":${READ_TARGET_MS:-500},"maxAttempts":3}],
+{"name":"stream","host":"api","pathPrefix":"/stream/","routeType":"streaming","service":"llm","timeoutMs":${STREAM_TIMEOUT_MS:-8000},"latencyTargetMs":1000,"maxAttempts":3,"resumable":true},
+{"name":"once","host":"api","pathPrefix":"/once/","routeType":"non_idempotent","service":"app","timeoutMs":${CALL_TIMEOUT_MS:-1500},"latencyTargetMs":500,"maxAttempts":2},
+{"name":"read","host":"api","pathPrefix":"/read/","routeType":"idempotent","service":"app","timeoutMs":${CALL_TIMEOUT_MS:-1500},"latencyTargetMs":${READ_TARGET_MS:-500},"maxAttempts":3}],
 "services":[{"name":"app"},
 {"name":"llm","backend":{"slots":26,"kvCapacity":1590000,"stride":4,"step_ms":5.95,"per_seq_ms":0.1,"context_per_k":0.01,"read_per_s":50700,"pairs_per_m":0.01,
 "chunk":512,"loadsPerS":10,"loads_at_once":4,"formMs":100,"usual":{"prompt":100,"answer":100},
--- a/kernel/admitcall.cpp
+++ b/kernel/admitcall.cpp
@@ -45,6 +45,20 @@
     return mayHaveRun && promisesNotRun ? RefusalReason::OutcomeUnknown : reason;
 }
 
+ShutdownDeadlines planShutdown(std::int64_t nowMs, std::int64_t graceMs)
+{
+    // The balancer needs two failed polls, a second apart, to send clients elsewhere.
+    constexpr std::int64_t AcceptMs = 2'600;
+    constexpr double EndFraction = 0.9;
+    constexpr double ExitFraction = 0.96;
+    const auto fraction = [graceMs](double share) {
+        return static_cast<std::int64_t>(share * static_cast<double>(graceMs));
+    };
+    const std::int64_t endMs = fraction(EndFraction);
+    // What is accepted last has as much time as the accepting took.
+    return {nowMs + std::min(AcceptMs, endMs / 2), nowMs + endMs, nowMs + fraction(ExitFraction)};
+}
+
 bool acceptsDuringShutdown(const ShutdownDeadlines &deadlines, CallKind kind, std::int64_t nowMs, std::int64_t callEndMs)
 {
     return nowMs < deadlines.m_acceptUntilMs || (kind != CallKind::Streaming && callEndMs < deadlines.m_endMs);
--- a/kernel/admitcall.h
+++ b/kernel/admitcall.h
@@ -106,10 +106,15 @@
 {
     /** Until then every request is accepted. */
     std::int64_t m_acceptUntilMs = 0;
-    /** Requests that still run then are aborted. */
+    /** Requests that still run then are aborted and answered. */
     std::int64_t m_endMs = 0;
+    /** The process exits then at the latest. */
+    std::int64_t m_exitMs = 0;
 };
 
+/** Returns the deadlines of a shutdown that begins at @p nowMs and of which the process is killed after @p graceMs. */
+ShutdownDeadlines planShutdown(std::int64_t nowMs, std::int64_t graceMs);
+
 /**
  * Returns whether a request that arrives at @p nowMs, during a graceful shutdown, is accepted. After m_acceptUntilMs a
  * request is accepted only if it is not a stream and its deadline @p callEndMs is before the end of the shutdown. Requests keep arriving
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -8,6 +8,8 @@
 #include "platform/names.h"
 
 #include <array>
+#include <cstdlib>
+#include <cstring>
 #include <sstream>
 #include <utility>
 
@@ -28,6 +30,8 @@
 constexpr const char *CrashDarkWord = "CRASH-DARK";
 constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
 constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
+constexpr const char *WorksWord = "WORKS-";
+constexpr const char *PausesWord = "PAUSES-";
 
 /** Time between an answer and its copy on the idle connection, in ms. */
 constexpr std::int64_t IdleCopyMs = 2;
@@ -37,6 +41,13 @@
     return text.find(word) != std::string::npos;
 }
 
+/** Returns the number that follows @p word in @p text, or @p fallback if the word is not there. */
+std::int64_t numberAfter(const std::string &text, const char *word, std::int64_t fallback)
+{
+    const std::size_t found = text.find(word);
+    return found == std::string::npos ? fallback : std::strtoll(text.c_str() + found + std::strlen(word), nullptr, 10);
+}
+
 /** Returns the words of all parts of the prompt but the last. */
 std::string wordsOfParts(const HttpRequest &request, const PartWords &partWords)
 {
@@ -441,6 +452,7 @@
     std::uniform_int_distribution<std::int64_t> anyEvent(0, m_times.m_events - 1);
     const std::int64_t spoilt = !caller.m_lastEventId && happens(m_faults.m_spoiltStreamShare) ? anyEvent(m_random) : -1;
     const std::int64_t broken = !caller.m_lastEventId && happens(m_faults.m_brokenStreamShare) ? anyEvent(m_random) : -1;
+    const std::int64_t eventMs = numberAfter(request.m_body, PausesWord, m_times.m_eventMs);
     const bool isUnsized = contains(request.m_body, UnsizedWord);
     const std::string head = unsizedHead(request, headerLines() + (isUnsized ? "" : "Transfer-Encoding: chunked\r\n"));
     bool open = co_await connection.write(head);
@@ -461,7 +473,7 @@
             connection.m_stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
             co_return;
         }
-        co_await sleepFor(m_times.m_eventMs * events);
+        co_await sleepFor(eventMs * events);
         if (lifetime != m_lifetime || !m_alive) {
             co_return;
         }
@@ -520,7 +532,8 @@
         co_return;
     }
     record(m_history, "ran", describeRequest(request, m_entry.m_id));
-    co_await sleepFor(m_times.m_prefillMs);
+    const std::int64_t prefillMs = numberAfter(request.m_body, WorksWord, m_times.m_prefillMs);
+    co_await sleepFor(prefillMs);
     if (lifetime != m_lifetime || !m_alive) {
         co_return;
     }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -91,7 +91,8 @@
  * an exit does; CRASH-IN-EVENT in the middle of the second event of such an answer; CRASH-SILENT as a process does whose end takes long: it no longer listens,
  * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
  * successor starts. ENDLESS-HEAD and ENDLESS-BODY are answered with bytes without end. UNSIZED: the stream has neither a length nor chunks and ends with its
- * connection. An upstream that has ended comes back under another id.
+ * connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart. An upstream that has ended comes back under
+ * another id.
  */
 class HostingEngine
 {
