--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -50,6 +50,8 @@
     faults.m_copiesWhileIdle = boolField(object, "copies_while_idle");
     faults.m_cutShare = doubleField(object, "cut");
     faults.m_resetShare = doubleField(object, "reset");
+    faults.m_brokenHeadShare = doubleField(object, "broken_heads");
+    faults.m_brokenReplyShare = doubleField(object, "broken_replies");
     faults.m_spoiltStreamShare = doubleField(object, "spoilt_streams");
     faults.m_brokenStreamShare = doubleField(object, "broken_streams");
     faults.m_resumedReply = enumFromName<ResumedReply>(ResumedReplyNames, stringField(object, "resumed")).value_or(ResumedReply::Events);
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -177,12 +177,40 @@
     return std::uniform_real_distribution<double>()(m_random) < share;
 }
 
+awaitable<void> HostingEngine::breakOff(Connection &connection, std::string text, std::size_t end)
+{
+    std::uniform_int_distribution<std::size_t> anyByte(0, end - 1);
+    text.resize(anyByte(m_random));
+    co_await connection.write(std::move(text));
+    const bool resets = happens(0.5);
+    boost::system::error_code ignored;
+    connection.m_stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
+    connection.m_stream.socket().close(ignored);
+}
+
+awaitable<void> HostingEngine::answerLeader(Connection &connection, HttpReply reply, const HttpRequest &request)
+{
+    if (happens(m_faults.m_brokenReplyShare)) {
+        std::string text = Connection::toText(reply, request);
+        const std::size_t end = text.size();
+        co_await breakOff(connection, std::move(text), end);
+        co_return;
+    }
+    co_await respond(connection, std::move(reply), request);
+}
+
 awaitable<void> HostingEngine::answerClient(Connection &connection, HttpReply reply, const HttpRequest &request, double copiedShare)
 {
     if (m_words.m_leaving) {
         reply.m_headers.emplace_back(platform::header::Leaving, "1");
     }
     std::string text = Connection::toText(reply, request);
+    if (happens(m_faults.m_brokenHeadShare)) {
+        const std::size_t headEnd = text.find("\r\n\r\n") + 4;
+        record(m_history, "broke-off", describeRequest(request, m_entry.m_id));
+        co_await breakOff(connection, std::move(text), headEnd);
+        co_return;
+    }
     if (happens(m_faults.m_cutShare)) {
         text.resize(text.size() - 1);
         co_await connection.write(std::move(text));
@@ -455,6 +483,11 @@
     const std::int64_t eventMs = numberAfter(request.m_body, PausesWord, m_times.m_eventMs);
     const bool isUnsized = contains(request.m_body, UnsizedWord);
     const std::string head = unsizedHead(request, headerLines() + (isUnsized ? "" : "Transfer-Encoding: chunked\r\n"));
+    if (happens(m_faults.m_brokenHeadShare)) {
+        record(m_history, "broke-off", describeRequest(request, m_entry.m_id));
+        co_await breakOff(connection, head, head.size());
+        co_return;
+    }
     bool open = co_await connection.write(head);
     for (std::int64_t event = caller.m_lastEventId.value_or(-1) + 1; open && event < m_times.m_events;) {
         const std::int64_t passEnd = std::min<std::int64_t>(event + m_times.m_eventsPerPass, m_times.m_events);
@@ -464,6 +497,10 @@
         for (; event < passEnd; ++event) {
             text += event == spoilt ? "\x01?\xfe: #\n\x02\n\n" : "id: " + std::to_string(event) + "\ndata: token\n\n";
         }
+        if (breaks && isUnsized) {
+            // Only an end inside an event tells such a stream from a whole one.
+            text.resize(text.size() - 3);
+        }
         std::array<char, 32> size{};
         std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
         const std::string chunk = isUnsized ? text : size.data() + text + "\r\n";
@@ -499,12 +536,12 @@
     }
     if (path == platform::path::Report) {
         reply = jsonReply(200, entryText());
-        co_await respond(connection, std::move(reply), request);
+        co_await answerLeader(connection, std::move(reply), request);
         co_return;
     }
     if (path == platform::path::Order) {
         reply = executeOrder(request.m_body);
-        co_await respond(connection, std::move(reply), request);
+        co_await answerLeader(connection, std::move(reply), request);
         co_return;
     }
     if (!m_entry.m_domain.empty() && m_entry.m_phase != MemberPhase::Open) {
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -80,6 +80,9 @@
     double m_spoiltStreamShare = 0.0;
     double m_brokenStreamShare = 0.0;
     ResumedReply m_resumedReply = ResumedReply::Events;
+    /** Share of the answers to clients, streams too, that break off inside their head, and of those to orders and reports that break off anywhere. */
+    double m_brokenHeadShare = 0.0;
+    double m_brokenReplyShare = 0.0;
 };
 
 /** Words by the id of a part of a prompt: a request whose prompt has the part, other than as its last, is treated as if its body contained the words. */
@@ -91,8 +94,8 @@
  * an exit does; CRASH-IN-EVENT in the middle of the second event of such an answer; CRASH-SILENT as a process does whose end takes long: it no longer listens,
  * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
  * successor starts. ENDLESS-HEAD and ENDLESS-BODY are answered with bytes without end. UNSIZED: the stream has neither a length nor chunks and ends with its
- * connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart. An upstream that has ended comes back under
- * another id.
+ * connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart. An upstream that has ended comes back
+ * under another id.
  */
 class HostingEngine
 {
@@ -129,8 +132,12 @@
     HttpReply executeOrder(const std::string &body);
     /** Returns whether a fault with this share happens now. */
     bool happens(double share);
+    /** Sends the beginning of @p text, up to a random byte before @p end, and closes or resets the connection. */
+    awaitable<void> breakOff(Connection &connection, std::string text, std::size_t end);
     /** Sends the answer to a client's request, and a second copy of it with the probability @p copiedShare. */
     awaitable<void> answerClient(Connection &connection, HttpReply reply, const HttpRequest &request, double copiedShare);
+    /** Sends the answer to an order or a request for a report. */
+    awaitable<void> answerLeader(Connection &connection, HttpReply reply, const HttpRequest &request);
     /** Adds the fields of all answers to @p reply and sends it. */
     awaitable<void> respond(Connection &connection, HttpReply reply, const HttpRequest &request);
     /** Returns the fields of all answers, as lines of a header. */
