--- a/autotests/processes/endless.sh
+++ b/autotests/processes/endless.sh
@@ -1,4 +1,4 @@
-# An upstream that answers with bytes without end, in the head or in the body, costs a request its time at most, and the daemon little memory; other
+# An upstream that answers with bytes without end, in the head, in the size line of a chunk or in the body, costs a request its time at most, and the daemon little memory; other
 # requests are served. Guards against a daemon that collects what it cannot use until its VM has no memory left.
 set -u
 . "$(dirname "$0")/../../examples/hosting.sh"
@@ -12,6 +12,13 @@
     wait_until 20 "$path is served by all daemons" serves "$path" || exit 1
 done
 start_innocents 10 "${paths[@]}"
+# A client whose chunk has a size line without end.
+endless_request() { # entry
+    {
+        printf 'POST /read/a HTTP/1.1\r\nHost: api\r\nAuthorization: Bearer %s\r\nAttempt-Id: endless-%s\r\nDeadline-Ms: 8000\r\nTransfer-Encoding: chunked\r\n\r\n5;' "$KEY" "$1"
+        head -c 300000000 /dev/zero | tr '\0' x
+    } >"/dev/tcp/$(entry_ip "$1")/7000"
+} 2>/dev/null
 # One at a time, so that each has the whole processor and connection, then all at once.
 ask() { # path word entry
     local started answer
@@ -20,19 +27,23 @@
     echo "$1 $2 $answer $(($(date +%s%3N) - started))" >>"$RUN/answers"
 }
 for path in "${paths[@]}"; do
-    for word in ENDLESS-HEAD ENDLESS-BODY; do
+    for word in ENDLESS-HEAD ENDLESS-SIZE ENDLESS-BODY; do
         ask "$path" "$word" 1
     done
 done
 senders=()
 for path in "${paths[@]}"; do
-    for word in ENDLESS-HEAD ENDLESS-BODY; do
+    for word in ENDLESS-HEAD ENDLESS-SIZE ENDLESS-BODY; do
         for i in 1 2 3 4; do
             ask "$path" "$word" 2 &
             senders+=($!)
         done
     done
 done
+for n in $(seq 1 "$ENTRIES"); do
+    endless_request "$n" &
+    senders+=($!)
+done
 wait "${senders[@]}"
 stop_innocents
 sort "$RUN/answers" | awk '{print $1, $2, $3}' | uniq -c
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -50,7 +50,7 @@
     if (error == beast::error::timeout) {
         return Error{ErrorCode::Timeout, "no answer in time"};
     }
-    if (error == http::error::body_limit || error == http::error::header_limit) {
+    if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow) {
         return Error{ErrorCode::ProtocolViolation, "the answer is too long"};
     }
     return Error{ErrorCode::ConnectionLost, error.message()};
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -12,8 +12,12 @@
 /** A connection to one address. It may be used only on the execution context that opened it. */
 struct HttpConnection
 {
+    /** Longest part of a response that is buffered until it can be used, in bytes: a header, or the size line of a chunk. */
+    static constexpr std::size_t MaxBufferedBytes = 64 * 1024;
+
     explicit HttpConnection(beast::tcp_stream stream)
         : m_stream(std::move(stream))
+        , m_buffer(MaxBufferedBytes)
     {
     }
 
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 constexpr std::int64_t WriteTimeoutMs = 30'000;
+/** Longest size line of a chunk, and what else of a body is buffered until it can be used, in bytes. */
+constexpr std::size_t MaxBufferedBodyBytes = 64 * 1024;
 
 template<typename Message>
 void setFields(Message &message, const HeaderFields &headers)
@@ -282,6 +284,7 @@
     const std::shared_ptr<const HttpServerLimits> limits = m_limits.current();
     parser.header_limit(static_cast<std::uint32_t>(limits->m_maxHeaderBytes));
     parser.body_limit(limits->m_maxBodyBytes);
+    buffer.max_size(limits->m_maxHeaderBytes + MaxBufferedBodyBytes);
     if (buffer.size() == 0) {
         stream.expires_after(std::chrono::milliseconds(limits->m_idleTimeoutMs));
         const auto [error, size] = co_await stream.async_read_some(buffer.prepare(FirstReadBytes), UseTuple);
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -30,6 +30,7 @@
 constexpr const char *CrashDarkWord = "CRASH-DARK";
 constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
 constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
+constexpr const char *EndlessSizeWord = "ENDLESS-SIZE";
 constexpr const char *WorksWord = "WORKS-";
 constexpr const char *PausesWord = "PAUSES-";
 
@@ -587,12 +588,14 @@
         crash(request);
         co_return;
     }
-    if (contains(request.m_body, EndlessHeadWord) || contains(request.m_body, EndlessBodyWord)) {
+    const bool endlessSize = contains(request.m_body, EndlessSizeWord);
+    if (endlessSize || contains(request.m_body, EndlessHeadWord) || contains(request.m_body, EndlessBodyWord)) {
         const std::string block(16 * 1024, 'x');
         std::string head = "HTTP/1.1 200 OK\r\nX-Filler: ";
-        if (contains(request.m_body, EndlessBodyWord)) {
-            head = "HTTP/1.1 200 OK\r\n" + std::string(platform::header::RequestId) + ": "
-                   + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\r\n" + platform::header::Signature + ": stand-in\r\n\r\n";
+        if (endlessSize) {
+            head = unsizedHead(request, "Transfer-Encoding: chunked\r\n") + "5;";
+        } else if (contains(request.m_body, EndlessBodyWord)) {
+            head = unsizedHead(request, {});
         }
         bool open = co_await connection.write(head);
         std::uint64_t bytes = 0;
