--- a/net/http.cpp
+++ b/net/http.cpp
@@ -70,6 +70,29 @@
     return it == headers.end() ? std::string_view() : std::string_view(it->second);
 }
 
+HeaderFields toFields(const http::fields &fields)
+{
+    HeaderFields headers;
+    for (const http::fields::value_type &field : fields) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+bool hasUnsupportedTransferCoding(unsigned version, const HeaderFields &headers)
+{
+    constexpr unsigned FirstVersion = 11;
+    int fields = 0;
+    bool isChunked = true;
+    for (const std::pair<std::string, std::string> &field : headers) {
+        if (beast::iequals(field.first, "Transfer-Encoding")) {
+            ++fields;
+            isChunked = isChunked && beast::iequals(field.second, "chunked");
+        }
+    }
+    return fields > 0 && (fields > 1 || !isChunked || version < FirstVersion);
+}
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/net/http.h
+++ b/net/http.h
@@ -40,6 +40,15 @@
 /** Returns the value of the first field called @p name, compared without case, or an empty string. */
 std::string_view headerValue(const HeaderFields &headers, std::string_view name);
 
+/** Returns all fields of a message, in their order. */
+HeaderFields toFields(const http::fields &fields);
+
+/**
+ * Returns whether a request of HTTP version @p version (11 for 1.1) with @p headers has a transfer coding under which the end of its body is not certain, or
+ * that this server does not decode: anything but "chunked" in one field of an HTTP/1.1 request. Its body would be taken for the next request (RFC 9112, 6.1).
+ */
+bool hasUnsupportedTransferCoding(unsigned version, const HeaderFields &headers);
+
 /** Returns @p target without its query string. */
 std::string_view pathOf(std::string_view target);
 /** Returns the value of query parameter @p name, or an empty string. Does not decode percent-encoding. */
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -55,16 +55,6 @@
     }
     return Error{ErrorCode::ConnectionLost, error.message()};
 }
-
-template<typename Fields>
-HeaderFields toFields(const Fields &message)
-{
-    HeaderFields headers;
-    for (const http::fields::value_type &field : message) {
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    return headers;
-}
 }
 
 namespace
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -29,9 +29,7 @@
     HttpRequest request;
     request.m_method = std::string(message.method_string());
     request.m_target = std::string(message.target());
-    for (const http::fields::value_type &field : message) {
-        request.m_headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    request.m_headers = toFields(message);
     request.m_body = message.body();
     return request;
 }
@@ -298,6 +296,9 @@
     if (headerError) {
         co_return co_await refuseRequest(stream, headerError);
     }
+    if (hasUnsupportedTransferCoding(parser.get().version(), toFields(parser.get()))) {
+        co_return co_await refuseRequest(stream, http::make_error_code(http::error::bad_transfer_encoding));
+    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
