A join order that was replaced by a leave order starts no load

The count of loads underway is a limit, so that another engine's load waited. [late] and [keeper] pass as before.

--- a/kernel/replicareconciler.cpp
+++ b/kernel/replicareconciler.cpp
@@ -824,14 +824,16 @@
     if (engine.m_orderPending || engine.m_dead || nowMs < engine.m_nextOrderMs) {
         return false;
     }
-    if (order.m_kind == EngineOrderKind::Join && mayJoinLate(engine) && !prepareDoubtfulJoin(engine, order)) {
+    const EngineOrderKind kind = order.m_kind;
+    if (kind == EngineOrderKind::Join && mayJoinLate(engine) && !prepareDoubtfulJoin(engine, order)) {
         return false;
     }
+    const bool isUnchanged = order.m_kind == kind;
     engine.m_orderPending = true;
     order.m_address = engine.m_entry.m_address;
     order.m_fence = m_term.m_fence;
     actions.m_orders.push_back(std::move(order));
-    return true;
+    return isUnchanged;
 }
 
 bool ReplicaReconciler::mayJoinLate(const Engine &engine) const
--- a/kernel/replicareconciler.h
+++ b/kernel/replicareconciler.h
@@ -269,7 +269,10 @@
     void createReplica(const ServedModel &model, std::vector<std::string> members, bool spare, std::int64_t nowMs, ReconcilerActions &actions);
     /** Probes the engines whose last answer is too old. */
     void sendProbes(std::int64_t nowMs, ReconcilerActions &actions);
-    /** Adds @p order to @p actions. Returns false if the engine is dead or may not get an order yet. */
+    /**
+     * Adds @p order to @p actions and returns true. Returns false if the engine is dead or may not get an order yet, or if it has to leave a replica before it
+     * can be told to join: then that order is added.
+     */
     bool sendOrder(Engine &engine, EngineOrder order, std::int64_t nowMs, ReconcilerActions &actions);
     /** Returns whether a late order may make @p engine join a replica that serves. */
     bool mayJoinLate(const Engine &engine) const;
