--- a/autotests/processes/spoiltanswers.sh
+++ b/autotests/processes/spoiltanswers.sh
@@ -20,7 +20,7 @@
     "streams|/stream/a|0|\"refused\":0.167,\"copied_refusals\":0.3"
     "cut-short|/once/a|0.1|\"refused\":0.167,\"cut\":0.1"
     "heads-cut|/once/a|0.1|\"refused\":0.167,\"broken_heads\":0.1"
-    "heads-cut-repeatable|/read/a|0|\"refused\":0.167,\"broken_heads\":0.1"
+    "heads-cut-repeatable|/read/a|0.1|\"refused\":0.167,\"broken_heads\":0.1"
     "reset|/once/a|0.1|\"refused\":0.167,\"reset\":0.1"
     "none-often|/once/a|0|\"refused\":0.5"
     "refusals-late-often|/once/a|0|\"refused\":0.5,\"copied_refusals\":0.3"
