--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -88,7 +88,13 @@
     CHECK(valueOf(entry).m_stagedModels == std::vector<std::string>{"m"});
     CHECK(valueOf(entry).m_replica == ReplicaRef{"m.17", 17});
     CHECK(valueOf(entry).m_phase == MemberPhase::Open);
-    CHECK(valueOf(entry).m_ordersBegun == 12);
+    // The same field counts writes in an entry and orders in a report.
+    CHECK(valueOf(entry).m_writeNumber == 12);
+    CHECK(valueOf(entry).m_ordersBegun == -1);
+    UpstreamEntry reported = valueOf(entry);
+    platform::applyReport(reported, R"({"seq":3})");
+    CHECK(reported.m_writeNumber == 12);
+    CHECK(reported.m_ordersBegun == 3);
     CHECK(replicaModel(valueOf(entry).m_replica.m_name) == "m");
 }
 
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -276,6 +276,9 @@
 
 void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs, std::int64_t coldUntilMs)
 {
+    static const UpstreamEntry Unlisted;
+    const auto found = call.m_context.m_upstreams.find(upstream);
+    const UpstreamEntry &entry = found == call.m_context.m_upstreams.end() ? Unlisted : found->second;
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
               {"fingerprint", toHex(call.m_suspects.m_request)},
@@ -287,6 +290,10 @@
               {"cold_left_ms", std::max<std::int64_t>(0, coldUntilMs - steadyMs())},
               {"daemons", static_cast<std::int64_t>(call.m_context.m_coldMembers.count(steadyMs()))},
               {"left_ms", timeLeftMs(call)},
+              {"started_ms", entry.m_startedMs},
+              {"write", entry.m_writeNumber},
+              {"revision", static_cast<std::int64_t>(entry.m_position.m_revision)},
+              {"entry_age_ms", steadyMs() - entry.m_readMs},
               {"proof_age_ms", steadyMs() - call.m_context.m_confirmedMs}});
 }
 
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -148,13 +148,26 @@
     }
 }
 
-void dropUpstream(EntryContext &context, const std::string &id, const char *why)
+/** Stops using upstream @p id, which @p item removed or made unreadable, or which was held back until now if @p item is null. */
+void dropUpstream(EntryContext &context, const std::string &id, const char *why, const StoreItem *item)
 {
-    if (context.m_upstreams.erase(id) > 0) {
-        context.m_reconciler.markUnlisted(id);
-        context.m_availability.markUnlisted(id, steadyMs());
-        logEvent(LogEvent::UpstreamChanged, {{"upstream", id}, {"change", std::string(why)}});
+    const auto found = context.m_upstreams.find(id);
+    if (found == context.m_upstreams.end()) {
+        return;
     }
+    const UpstreamEntry last = std::move(found->second);
+    context.m_upstreams.erase(found);
+    context.m_reconciler.markUnlisted(id);
+    context.m_availability.markUnlisted(id, steadyMs());
+    logEvent(LogEvent::UpstreamChanged,
+             {{"upstream", id},
+              {"change", std::string(why)},
+              {"leaving", last.m_leaving},
+              {"started_ms", last.m_startedMs},
+              {"write", last.m_writeNumber},
+              {"entry_age_ms", steadyMs() - last.m_readMs},
+              {"proof_age_ms", steadyMs() - context.m_confirmedMs},
+              {"revision", item == nullptr ? std::int64_t(-1) : revisionOf(*item)}});
 }
 
 /**
@@ -175,9 +188,12 @@
     const std::int64_t nowMs = steadyMs();
     if (item.m_deleted) {
         if (mayBeWrittenAgain(context, context.m_storeRecoveredMs) && context.m_upstreams.count(id) > 0) {
-            followState.m_pendingRemovals.emplace(item.m_key, context.m_storeRecoveredMs + context.m_settings.m_addressReuseMs);
+            const std::int64_t untilMs = context.m_storeRecoveredMs + context.m_settings.m_addressReuseMs;
+            if (followState.m_pendingRemovals.emplace(item.m_key, untilMs).second) {
+                logEvent(LogEvent::RemovalHeldBack, {{"upstream", id}, {"for_ms", untilMs - nowMs}, {"revision", revisionOf(item)}});
+            }
         } else {
-            dropUpstream(context, id, "gone");
+            dropUpstream(context, id, "gone", &item);
         }
         return true;
     }
@@ -187,10 +203,12 @@
         if (followState.m_loggedUnreadable.insert(id).second) {
             logEvent(LogEvent::UpstreamUnreadable, {{"upstream", id}, {"error", describe(errorOf(decoded))}});
         }
-        dropUpstream(context, id, "unreadable");
+        dropUpstream(context, id, "unreadable", &item);
         return true;
     }
     UpstreamEntry &entry = valueOf(decoded);
+    entry.m_position = item.m_position;
+    entry.m_readMs = nowMs;
     const auto known = context.m_upstreams.find(id);
     const bool isUpdate = known == context.m_upstreams.end() || !describesSameState(known->second, entry);
     const bool changed = known == context.m_upstreams.end() || known->second.m_leaving != entry.m_leaving || known->second.m_startedMs != entry.m_startedMs
@@ -205,6 +223,9 @@
                   {"rank", static_cast<std::int64_t>(entry.m_rank)},
                   {"phase", std::string(enumName(MemberPhaseNames, entry.m_phase))},
                   {"cold_ms", entry.m_coldUntilMs > 0 ? entry.m_coldUntilMs - nowMs : std::int64_t(0)},
+                  {"started_ms", entry.m_startedMs},
+                  {"write", entry.m_writeNumber},
+                  {"proof_age_ms", nowMs - context.m_confirmedMs},
                   {"revision", revisionOf(item)}});
     }
     if (!entry.m_domain.empty()) {
@@ -347,7 +368,7 @@
 void removePending(EntryContext &context, const std::string &key)
 {
     if (startsWith(key, platform::key::Upstream)) {
-        dropUpstream(context, key.substr(platform::key::Upstream.size()), "not listed again after the store's outage");
+        dropUpstream(context, key.substr(platform::key::Upstream.size()), "not listed again after the store's outage", nullptr);
         return;
     }
     const std::string zone = key.substr(platform::key::EvacuatedZone.size());
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -37,6 +37,7 @@
     NewsSourceFailed,
     StoreEraRisen,
     ConfigKept,
+    RemovalHeldBack,
     RequestRefused,
     AttemptFailed,
     StreamResumed,
--- a/kernel/upstreams.h
+++ b/kernel/upstreams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/enumnames.h"
+#include "kernel/storeposition.h"
 
 #include <cstdint>
 #include <map>
@@ -60,6 +61,11 @@
     std::int64_t m_coldUntilMs = 0;
     /** Unix time in ms at which the upstream started. After a restart it may have the same id, but not the same start time. */
     std::int64_t m_startedMs = 0;
+    /** Number of the write that published this entry, as the upstream counts its writes since its start; -1 if it did not say. */
+    std::int64_t m_writeNumber = -1;
+    /** Position of that write in the store, and when this daemon read it, in ms of the local clock. */
+    StorePosition m_position;
+    std::int64_t m_readMs = 0;
 
     /** Fabric domain of an engine VM; empty for upstreams that are not engines. */
     std::string m_domain;
