--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -280,7 +280,7 @@
     report.m_number = 3;
     report.m_serving = true;
     report.m_groups = {{1'100'004, {3, 2, 41.5, 9'000}, 17, true}};
-    report.m_leaving = {"i-7f3a91c2", "i-02d9e6b4"};
+    report.m_departures = {{1ULL << 63U, DepartureSource::Removed, 29'000}, {7, DepartureSource::Listed, 0}};
     const std::string bytes = encodeLoadReport(report);
     const Result<DaemonLoadReport> decodedReport = decodeLoadReport(bytes.data(), bytes.size());
     REQUIRE(!failed(decodedReport));
@@ -288,7 +288,7 @@
     CHECK(valueOf(decodedReport).m_groups.front().m_load.m_decoding == 3);
     CHECK(valueOf(decodedReport).m_groups.front().m_progressAgeMs == 17);
     CHECK(valueOf(decodedReport).m_groups.front().m_silent);
-    CHECK(valueOf(decodedReport).m_leaving == report.m_leaving);
+    CHECK(valueOf(decodedReport).m_departures == report.m_departures);
     CHECK(failed(decodeLoadReport(bytes.data(), bytes.size() / 2)));
     CHECK(failed(decodeLoadReport("", 0)));
 }
--- a/daemons/entryavailability.cpp
+++ b/daemons/entryavailability.cpp
@@ -31,6 +31,27 @@
     logWithheld(upstream, WithheldReason::SaysLeaving, Withheld::NoKnownEnd, requestId);
 }
 
+void learnReport(EntryContext &context, const Departure &departure)
+{
+    /** Departures that became known longer ago are not checked again, in ms: every daemon has repeated them by then. */
+    constexpr std::int64_t MaxCheckedAgeMs = 3'000;
+    const std::int64_t nowMs = steadyMs();
+    const UpstreamAvailability::ReportedDeparture reported = context.m_availability.recordReport(departure, nowMs);
+    if (reported.m_upstream.empty()) {
+        return;
+    }
+    if (isLeader(context) && departure.m_ageMs <= MaxCheckedAgeMs) {
+        context.m_reconciler.checkLeaving(reported.m_upstream, nowMs);
+    }
+    if (reported.m_isNew) {
+        logEvent(LogEvent::DepartureHeard,
+                 {{"upstream", reported.m_upstream},
+                  {"source", std::string(enumName(DepartureSourceNames, departure.m_source))},
+                  {"age_ms", departure.m_ageMs},
+                  {"proof_age_ms", nowMs - context.m_confirmedMs}});
+    }
+}
+
 void learnEnded(EntryContext &context, std::uint64_t lifetime, std::int64_t observedMs)
 {
     const std::string upstream = context.m_availability.recordEnded(lifetime, observedMs, steadyMs());
--- a/daemons/entryavailability.h
+++ b/daemons/entryavailability.h
@@ -10,6 +10,9 @@
 /** Records that @p upstream said in an answer that it will stop: it gets no new requests, and the leader replaces the replica that it serves in. */
 void learnLeaving(EntryContext &context, const UpstreamLifetime &upstream, const std::string &requestId);
 
+/** Records that another daemon found that a lifetime leaves: it gets no new requests, and the leader asks the upstream itself. */
+void learnReport(EntryContext &context, const Departure &departure);
+
 /** Records that @p lifetime, given as upstreamLifetime(), was found at @p observedMs to have ended: it gets no new requests. */
 void learnEnded(EntryContext &context, std::uint64_t lifetime, std::int64_t observedMs);
 
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -35,6 +35,7 @@
     , m_coldMembers(m_settings.m_name, ColdLimiter::WindowMs)
 {
     m_store.m_address = m_settings.m_storeAddress;
+    m_availability.setLapseMs(EntryLapseReports * m_settings.m_upstreamHeartbeatMs);
 }
 
 bool isLeader(const EntryContext &context)
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -4,6 +4,7 @@
 
 #include "daemons/entryloadreports.h"
 
+#include "daemons/entryavailability.h"
 #include "daemons/entrycrashes.h"
 #include "net/loadreportcodec.h"
 #include "net/logging.h"
@@ -35,8 +36,11 @@
 constexpr std::int64_t CrashRepeatMs = 10'000;
 /** Keeps a report within one packet: each takes about 30 bytes. */
 constexpr std::size_t MaxCrashesInReport = 32;
-/** How long a report names an upstream that said that it leaves, in ms: the leader may have been replaced, and datagrams are lost. */
-constexpr std::int64_t ReportLeavingMs = 3'000;
+/** How long every report names an upstream that leaves, in ms: datagrams are lost. */
+constexpr std::int64_t NewDepartureMs = 1'000;
+/** How long some reports go on to name it, in ms, and how often: for daemons that start, and for those that do not reach the store, meanwhile. */
+constexpr std::int64_t DepartureReportMs = 30'000;
+constexpr std::int64_t DepartureRepeatMs = 1'000;
 constexpr std::size_t MaxDatagramBytes = 60 * 1024;
 }
 
@@ -72,7 +76,9 @@
 {
     const std::int64_t nowMs = steadyMs();
     DaemonLoadReport report = makeLoadReport(m_context.m_settings.m_name, ++m_sequenceNumber, m_context.m_serving, m_context.m_replicaSelector, nowMs);
-    report.m_leaving = m_context.m_availability.recentlyLeaving(ReportLeavingMs, nowMs);
+    const bool isRepeat = nowMs - m_departuresSentMs >= DepartureRepeatMs;
+    m_departuresSentMs = isRepeat ? nowMs : m_departuresSentMs;
+    report.m_departures = m_context.m_availability.recentDepartures(isRepeat ? DepartureReportMs : NewDepartureMs, nowMs);
     sendToAll(report);
 }
 
@@ -141,6 +147,9 @@
         }
         if (!valueOf(report).m_crashesOnly) {
             m_context.m_loadReports.take(valueOf(report), steadyMs());
+            for (const Departure &departure : valueOf(report).m_departures) {
+                learnReport(m_context, departure);
+            }
         }
         mergeCrashes(m_context, valueOf(report).m_crashes, false);
     }
@@ -155,9 +164,6 @@
     if (!isLeader(context)) {
         return;
     }
-    for (const std::string &upstream : view.m_leaving) {
-        context.m_reconciler.checkLeaving(upstream, nowMs);
-    }
     for (const std::pair<const ReplicaRef, ManagedReplica> &entry : context.m_reconciler.replicas()) {
         const auto load = view.m_loads.find(entry.first.m_epoch);
         if (load != view.m_loads.end() && load->second.m_progressMs >= 0) {
--- a/daemons/entryloadreports.h
+++ b/daemons/entryloadreports.h
@@ -31,6 +31,8 @@
     std::uint64_t m_sentCrashes = 0;
     int m_crashRepeats = 0;
     std::int64_t m_crashesSentMs = 0;
+    /** When a report last named all recent departures. */
+    std::int64_t m_departuresSentMs = 0;
 
     void sendToAll(const DaemonLoadReport &report);
 };
--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -59,7 +59,8 @@
                                   "cold_share",
                                   "engines_check_fence",
                                   "stop_grace_s",
-                                  "address_reuse_s"});
+                                  "address_reuse_s",
+                                  "upstream_heartbeat_ms"});
     if (!known) {
         return reader.m_findings;
     }
@@ -81,11 +82,16 @@
     settings.m_resends.m_windowMs = static_cast<std::int64_t>(readReal(reader, root, "resend_window_s", 0.1, MaxRatio, 10.0) * MsPerSecond);
     settings.m_coldShare = readReal(reader, root, "cold_share", 0.0, MaxRatio, 1.0);
     // The platform renders an empty value if it does not say.
-    const YAML::Node checkFence = root["engines_check_fence"];
-    const bool isEmpty = checkFence.IsDefined() && checkFence.IsNull();
-    settings.m_enginesCheckFence = !isEmpty && readBool(reader, root, "engines_check_fence", false);
+    const auto isEmpty = [&root](const char *key) {
+        const YAML::Node node = root[key];
+        return node.IsDefined() && node.IsNull();
+    };
+    settings.m_enginesCheckFence = !isEmpty("engines_check_fence") && readBool(reader, root, "engines_check_fence", false);
     settings.m_stopGraceMs = static_cast<std::int64_t>(readReal(reader, root, "stop_grace_s", 0.1, MaxRatio) * MsPerSecond);
     settings.m_addressReuseMs = static_cast<std::int64_t>(readReal(reader, root, "address_reuse_s", 0.0, MaxRatio, 2.0) * MsPerSecond);
+    if (!isEmpty("upstream_heartbeat_ms")) {
+        settings.m_upstreamHeartbeatMs = readInteger(reader, root, "upstream_heartbeat_ms", 10, MaxTimeMs, settings.m_upstreamHeartbeatMs);
+    }
     if (!reader.m_findings.empty()) {
         return reader.m_findings;
     }
--- a/daemons/entrysettings.h
+++ b/daemons/entrysettings.h
@@ -37,10 +37,15 @@
     bool m_enginesCheckFence = false;
     /** Time from the stop signal to the kill. */
     std::int64_t m_stopGraceMs = 8'000;
+    /** Time between two reports of an upstream to the store. Its entry lapses after EntryLapseReports of them. */
+    std::int64_t m_upstreamHeartbeatMs = 1'200;
     /** Time after an upstream has gone until its address may belong to another upstream. */
     std::int64_t m_addressReuseMs = 2'000;
 };
 
+/** Reports that an upstream may miss before the store drops its entry. */
+inline constexpr std::int64_t EntryLapseReports = 3;
+
 /** Returns the settings in the YAML file @p path, or all findings if there are any. */
 std::variant<EntrySettings, Findings> readEntrySettings(const std::string &path);
 }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -182,33 +182,85 @@
            && a.m_replica == b.m_replica && a.m_rank == b.m_rank && a.m_phase == b.m_phase && std::abs(a.m_coldUntilMs - b.m_coldUntilMs) <= ColdSlackMs;
 }
 
-/** Applies a change of the entry of upstream @p id. Returns false if the item contains nothing new. */
-bool applyUpstream(EntryContext &context, FollowState &followState, const std::string &id, const StoreItem &item)
+/** What an item of the store changes. */
+enum class ItemEffect {
+    Changes,
+    /** It only renews what is known. */
+    Renews,
+    /** It is older than what is known. */
+    None,
+};
+
+/** Applies the removal of the entry of upstream @p id. */
+void applyUpstreamRemoval(EntryContext &context, FollowState &followState, const std::string &id, const StoreItem &item)
 {
+    const auto known = context.m_upstreams.find(id);
+    if (known == context.m_upstreams.end()) {
+        return;
+    }
     const std::int64_t nowMs = steadyMs();
-    if (item.m_deleted) {
-        if (mayBeWrittenAgain(context, context.m_storeRecoveredMs) && context.m_upstreams.count(id) > 0) {
-            const std::int64_t untilMs = context.m_storeRecoveredMs + context.m_settings.m_addressReuseMs;
-            if (followState.m_pendingRemovals.emplace(item.m_key, untilMs).second) {
-                logEvent(LogEvent::RemovalHeldBack, {{"upstream", id}, {"for_ms", untilMs - nowMs}, {"revision", revisionOf(item)}});
-            }
-        } else {
-            dropUpstream(context, id, "gone", &item);
+    const std::int64_t startedMs = known->second.m_startedMs;
+    const bool mayBeLost = item.m_position.m_era != known->second.m_position.m_era;
+    if (context.m_availability.recordRemoval(id, mayBeLost, nowMs)) {
+        context.m_reconciler.markLeaving(id, startedMs);
+    } else if (mayBeWrittenAgain(context, context.m_storeRecoveredMs)) {
+        const std::int64_t untilMs = context.m_storeRecoveredMs + context.m_settings.m_addressReuseMs;
+        if (followState.m_pendingRemovals.emplace(item.m_key, untilMs).second) {
+            logEvent(LogEvent::RemovalHeldBack, {{"upstream", id}, {"for_ms", untilMs - nowMs}, {"revision", revisionOf(item)}});
         }
-        return true;
+        return;
     }
     followState.m_pendingRemovals.erase(item.m_key);
+    dropUpstream(context, id, "gone", &item);
+}
+
+/** Records that the list still shows @p entry, which is older than what is known of its upstream. */
+void ignoreEntry(EntryContext &context, const UpstreamEntry &entry, EntryOrder order)
+{
+    logEvent(LogEvent::EntryIgnored,
+             {{"upstream", entry.m_id},
+              {"reason", std::string(enumName(EntryOrderNames, order))},
+              {"leaving", entry.m_leaving},
+              {"started_ms", entry.m_startedMs},
+              {"write", entry.m_writeNumber},
+              {"revision", static_cast<std::int64_t>(entry.m_position.m_revision)}});
+    const auto known = context.m_upstreams.find(entry.m_id);
+    if (entry.m_leaving && known != context.m_upstreams.end() && known->second.m_startedMs == entry.m_startedMs) {
+        known->second.m_leaving = true;
+        context.m_reconciler.markLeaving(entry.m_id, entry.m_startedMs);
+    }
+}
+
+/** Applies a change of the entry of upstream @p id. */
+ItemEffect applyUpstream(EntryContext &context, FollowState &followState, const std::string &id, const StoreItem &item)
+{
+    const std::int64_t nowMs = steadyMs();
+    if (item.m_deleted) {
+        applyUpstreamRemoval(context, followState, id, item);
+        return ItemEffect::Changes;
+    }
     Result<UpstreamEntry> decoded = platform::decodeEntry(id, item.m_value, nowMs);
     if (failed(decoded)) {
         if (followState.m_loggedUnreadable.insert(id).second) {
             logEvent(LogEvent::UpstreamUnreadable, {{"upstream", id}, {"error", describe(errorOf(decoded))}});
         }
+        followState.m_pendingRemovals.erase(item.m_key);
         dropUpstream(context, id, "unreadable", &item);
-        return true;
+        return ItemEffect::Changes;
     }
     UpstreamEntry &entry = valueOf(decoded);
     entry.m_position = item.m_position;
     entry.m_readMs = nowMs;
+    // What the store accepted before this time was known already, unless it comes from an older copy of the store.
+    const bool isSameEra = item.m_position.m_era == context.m_mirror.completeTo().m_era;
+    entry.m_writtenAfterMs = isSameEra ? context.m_confirmedMs : -1;
+    const EntryOrder order = context.m_availability.observe(entry, nowMs);
+    if (order != EntryOrder::Current) {
+        ignoreEntry(context, entry, order);
+        return ItemEffect::None;
+    }
+    entry.m_leaving = context.m_availability.isLeaving({id, entry.m_startedMs});
+    followState.m_pendingRemovals.erase(item.m_key);
     const auto known = context.m_upstreams.find(id);
     const bool isUpdate = known == context.m_upstreams.end() || !describesSameState(known->second, entry);
     const bool changed = known == context.m_upstreams.end() || known->second.m_leaving != entry.m_leaving || known->second.m_startedMs != entry.m_startedMs
@@ -231,9 +283,8 @@
     if (!entry.m_domain.empty()) {
         context.m_reconciler.observe(entry, nowMs);
     }
-    context.m_availability.observe(entry, nowMs);
     context.m_upstreams[id] = std::move(entry);
-    return isUpdate;
+    return isUpdate ? ItemEffect::Changes : ItemEffect::Renews;
 }
 
 void applyDaemon(EntryContext &context, const std::string &name, const StoreItem &item)
@@ -256,13 +307,13 @@
     if (!context.m_mirror.isNewer(item)) {
         return;
     }
-    bool changed = true;
+    ItemEffect effect = ItemEffect::Changes;
     if (item.m_key == platform::key::Config) {
         applyConfig(context, item);
     } else if (startsWith(item.m_key, platform::key::EvacuatedZone)) {
         applyEvacuation(context, followState, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
     } else if (startsWith(item.m_key, platform::key::Upstream)) {
-        changed = applyUpstream(context, followState, item.m_key.substr(platform::key::Upstream.size()), item);
+        effect = applyUpstream(context, followState, item.m_key.substr(platform::key::Upstream.size()), item);
     } else if (startsWith(item.m_key, DaemonPrefix)) {
         applyDaemon(context, item.m_key.substr(DaemonPrefix.size()), item);
     } else if (startsWith(item.m_key, CrashesPrefix)) {
@@ -271,7 +322,11 @@
         context.m_leader = item.m_deleted ? std::string() : item.m_value;
         logEvent(LogEvent::LeaderSeen, {{"leader", context.m_leader}, {"revision", revisionOf(item)}});
     }
-    context.m_mirror.put(item, changed);
+    if (effect == ItemEffect::None) {
+        context.m_mirror.keep(item);
+    } else {
+        context.m_mirror.put(item, effect == ItemEffect::Changes);
+    }
 }
 
 void recordStoreAnswer(EntryContext &context, FollowState &followState, std::int64_t askedMs)
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -28,6 +28,7 @@
 cold_share: 1.5
 stop_grace_s: 8
 address_reuse_s: 2
+upstream_heartbeat_ms: 1200
 END
     start "entry-$1" "${ENTRY_PROGRAM:-$BUILD/daemons/knapweedslip-entry}" --settings "$RUN/entry-$1.yaml"
 }
--- a/kernel/loadreport.cpp
+++ b/kernel/loadreport.cpp
@@ -33,7 +33,6 @@
             continue;
         }
         summary.m_serving = summary.m_serving || received.m_report.m_serving;
-        summary.m_leaving.insert(received.m_report.m_leaving.begin(), received.m_report.m_leaving.end());
         for (const GroupLoadReport &replica : received.m_report.m_groups) {
             PeerLoad &load = summary.m_loads[replica.m_epoch];
             const double ageMs = static_cast<double>(nowMs - received.m_receivedMs);
--- a/kernel/loadreport.h
+++ b/kernel/loadreport.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "kernel/crashledger.h"
+#include "kernel/departures.h"
 #include "kernel/replicaselector.h"
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -31,8 +31,8 @@
     /** The daemon has received requests from clients. */
     bool m_serving = false;
     std::vector<GroupLoadReport> m_groups;
-    /** Ids of upstreams that told the sender lately that they will stop. */
-    std::vector<std::string> m_leaving;
+    /** Lifetimes of upstreams that the sender found to leave. */
+    std::vector<Departure> m_departures;
     /** The report is no load report: it holds only m_crashes. */
     bool m_crashesOnly = false;
     /** The sender's latest observations of upstreams that ended. */
@@ -46,8 +46,6 @@
     std::map<std::uint64_t, PeerLoad> m_loads;
     /** Epochs of the replicas that a daemon has found silent; one entry for each daemon that did. */
     std::vector<std::uint64_t> m_silent;
-    /** Ids of upstreams that told a daemon that they will stop. */
-    std::set<std::string> m_leaving;
     /** At least one of the daemons has received requests from clients. */
     bool m_serving = false;
 };
--- a/kernel/storemirror.cpp
+++ b/kernel/storemirror.cpp
@@ -31,6 +31,14 @@
     entry.m_item = item;
 }
 
+void StoreMirror::keep(const StoreItem &item)
+{
+    const auto existing = m_entries.find(item.m_key);
+    if (existing != m_entries.end()) {
+        existing->second.m_item.m_position = item.m_position;
+    }
+}
+
 void StoreMirror::addTombstone(const std::string &key, const StorePosition &position)
 {
     StoreItem tombstone;
--- a/kernel/storemirror.h
+++ b/kernel/storemirror.h
@@ -47,6 +47,8 @@
     bool isNewer(const StoreItem &item) const;
     /** Stores a newer item or removes its key. @p changed is false for an item that only renews the stored value. */
     void put(const StoreItem &item, bool changed);
+    /** Records that the store holds @p item, which is older than the stored value of its key: that value stays. */
+    void keep(const StoreItem &item);
     /** Records that the mirror contains every write up to @p position. */
     void markCompleteTo(const StorePosition &position);
     /** Records that the whole store was read again as of @p position: earlier removals are unknown. */
--- a/kernel/upstreamavailability.cpp
+++ b/kernel/upstreamavailability.cpp
@@ -1,6 +1,6 @@
 // Problem: whether an upstream may be sent a request depends on the list of upstreams, on what the upstream said in its answers, and on how the last
 // requests to it ended. The list lags by seconds, and some upstreams that stop never say so there.
-// Approach: one record for each upstream holds all reasons, and one function decides. Words of the upstream itself take precedence over the list.
+// Approach: one record for each upstream holds all reasons, and one function decides. Departures decides which lifetimes leave.
 // Separate flags in the lists of engines and of plain services would have to agree on which reason is stronger, and when each one ends.
 
 #include "kernel/upstreamavailability.h"
@@ -17,21 +17,50 @@
 constexpr std::int64_t RemovalIntervalMs = 10'000;
 /** Fraction of the wait over which clients return. */
 constexpr double ReturnSpread = 0.25;
+
+WithheldReason withheldReason(DepartureSource source)
+{
+    switch (source) {
+    case DepartureSource::Listed:
+        return WithheldReason::Leaving;
+    case DepartureSource::Answered:
+        return WithheldReason::SaysLeaving;
+    case DepartureSource::Removed:
+        return WithheldReason::Removed;
+    }
+    return WithheldReason::Leaving;
+}
+}
+
+void UpstreamAvailability::setLapseMs(std::int64_t lapseMs)
+{
+    m_departures.setLapseMs(lapseMs);
 }
 
-void UpstreamAvailability::observe(const UpstreamEntry &entry, std::int64_t nowMs)
+EntryOrder UpstreamAvailability::observe(const UpstreamEntry &entry, std::int64_t nowMs)
 {
+    removeOld(nowMs);
+    const EntryOrder order = m_departures.recordEntry(entry, nowMs);
+    if (order != EntryOrder::Current) {
+        return order;
+    }
+    const std::uint64_t lifetime = upstreamLifetime(entry.m_id, entry.m_startedMs);
     Record &record = m_records[entry.m_id];
     if (record.m_startedMs != entry.m_startedMs) {
-        m_listed.erase(upstreamLifetime(entry.m_id, record.m_startedMs));
+        m_listed.erase(record.m_lifetime);
         record = Record();
         record.m_startedMs = entry.m_startedMs;
     }
-    m_listed[upstreamLifetime(entry.m_id, entry.m_startedMs)] = entry.m_id;
+    record.m_lifetime = lifetime;
+    m_listed[lifetime] = entry.m_id;
     record.m_availabilityZone = entry.m_availabilityZone;
-    record.m_listedAsLeaving = entry.m_leaving;
     record.m_unlistedMs = -1;
-    removeOld(nowMs);
+    return order;
+}
+
+bool UpstreamAvailability::recordRemoval(const std::string &upstream, bool mayBeLost, std::int64_t nowMs)
+{
+    return m_departures.recordRemoval(upstream, mayBeLost, nowMs);
 }
 
 void UpstreamAvailability::markUnlisted(const std::string &upstream, std::int64_t nowMs)
@@ -39,7 +68,7 @@
     const auto found = m_records.find(upstream);
     if (found != m_records.end()) {
         found->second.m_unlistedMs = nowMs;
-        m_listed.erase(upstreamLifetime(upstream, found->second.m_startedMs));
+        m_listed.erase(found->second.m_lifetime);
     }
     removeOld(nowMs);
 }
@@ -51,16 +80,14 @@
 
 bool UpstreamAvailability::recordLeaving(const UpstreamLifetime &lifetime, std::int64_t nowMs)
 {
-    Record *record = recordOf(lifetime, nowMs);
-    if (record == nullptr || record->m_saidLeaving) {
-        return false;
-    }
-    record->m_saidLeaving = true;
-    m_recentlyLeaving.push_front({lifetime.m_id, nowMs});
-    if (m_recentlyLeaving.size() > MaxRecentlyLeaving) {
-        m_recentlyLeaving.pop_back();
-    }
-    return true;
+    return m_departures.recordAnswer(lifetime, nowMs);
+}
+
+UpstreamAvailability::ReportedDeparture UpstreamAvailability::recordReport(const Departure &departure, std::int64_t nowMs)
+{
+    const bool isNew = m_departures.recordReport(departure, nowMs);
+    const auto listed = m_listed.find(departure.m_lifetime);
+    return {listed == m_listed.end() ? std::string() : listed->second, isNew};
 }
 
 std::string UpstreamAvailability::recordEnded(std::uint64_t lifetime, std::int64_t observedMs, std::int64_t nowMs)
@@ -143,11 +170,8 @@
     if (record.m_endedMs >= 0 && nowMs - record.m_endedMs <= EndedMs) {
         return {WithheldReason::Ended, Withheld::NoKnownEnd};
     }
-    if (record.m_saidLeaving) {
-        return {WithheldReason::SaysLeaving, Withheld::NoKnownEnd};
-    }
-    if (record.m_listedAsLeaving) {
-        return {WithheldReason::Leaving, Withheld::NoKnownEnd};
+    if (const std::optional<DepartureSource> source = m_departures.find(record.m_lifetime, nowMs)) {
+        return {withheldReason(*source), Withheld::NoKnownEnd};
     }
     if (m_zonesOutOfService.count(record.m_availabilityZone) > 0) {
         return {WithheldReason::ZoneOutOfService, Withheld::NoKnownEnd};
@@ -175,15 +199,14 @@
     return counts;
 }
 
-std::vector<std::string> UpstreamAvailability::recentlyLeaving(std::int64_t withinMs, std::int64_t nowMs) const
+bool UpstreamAvailability::isLeaving(const UpstreamLifetime &lifetime) const
 {
-    std::vector<std::string> leaving;
-    for (const RecentlyLeaving &entry : m_recentlyLeaving) {
-        if (nowMs - entry.m_learnedMs <= withinMs) {
-            leaving.push_back(entry.m_upstream);
-        }
-    }
-    return leaving;
+    return m_departures.foundHere(upstreamLifetime(lifetime.m_id, lifetime.m_startedMs));
+}
+
+std::vector<Departure> UpstreamAvailability::recentDepartures(std::int64_t withinMs, std::int64_t nowMs) const
+{
+    return m_departures.recent(withinMs, nowMs);
 }
 
 UpstreamAvailability::Record &UpstreamAvailability::recordOf(const std::string &upstream, std::int64_t nowMs)
@@ -192,6 +215,7 @@
     if (isNew) {
         // It was removed from the list while it worked on a request.
         found->second.m_unlistedMs = nowMs;
+        found->second.m_lifetime = upstreamLifetime(upstream, 0);
     }
     return found->second;
 }
@@ -201,6 +225,7 @@
     Record &record = recordOf(lifetime.m_id, nowMs);
     if (record.m_startedMs == 0) {
         record.m_startedMs = lifetime.m_startedMs;
+        record.m_lifetime = upstreamLifetime(lifetime.m_id, lifetime.m_startedMs);
     }
     return record.m_startedMs == lifetime.m_startedMs ? &record : nullptr;
 }
@@ -213,8 +238,8 @@
     m_removedOldMs = nowMs;
     std::erase_if(m_records, [nowMs](const std::pair<const std::string, Record> &entry) {
         const Record &record = entry.second;
-        const bool isWithheld = record.m_saidLeaving || record.m_turnedAwayUntilMs > nowMs || record.m_untilMs > nowMs;
-        return record.m_unlistedMs >= 0 && (!isWithheld || nowMs - record.m_unlistedMs > MemoryMs);
+        const bool isWithheld = record.m_turnedAwayUntilMs > nowMs || record.m_untilMs > nowMs;
+        return record.m_unlistedMs >= 0 && (!isWithheld || nowMs - record.m_unlistedMs > Departures::MemoryMs);
     });
 }
 
--- a/kernel/upstreamavailability.h
+++ b/kernel/upstreamavailability.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "kernel/departures.h"
 #include "kernel/enumnames.h"
 #include "kernel/upstreams.h"
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -23,6 +23,8 @@
     Leaving,
     /** Its own answers say that it will stop. */
     SaysLeaving,
+    /** Its entry was removed from the list although it had not been silent, which upstreams do that stop. */
+    Removed,
     /** Its availability zone is out of service. */
     ZoneOutOfService,
     /** It turned a request away and said for how long it takes none. */
@@ -39,8 +41,8 @@
     Cold,
 };
 
-inline constexpr EnumNames<11> WithheldReasonNames{
-    "none", "ended", "leaving", "says-leaving", "zone-out-of-service", "turned-away", "on-trial", "unreachable", "silent", "full", "cold"};
+inline constexpr EnumNames<12> WithheldReasonNames{
+    "none", "ended", "leaving", "says-leaving", "removed", "zone-out-of-service", "turned-away", "on-trial", "unreachable", "silent", "full", "cold"};
 
 /** Whether an upstream is withheld, why, and until when. */
 struct Withheld
@@ -52,31 +54,21 @@
     std::int64_t m_untilMs = NoKnownEnd;
 };
 
-/** One lifetime of an upstream. After a restart it may have the same id, but not the same start time. */
-struct UpstreamLifetime
-{
-    std::string m_id;
-    /** Unix time in ms, as in UpstreamEntry. */
-    std::int64_t m_startedMs = 0;
-};
-
 /**
  * Decides whether an upstream may be sent a request now. It combines what the list says, what the upstream itself said in its answers, and how recent
  * requests to it ended. Used for engines, which are the heads of replicas, and for upstreams of plain services. Invariants:
  * - What an upstream said binds only the lifetime that said it. An answer of an earlier lifetime changes nothing.
- * - An upstream whose answers say that it will stop gets no more requests in that lifetime, whatever the list says.
+ * - A lifetime that leaves, see Departures, gets no more requests, whatever the list says later.
  * - A lifetime that is known to have ended gets no more requests for EndedMs, whoever found it out and however, unless it answers after all.
  * - An upstream that said for how long it takes no requests gets none in that time.
- * Must be told of every change of the list. Memory: one record for each listed upstream, and for each one that was removed from the list within the
- * last MemoryMs and had said something. check() takes constant time, and so do the functions that record something, but for a search every 10 s.
+ * Must be told of every change of the list. Memory: that of Departures, one record for each listed upstream, and for each one that was removed from the
+ * list and is withheld. check() takes constant time, and so do the functions that record something, but for a search every 10 s.
  */
 class UpstreamAvailability
 {
 public:
     /** Longest time for which an upstream is withheld because of one answer, in ms, whatever time the answer gives. */
     static constexpr std::int64_t MaxTurnedAwayMs = 3'600'000;
-    /** How long the words of an upstream that is no longer listed are kept, in ms: its entry may only have lapsed while the store was down. */
-    static constexpr std::int64_t MemoryMs = 600'000;
     /** A request on trial that has no answer after this time no longer holds others back, in ms. */
     static constexpr std::int64_t TrialMs = 500;
     /**
@@ -87,14 +79,34 @@
     /** For records that apply whatever replica the upstream serves in. */
     static constexpr std::uint64_t AnyEpoch = 0;
 
-    /** Records the entry of an upstream in the list. Another start time begins a new lifetime, of which nothing is known. */
-    void observe(const UpstreamEntry &entry, std::int64_t nowMs);
+    /** Sets after how long without a write the list drops an entry, in ms. */
+    void setLapseMs(std::int64_t lapseMs);
+    /**
+     * Records an entry of the list. Another start time begins a new lifetime, of which nothing is known. An entry that is not Current must not be used
+     * otherwise.
+     */
+    EntryOrder observe(const UpstreamEntry &entry, std::int64_t nowMs);
+    /**
+     * Records that the entry of @p upstream was removed from the list, where its removal may still be held back; @p mayBeLost tells that the list may just
+     * have lost it. Returns whether the upstream is known to leave.
+     */
+    bool recordRemoval(const std::string &upstream, bool mayBeLost, std::int64_t nowMs);
     /** Records that @p upstream is no longer in the list. */
     void markUnlisted(const std::string &upstream, std::int64_t nowMs);
     void setZonesOutOfService(const std::set<std::string> &zones);
 
     /** Records that an answer of @p lifetime says that it will stop. Returns whether that is new. */
     bool recordLeaving(const UpstreamLifetime &lifetime, std::int64_t nowMs);
+    /** What a report of another daemon concerns. */
+    struct ReportedDeparture
+    {
+        /** The listed upstream whose lifetime leaves; empty if that lifetime is not listed. */
+        std::string m_upstream;
+        /** The lifetime was not known to leave before. */
+        bool m_isNew = false;
+    };
+    /** Records a departure that another daemon found. The same report may arrive many times. */
+    ReportedDeparture recordReport(const Departure &departure, std::int64_t nowMs);
     /**
      * Records that a lifetime, given as upstreamLifetime(), was found at @p observedMs to have ended. Does nothing if it is not the latest known one of its
      * upstream. Returns the upstream's id if that is new, otherwise an empty string. The same observation may arrive many times.
@@ -117,26 +129,20 @@
     Withheld check(const std::string &upstream, std::uint64_t epoch, std::int64_t nowMs) const;
     /** Returns the number of upstreams that are withheld at @p nowMs, by reason. Looks at each upstream. */
     std::array<std::uint64_t, WithheldReasonNames.size()> count(std::int64_t nowMs) const;
-    /** Returns the upstreams whose answers said that they will stop, of which that was learned within the last @p withinMs; the latest first. */
-    std::vector<std::string> recentlyLeaving(std::int64_t withinMs, std::int64_t nowMs) const;
+    /** Returns whether this daemon itself found that @p lifetime leaves. */
+    bool isLeaving(const UpstreamLifetime &lifetime) const;
+    /** Returns the departures that this daemon found within the last @p withinMs, the latest first. */
+    std::vector<Departure> recentDepartures(std::int64_t withinMs, std::int64_t nowMs) const;
 
 private:
-    static constexpr std::size_t MaxRecentlyLeaving = 16;
-
-    struct RecentlyLeaving
-    {
-        std::string m_upstream;
-        std::int64_t m_learnedMs = 0;
-    };
-
     struct Record
     {
         std::int64_t m_startedMs = 0;
         std::string m_availabilityZone;
-        bool m_listedAsLeaving = false;
+        /** See upstreamLifetime(). */
+        std::uint64_t m_lifetime = 0;
         /** When it was found to be no longer in the list; negative while it is listed. */
         std::int64_t m_unlistedMs = -1;
-        bool m_saidLeaving = false;
         /** When it was found to have ended; negative if it was not. */
         std::int64_t m_endedMs = -1;
         std::int64_t m_turnedAwayUntilMs = -1;
@@ -158,13 +164,12 @@
     void removeOld(std::int64_t nowMs);
     Withheld check(const Record &record, std::uint64_t epoch, std::int64_t nowMs) const;
 
+    Departures m_departures;
     std::unordered_map<std::string, Record> m_records;
     /** The ids of the upstreams that are listed, by upstreamLifetime(). */
     std::unordered_map<std::uint64_t, std::string> m_listed;
     std::set<std::string> m_zonesOutOfService;
     std::int64_t m_removedOldMs = 0;
-    /** The last MaxRecentlyLeaving upstreams that were found to leave, the latest first. */
-    std::deque<RecentlyLeaving> m_recentlyLeaving;
 };
 
 /** Collects why the upstreams that could serve a request are withheld. */
--- a/kernel/upstreams.h
+++ b/kernel/upstreams.h
@@ -66,6 +66,8 @@
     /** Position of that write in the store, and when this daemon read it, in ms of the local clock. */
     StorePosition m_position;
     std::int64_t m_readMs = 0;
+    /** The write was made after this time, in ms of the local clock; -1 if that is not known. */
+    std::int64_t m_writtenAfterMs = -1;
 
     /** Fabric domain of an engine VM; empty for upstreams that are not engines. */
     std::string m_domain;
--- a/net/loadreportcodec.cpp
+++ b/net/loadreportcodec.cpp
@@ -33,6 +33,11 @@
                                                 static_cast<std::int32_t>(group.m_progressAgeMs),
                                                 group.m_silent));
     }
+    std::vector<wire::Departure> departures;
+    for (const Departure &departure : report.m_departures) {
+        const std::int64_t ageMs = std::clamp<std::int64_t>(departure.m_ageMs, 0, std::numeric_limits<std::uint32_t>::max());
+        departures.emplace_back(departure.m_lifetime, static_cast<std::uint32_t>(ageMs), static_cast<std::uint8_t>(departure.m_source));
+    }
     builder.Finish(wire::CreatePulse(builder,
                                      builder.CreateString(report.m_sender),
                                      report.m_number,
@@ -40,7 +45,7 @@
                                      builder.CreateVector(groups),
                                      encodeCrashItems(builder, report.m_crashes),
                                      report.m_crashesOnly,
-                                     builder.CreateVectorOfStrings(report.m_leaving)));
+                                     builder.CreateVectorOfStructs(departures)));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -68,9 +73,12 @@
             report.m_groups.push_back(decoded);
         }
     }
-    if (root->leaving() != nullptr) {
-        for (const flatbuffers::String *upstream : *root->leaving()) {
-            report.m_leaving.push_back(upstream->str());
+    if (root->departures() != nullptr) {
+        for (const wire::Departure *departure : *root->departures()) {
+            // A source that is not known here comes from a later version.
+            if (departure->source() < DepartureSourceNames.size()) {
+                report.m_departures.push_back({departure->lifetime(), static_cast<DepartureSource>(departure->source()), departure->age_ms()});
+            }
         }
     }
     report.m_crashes = decodeCrashItems(root->crashes());
--- a/wire/pulse_generated.h
+++ b/wire/pulse_generated.h
@@ -22,10 +22,50 @@
 struct GroupPulseBuilder;
 struct GroupPulseT;
 
+struct Departure;
+
 struct Pulse;
 struct PulseBuilder;
 struct PulseT;
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Departure FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t lifetime_;
+  uint32_t age_ms_;
+  uint8_t source_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  Departure()
+      : lifetime_(0),
+        age_ms_(0),
+        source_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  Departure(uint64_t _lifetime, uint32_t _age_ms, uint8_t _source)
+      : lifetime_(flatbuffers::EndianScalar(_lifetime)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        source_(flatbuffers::EndianScalar(_source)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t lifetime() const {
+    return flatbuffers::EndianScalar(lifetime_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint8_t source() const {
+    return flatbuffers::EndianScalar(source_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Departure, 16);
+
 struct GroupPulseT : public flatbuffers::NativeTable {
   typedef GroupPulse TableType;
   uint64_t epoch = 0;
@@ -152,7 +192,7 @@
   std::vector<std::unique_ptr<knapweedslip::wire::GroupPulseT>> groups{};
   std::vector<std::unique_ptr<knapweedslip::wire::CrashT>> crashes{};
   bool crashes_only = false;
-  std::vector<std::string> leaving{};
+  std::vector<knapweedslip::wire::Departure> departures{};
   PulseT() = default;
   PulseT(const PulseT &o);
   PulseT(PulseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -169,7 +209,7 @@
     VT_GROUPS = 10,
     VT_CRASHES = 12,
     VT_CRASHES_ONLY = 14,
-    VT_LEAVING = 16
+    VT_DEPARTURES = 18
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -189,8 +229,8 @@
   bool crashes_only() const {
     return GetField<uint8_t>(VT_CRASHES_ONLY, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *leaving() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LEAVING);
+  const flatbuffers::Vector<const knapweedslip::wire::Departure *> *departures() const {
+    return GetPointer<const flatbuffers::Vector<const knapweedslip::wire::Departure *> *>(VT_DEPARTURES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -205,9 +245,8 @@
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
            VerifyField<uint8_t>(verifier, VT_CRASHES_ONLY, 1) &&
-           VerifyOffset(verifier, VT_LEAVING) &&
-           verifier.VerifyVector(leaving()) &&
-           verifier.VerifyVectorOfStrings(leaving()) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
            verifier.EndTable();
   }
   PulseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -237,8 +276,8 @@
   void add_crashes_only(bool crashes_only) {
     fbb_.AddElement<uint8_t>(Pulse::VT_CRASHES_ONLY, static_cast<uint8_t>(crashes_only), 0);
   }
-  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving) {
-    fbb_.AddOffset(Pulse::VT_LEAVING, leaving);
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<const knapweedslip::wire::Departure *>> departures) {
+    fbb_.AddOffset(Pulse::VT_DEPARTURES, departures);
   }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -259,10 +298,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>> groups = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>>> crashes = 0,
     bool crashes_only = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const knapweedslip::wire::Departure *>> departures = 0) {
   PulseBuilder builder_(_fbb);
   builder_.add_number(number);
-  builder_.add_leaving(leaving);
+  builder_.add_departures(departures);
   builder_.add_crashes(crashes);
   builder_.add_groups(groups);
   builder_.add_sender(sender);
@@ -279,11 +318,11 @@
     const std::vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *groups = nullptr,
     const std::vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *crashes = nullptr,
     bool crashes_only = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving = nullptr) {
+    const std::vector<knapweedslip::wire::Departure> *departures = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>(*groups) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>>(*crashes) : 0;
-  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving) : 0;
+  auto departures__ = departures ? _fbb.CreateVectorOfStructs<knapweedslip::wire::Departure>(*departures) : 0;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       sender__,
@@ -292,7 +331,7 @@
       groups__,
       crashes__,
       crashes_only,
-      leaving__);
+      departures__);
 }
 
 flatbuffers::Offset<Pulse> CreatePulse(flatbuffers::FlatBufferBuilder &_fbb, const PulseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -346,7 +385,7 @@
         number(o.number),
         serving(o.serving),
         crashes_only(o.crashes_only),
-        leaving(o.leaving) {
+        departures(o.departures) {
   groups.reserve(o.groups.size());
   for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new knapweedslip::wire::GroupPulseT(*groups_) : nullptr); }
   crashes.reserve(o.crashes.size());
@@ -360,7 +399,7 @@
   std::swap(groups, o.groups);
   std::swap(crashes, o.crashes);
   std::swap(crashes_only, o.crashes_only);
-  std::swap(leaving, o.leaving);
+  std::swap(departures, o.departures);
   return *this;
 }
 
@@ -379,7 +418,7 @@
   { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<knapweedslip::wire::GroupPulseT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<knapweedslip::wire::CrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes_only(); _o->crashes_only = _e; }
-  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<Pulse> Pulse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PulseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -396,7 +435,7 @@
   auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPulse(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes_only = _o->crashes_only;
-  auto _leaving = _o->leaving.size() ? _fbb.CreateVectorOfStrings(_o->leaving) : 0;
+  auto _departures = _o->departures.size() ? _fbb.CreateVectorOfStructs(_o->departures) : 0;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       _sender,
@@ -405,7 +444,7 @@
       _groups,
       _crashes,
       _crashes_only,
-      _leaving);
+      _departures);
 }
 
 inline const knapweedslip::wire::Pulse *GetPulse(const void *buf) {
