--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -9,6 +9,7 @@
 #include "kernel/replicareconciler.h"
 #include "kernel/replicaselector.h"
 #include "kernel/storemirror.h"
+#include "kernel/storeoutage.h"
 #include "kernel/updatesource.h"
 #include "kernel/upstreamavailability.h"
 #include "kernel/upstreamselector.h"
@@ -161,7 +162,8 @@
     /** Local copy of the store's content; complete once m_mirrorSynced is set. */
     StoreMirror m_mirror;
     bool m_mirrorSynced = false;
-    /** When the store answered again after its last outage; negative if no outage was seen. */
+    StoreOutage m_storeOutage;
+    /** When the store answered again after it was last away for all; negative if that was not seen. */
     std::int64_t m_storeRecoveredMs = -1;
     /** Latest era of the store of which items were applied. */
     std::uint64_t m_followedEra = 0;
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -79,6 +79,7 @@
     const bool isRepeat = nowMs - m_departuresSentMs >= DepartureRepeatMs;
     m_departuresSentMs = isRepeat ? nowMs : m_departuresSentMs;
     report.m_departures = m_context.m_availability.recentDepartures(isRepeat ? DepartureReportMs : NewDepartureMs, nowMs);
+    report.m_proofAgeMs = m_context.m_confirmedMs < 0 ? -1 : nowMs - m_context.m_confirmedMs;
     sendToAll(report);
 }
 
@@ -147,6 +148,9 @@
         }
         if (!valueOf(report).m_crashesOnly) {
             m_context.m_loadReports.take(valueOf(report), steadyMs());
+            if (valueOf(report).m_proofAgeMs >= 0) {
+                m_context.m_storeOutage.recordProof(steadyMs() - valueOf(report).m_proofAgeMs);
+            }
             for (const Departure &departure : valueOf(report).m_departures) {
                 learnReport(m_context, departure);
             }
--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -39,28 +39,10 @@
     text << file.rdbuf();
     const YAML::Node root = parseYaml(reader, text.str());
     EntrySettings settings;
-    const bool known = checkKeys(reader,
-                                 root,
-                                 {"name",
-                                  "availability_zone",
-                                  "listen",
-                                  "readiness_listen",
-                                  "metrics_listen",
-                                  "peer_listen",
-                                  "cpu_share",
-                                  "store_address",
-                                  "store_timeout_ms",
-                                  "lease_ms",
-                                  "max_key_age_ms",
-                                  "max_denial_age_ms",
-                                  "resend_ratio",
-                                  "resend_extra",
-                                  "resend_window_s",
-                                  "cold_share",
-                                  "engines_check_fence",
-                                  "stop_grace_s",
-                                  "address_reuse_s",
-                                  "upstream_heartbeat_ms"});
+    const bool known = checkKeys(reader, root, {"name",           "availability_zone",   "listen",        "readiness_listen", "metrics_listen",
+                                                "peer_listen",    "cpu_share",           "store_address", "store_timeout_ms", "lease_ms",
+                                                "max_key_age_ms", "max_denial_age_ms",   "resend_ratio",  "resend_extra",     "resend_window_s",
+                                                "cold_share",     "engines_check_fence", "stop_grace_s",  "address_reuse_s",  "upstream_heartbeat_ms"});
     if (!known) {
         return reader.m_findings;
     }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -76,7 +76,6 @@
 /** State of following the store, besides the copy of its content. */
 struct FollowState
 {
-    bool m_unreachable = false;
     std::int64_t m_unreachableSinceMs = 0;
     /** Consecutive failed calls. */
     int m_failures = 0;
@@ -329,20 +328,25 @@
     }
 }
 
-void recordStoreAnswer(EntryContext &context, FollowState &followState, std::int64_t askedMs)
+void recordStoreAnswer(EntryContext &context, const FollowState &followState, std::int64_t askedMs)
 {
     context.m_confirmedMs = std::max(context.m_confirmedMs, askedMs);
-    if (followState.m_unreachable) {
-        followState.m_unreachable = false;
-        context.m_storeRecoveredMs = steadyMs();
-        logEvent(LogEvent::StoreRecovered, {{"away_ms", context.m_storeRecoveredMs - followState.m_unreachableSinceMs}});
+    context.m_storeOutage.recordProof(askedMs);
+    if (context.m_storeOutage.isOver()) {
+        return;
     }
+    const std::int64_t nowMs = steadyMs();
+    const std::int64_t awayForAllMs = context.m_storeOutage.end(nowMs);
+    // An entry lapses no sooner: the last report of its upstream was up to one interval before.
+    const bool mayHaveDropped = awayForAllMs >= (EntryLapseReports - 1) * context.m_settings.m_upstreamHeartbeatMs;
+    context.m_storeRecoveredMs = mayHaveDropped ? nowMs : context.m_storeRecoveredMs;
+    logEvent(LogEvent::StoreRecovered, {{"away_ms", nowMs - followState.m_unreachableSinceMs}, {"away_for_all_ms", awayForAllMs}});
 }
 
-void recordStoreFailure(const EntryContext &context, FollowState &followState, const Error &error)
+void recordStoreFailure(EntryContext &context, FollowState &followState, const Error &error)
 {
-    if (!followState.m_unreachable) {
-        followState.m_unreachable = true;
+    if (context.m_storeOutage.isOver()) {
+        context.m_storeOutage.begin();
         followState.m_unreachableSinceMs = steadyMs();
         logEvent(LogEvent::StoreLost, {{"error", describe(error)}, {"proof_age_ms", context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs}});
     }
--- a/kernel/loadreport.h
+++ b/kernel/loadreport.h
@@ -33,6 +33,8 @@
     std::vector<GroupLoadReport> m_groups;
     /** Lifetimes of upstreams that the sender found to leave. */
     std::vector<Departure> m_departures;
+    /** Age of the sender's confirmation that its copy of the store is current, in ms; negative if it has none. */
+    std::int64_t m_proofAgeMs = -1;
     /** The report is no load report: it holds only m_crashes. */
     bool m_crashesOnly = false;
     /** The sender's latest observations of upstreams that ended. */
--- a/net/loadreportcodec.cpp
+++ b/net/loadreportcodec.cpp
@@ -38,6 +38,7 @@
         const std::int64_t ageMs = std::clamp<std::int64_t>(departure.m_ageMs, 0, std::numeric_limits<std::uint32_t>::max());
         departures.emplace_back(departure.m_lifetime, static_cast<std::uint32_t>(ageMs), static_cast<std::uint8_t>(departure.m_source));
     }
+    const std::int32_t proofAgeMs = static_cast<std::int32_t>(std::clamp<std::int64_t>(report.m_proofAgeMs, -1, std::numeric_limits<std::int32_t>::max()));
     builder.Finish(wire::CreatePulse(builder,
                                      builder.CreateString(report.m_sender),
                                      report.m_number,
@@ -45,7 +46,8 @@
                                      builder.CreateVector(groups),
                                      encodeCrashItems(builder, report.m_crashes),
                                      report.m_crashesOnly,
-                                     builder.CreateVectorOfStructs(departures)));
+                                     builder.CreateVectorOfStructs(departures),
+                                     proofAgeMs));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -81,6 +83,7 @@
             }
         }
     }
+    report.m_proofAgeMs = root->proof_age_ms();
     report.m_crashes = decodeCrashItems(root->crashes());
     report.m_crashesOnly = root->crashes_only();
     return report;
--- a/wire/pulse_generated.h
+++ b/wire/pulse_generated.h
@@ -193,6 +193,7 @@
   std::vector<std::unique_ptr<knapweedslip::wire::CrashT>> crashes{};
   bool crashes_only = false;
   std::vector<knapweedslip::wire::Departure> departures{};
+  int32_t proof_age_ms = -1;
   PulseT() = default;
   PulseT(const PulseT &o);
   PulseT(PulseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -209,7 +210,8 @@
     VT_GROUPS = 10,
     VT_CRASHES = 12,
     VT_CRASHES_ONLY = 14,
-    VT_DEPARTURES = 18
+    VT_DEPARTURES = 18,
+    VT_PROOF_AGE_MS = 20
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -232,6 +234,9 @@
   const flatbuffers::Vector<const knapweedslip::wire::Departure *> *departures() const {
     return GetPointer<const flatbuffers::Vector<const knapweedslip::wire::Departure *> *>(VT_DEPARTURES);
   }
+  int32_t proof_age_ms() const {
+    return GetField<int32_t>(VT_PROOF_AGE_MS, -1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -247,6 +252,7 @@
            VerifyField<uint8_t>(verifier, VT_CRASHES_ONLY, 1) &&
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
+           VerifyField<int32_t>(verifier, VT_PROOF_AGE_MS, 4) &&
            verifier.EndTable();
   }
   PulseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -279,6 +285,9 @@
   void add_departures(flatbuffers::Offset<flatbuffers::Vector<const knapweedslip::wire::Departure *>> departures) {
     fbb_.AddOffset(Pulse::VT_DEPARTURES, departures);
   }
+  void add_proof_age_ms(int32_t proof_age_ms) {
+    fbb_.AddElement<int32_t>(Pulse::VT_PROOF_AGE_MS, proof_age_ms, -1);
+  }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -298,9 +307,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>> groups = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>>> crashes = 0,
     bool crashes_only = false,
-    flatbuffers::Offset<flatbuffers::Vector<const knapweedslip::wire::Departure *>> departures = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const knapweedslip::wire::Departure *>> departures = 0,
+    int32_t proof_age_ms = -1) {
   PulseBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_proof_age_ms(proof_age_ms);
   builder_.add_departures(departures);
   builder_.add_crashes(crashes);
   builder_.add_groups(groups);
@@ -318,7 +329,8 @@
     const std::vector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>> *groups = nullptr,
     const std::vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *crashes = nullptr,
     bool crashes_only = false,
-    const std::vector<knapweedslip::wire::Departure> *departures = nullptr) {
+    const std::vector<knapweedslip::wire::Departure> *departures = nullptr,
+    int32_t proof_age_ms = -1) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>(*groups) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>>(*crashes) : 0;
@@ -331,7 +343,8 @@
       groups__,
       crashes__,
       crashes_only,
-      departures__);
+      departures__,
+      proof_age_ms);
 }
 
 flatbuffers::Offset<Pulse> CreatePulse(flatbuffers::FlatBufferBuilder &_fbb, const PulseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -385,7 +398,8 @@
         number(o.number),
         serving(o.serving),
         crashes_only(o.crashes_only),
-        departures(o.departures) {
+        departures(o.departures),
+        proof_age_ms(o.proof_age_ms) {
   groups.reserve(o.groups.size());
   for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new knapweedslip::wire::GroupPulseT(*groups_) : nullptr); }
   crashes.reserve(o.crashes.size());
@@ -400,6 +414,7 @@
   std::swap(crashes, o.crashes);
   std::swap(crashes_only, o.crashes_only);
   std::swap(departures, o.departures);
+  std::swap(proof_age_ms, o.proof_age_ms);
   return *this;
 }
 
@@ -419,6 +434,7 @@
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<knapweedslip::wire::CrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes_only(); _o->crashes_only = _e; }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = *_e->Get(_i); } } }
+  { auto _e = proof_age_ms(); _o->proof_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Pulse> Pulse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PulseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -436,6 +452,7 @@
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes_only = _o->crashes_only;
   auto _departures = _o->departures.size() ? _fbb.CreateVectorOfStructs(_o->departures) : 0;
+  auto _proof_age_ms = _o->proof_age_ms;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       _sender,
@@ -444,7 +461,8 @@
       _groups,
       _crashes,
       _crashes_only,
-      _departures);
+      _departures,
+      _proof_age_ms);
 }
 
 inline const knapweedslip::wire::Pulse *GetPulse(const void *buf) {
