--- /dev/null
+++ b/autotests/processes/departures.sh
@@ -0,0 +1,101 @@
+# Upstreams that leave, and whose list entry says so or is removed, while their answers say nothing: nothing that a caller sends later than the bound reaches
+# them, whatever older word of them the list shows, and through daemons that the store turns away or that have just started. Guards against daemons that take
+# back what they knew, or that use removed entries after an outage of their own (rule DRAIN, incident of issue 46).
+set -u
+. "$(dirname "$0")/../../examples/hosting.sh"
+DRAIN_MS=2000
+# Time for which a request may already be underway then, in ms.
+UNDERWAY_MS=200
+COPY_AGE_S=2
+# name, path, first upstream of 9 engines and 4 plain ones, words, disturbance. "copy": the store comes back from a copy older than the word. "turned-away":
+# for 9 s the store serves all but one daemon, and drops its history. "restart": one daemon is killed and started again after the word. "lapsed": the entry
+# lapses and comes back, and the upstream must be used again.
+cases=(
+    "listed|/read/a|9|\"listed\":true|none"
+    "listed-late|/read/a|9|\"listed\":true,\"late_report_ms\":3000,\"quiet_ms\":7000|none"
+    "listed-late-paid|/once/a|9|\"listed\":true,\"late_report_ms\":3000,\"quiet_ms\":7000|none"
+    "listed-late-head|/stream/a|0|\"listed\":true,\"late_report_ms\":3000,\"quiet_ms\":7000|none"
+    "listed-late-restart|/read/a|9|\"listed\":true,\"late_report_ms\":4000,\"quiet_ms\":7000|restart"
+    "removed-late|/read/a|9|\"unlisted\":true,\"late_report_ms\":3000|none"
+    "removed-late-restart|/read/a|9|\"unlisted\":true,\"late_report_ms\":4000|restart"
+    "listed-copy|/read/a|9|\"listed\":true|copy"
+    "removed-copy|/read/a|9|\"unlisted\":true|copy"
+    "listed-turned-away|/read/a|9|\"listed\":true|turned-away"
+    "removed-turned-away|/read/a|9|\"unlisted\":true|turned-away"
+    "lapsed|/read/a|9|\"quiet_ms\":6000|lapsed"
+)
+# Rows at a time.
+PARALLEL=3
+
+words() { # words; prints the id of the upstream
+    curl -sf -X PUT -d "{\"first\":$first,\"count\":1,$1}" "http://$PREFIX.9.1:8500/standin/engines" | tr -d '[]"'
+}
+
+faults() { # faults of the store
+    curl -sf -X PUT -d "$1" "http://$PREFIX.9.1:8500/standin/faults" >/dev/null
+}
+
+# Prints how many requests reached the upstream that callers had sent after the given time, and the last one, in ms after the word.
+arrivals() { # upstream word-ms from-ms
+    awk -v engine="\"engine\":\"$1\"" -v word="$2" -v from="$3" '
+        /"kind":"arrived"/ && index($0, engine) { match($0, /"at_ms":[0-9]+/); at = substr($0, RSTART + 8, RLENGTH - 8)
+          late += at > from; last = at > from ? at - word : last }
+        END { print late + 0, last + 0 }' "$RUN/history"
+}
+
+run_case() { # name path first words disturbance
+    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 word engine late
+    [ "$disturbance" != turned-away ] || APART=1
+    start_hosting 7 --engines 9 --services 4 --prefill-ms 10 --events 5 || { status=1; return; }
+    wait_until 20 "$path is served by all daemons" serves "$path" || { status=1; return; }
+    start_innocents 35 "$path"
+    sleep 3
+    [ "$disturbance" != copy ] || { faults '{"copy":true}'; sleep $COPY_AGE_S; }
+    # A watch that waits already is still answered.
+    [ "$disturbance" != turned-away ] || { faults '{"turned_away_ms":9000}'; sleep 1; }
+    word=$(uptime_ms)
+    engine=$(words "$said")
+    case $disturbance in
+    copy)
+        faults '{"drill_ms":300,"again_ms":1000,"apart_ms":0,"skip":0}'
+        ;;
+    turned-away)
+        sleep 4
+        faults '{"forget":true}'
+        sleep 3
+        ;;
+    restart)
+        sleep 1
+        kill -KILL "$(pid_of entry-1)"
+        wait "$(pid_of entry-1)" 2>/dev/null
+        start_entry 1
+        ;;
+    lapsed)
+        sleep 3.7
+        curl -sf -X PUT "http://$PREFIX.9.1:8500/standin/removed-key?key=servers/$engine" >/dev/null
+        ;;
+    esac
+    sleep 6
+    stop_innocents
+    history >"$RUN/history"
+    late=$(arrivals "$engine" "$word" $((word + DRAIN_MS + UNDERWAY_MS)))
+    echo "$name: sent later than the bound, and the last after the word in ms: $late; answers $(sort "$RUN/innocent" | uniq -c | tr '\n' ';')"
+    if [ "$disturbance" = lapsed ]; then
+        # Reports go on after 6 s.
+        [ "$(arrivals "$engine" "$word" $((word + 7500)) | cut -d' ' -f1)" -gt 0 ] || { echo "FAILED: $name: an upstream that lives is not used"; status=1; }
+    else
+        [ "${late%% *}" = 0 ] || { echo "FAILED: $name: requests reach an upstream that leaves"; status=1; }
+    fi
+    grep -q '^200' "$RUN/innocent" || { echo "FAILED: $name: no caller was answered"; status=1; }
+    [ -z "${KEEP:-}" ] || cp -r "$RUN" "$KEEP-$name"
+    end_processes
+    process_pids=()
+}
+
+selected=()
+for row in "${cases[@]}"; do
+    name=${row%%|*}
+    [ $# -eq 0 ] || [ "$1" = "$name" ] || continue
+    selected+=("$row")
+done
+run_rows "${selected[@]}"
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -22,6 +22,8 @@
 struct HostingOptions
 {
     std::string m_storeListen;
+    /** Second address of the store, for daemons that it turns away at times; empty for none. */
+    std::string m_apartListen;
     std::string m_upstreamIp;
     std::vector<std::string> m_zones;
     int m_engines = 0;
@@ -61,8 +63,8 @@
 using Upstreams = std::vector<std::unique_ptr<HostingEngine>>;
 
 /**
- * Applies {"first":n,"count":n,"leaving":b,"listed":b,"turn_away_ms":n,"retry_after":s}, sets how answers are spoiled with "faults":{..}, or ends the
- * upstreams with "lost":true, and returns the ids of the upstreams that it names.
+ * Applies {"first":n,"count":n,"leaving":b,"listed":b,"unlisted":b,"late_report_ms":n,"quiet_ms":n,"turn_away_ms":n,"retry_after":s}, sets how answers are
+ * spoiled with "faults":{..}, or ends the upstreams with "lost":true, and returns the ids of the upstreams that it names.
  */
 std::string applyWords(const Upstreams &upstreams, const std::string &body)
 {
@@ -70,6 +72,9 @@
     HostingEngineWords words;
     words.m_leaving = boolField(object, "leaving");
     words.m_listedAsLeaving = boolField(object, "listed");
+    words.m_unlisted = boolField(object, "unlisted");
+    words.m_lateReportMs = integerField(object, "late_report_ms");
+    words.m_quietUntilMs = steadyMs() + integerField(object, "quiet_ms");
     words.m_turnAwayUntilMs = steadyMs() + integerField(object, "turn_away_ms");
     words.m_retryAfter = stringField(object, "retry_after");
     const std::size_t first = static_cast<std::size_t>(integerField(object, "first"));
@@ -118,12 +123,16 @@
     }
 }
 
-/** Applies {"store_down_ms":n}, {"copy":true}, or {"drill_ms":n,"again_ms":n,"apart_ms":n,"skip":n}, see Drill. */
+/** Applies {"store_down_ms":n}, {"turned_away_ms":n}, {"forget":true}, {"copy":true}, or {"drill_ms":n,"again_ms":n,"apart_ms":n,"skip":n}, see Drill. */
 void applyStoreFaults(IoThreads &threads, HostingStore &store, const Upstreams &upstreams, const std::string &body)
 {
     const json::object object = parseJsonObject(body);
     if (boolField(object, "copy")) {
         hostingTakeCopy(store);
+    } else if (boolField(object, "forget")) {
+        hostingForgetHistory(store);
+    } else if (object.contains("turned_away_ms")) {
+        store.m_apartUntilMs = steadyMs() + integerField(object, "turned_away_ms");
     } else if (object.contains("drill_ms")) {
         const Drill drill{integerField(object, "drill_ms"),
                           integerField(object, "again_ms"),
@@ -191,7 +200,15 @@
             return serve(threads, store, history, upstreams, exchange);
         },
         servers);
-    if (!listens) {
+    const auto serveApart = [&store](HttpExchange &exchange) -> awaitable<void> {
+        if (steadyMs() < store.m_apartUntilMs) {
+            constexpr unsigned Unavailable = 503;
+            co_await exchange.respond(jsonReply(Unavailable, "{}"));
+        } else {
+            co_await serveHostingStore(store, exchange);
+        }
+    };
+    if (!listens || (!options.m_apartListen.empty() && !listenOn(threads, options.m_apartListen, serveApart, servers))) {
         return 2;
     }
     for (int i = 0; i < options.m_engines + options.m_serviceUpstreams; ++i) {
@@ -220,6 +237,7 @@
     CLI::App app("Stand-in for the hosting platform: its store, model engines and upstreams of a plain service");
     knapweedslip::standin::HostingOptions options;
     app.add_option("--listen", options.m_storeListen, "ip:port of the store")->required();
+    app.add_option("--apart", options.m_apartListen, "second ip:port of the store, which can turn calls away");
     app.add_option("--ip", options.m_upstreamIp, "address of all upstreams, which listen on ports from 8001")->required();
     app.add_option("--zone", options.m_zones, "availability zones")->required();
     app.add_option("--engines", options.m_engines, "model engines, of the service llm");
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -133,7 +133,7 @@
 {
 }
 
-std::string HostingEngine::entryText() const
+std::string HostingEngine::entryText(std::int64_t count) const
 {
     json::object object{{"service", m_entry.m_service},
                         {"address", m_address},
@@ -143,7 +143,7 @@
                         {"state", m_words.m_listedAsLeaving ? "draining" : "ready"},
                         {"coldLeftMs", 0},
                         {"born", m_entry.m_startedMs},
-                        {"seq", m_orders}};
+                        {"seq", count}};
     if (!m_entry.m_domain.empty()) {
         object["domain"] = m_entry.m_domain;
         object["modelList"] = json::array();
@@ -164,8 +164,19 @@
 
 void HostingEngine::setWords(const HostingEngineWords &words)
 {
+    const std::string key = std::string(platform::key::Upstream) + m_entry.m_id;
+    if (words.m_lateReportMs > 0) {
+        // The write was made before the words, and is carried out after them.
+        ++m_writes;
+        asio::co_spawn(m_io, publishLate(key, entryText(m_writes), words.m_lateReportMs), asio::detached);
+    }
     m_words = words;
+    m_words.m_quietUntilMs = 0;
     publish();
+    m_words.m_quietUntilMs = words.m_quietUntilMs;
+    if (words.m_unlisted) {
+        hostingRemove(m_store, key);
+    }
 }
 
 void HostingEngine::setFaults(const AnswerFaults &faults)
@@ -249,7 +260,17 @@
 
 void HostingEngine::publish()
 {
-    hostingPut(m_store, std::string(platform::key::Upstream) + m_entry.m_id, entryText());
+    if (m_words.m_unlisted || steadyMs() < m_words.m_quietUntilMs) {
+        return;
+    }
+    ++m_writes;
+    hostingPut(m_store, std::string(platform::key::Upstream) + m_entry.m_id, entryText(m_writes));
+}
+
+awaitable<void> HostingEngine::publishLate(std::string key, std::string text, std::int64_t afterMs)
+{
+    co_await sleepFor(afterMs);
+    hostingPut(m_store, key, text);
 }
 
 void HostingEngine::publishAgain()
@@ -264,6 +285,7 @@
     ++m_lifetime;
     m_alive = true;
     m_orders = 0;
+    m_writes = 0;
     m_fence = 0;
     m_words = {};
     m_entry.m_id = "i-" + toHex(randomId());
@@ -536,7 +558,7 @@
         co_return;
     }
     if (path == platform::path::Report) {
-        reply = jsonReply(200, entryText());
+        reply = jsonReply(200, entryText(m_orders));
         co_await answerLeader(connection, std::move(reply), request);
         co_return;
     }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -41,6 +41,12 @@
     bool m_leaving = false;
     /** The entry in the store says so too. */
     bool m_listedAsLeaving = false;
+    /** The entry is removed, and the engine writes no other one. */
+    bool m_unlisted = false;
+    /** The entry as it was before is written once more after this time, in ms, as a write that is carried out late; 0 for never. */
+    std::int64_t m_lateReportMs = 0;
+    /** The engine writes nothing until this time. */
+    std::int64_t m_quietUntilMs = 0;
     /** Requests are turned away until this time, with the time that is left. */
     std::int64_t m_turnAwayUntilMs = 0;
     /** Sent as Retry-After instead of the time that is left; empty if unused. */
@@ -147,8 +153,11 @@
     /** Keeps @p connections open and silent for a time. */
     awaitable<void> keepSilent(std::set<ConnectionPtr> connections);
     void beginLifetime();
-    std::string entryText() const;
+    /** Returns what the engine says of itself; @p count is its count of orders in a report and of writes in its entry. */
+    std::string entryText(std::int64_t count) const;
     void publish();
+    /** Writes @p text as the entry with the key @p key after @p afterMs. */
+    awaitable<void> publishLate(std::string key, std::string text, std::int64_t afterMs);
 
     asio::io_context &m_io;
     HostingStore &m_store;
@@ -160,6 +169,8 @@
     std::uint64_t m_lifetime = 0;
     bool m_alive = false;
     std::int64_t m_orders = 0;
+    /** Number of its writes of its entry in this lifetime. */
+    std::int64_t m_writes = 0;
     /** Highest fencing token of an order in this lifetime. */
     std::int64_t m_fence = 0;
     HostingEngineWords m_words;
--- a/standins/hostingstore.cpp
+++ b/standins/hostingstore.cpp
@@ -97,7 +97,7 @@
         if (store.m_era != era || steadyMs() < store.m_downUntilMs) {
             co_return jsonReply(503, "{}");
         }
-        if (after > store.m_revision) {
+        if (after > store.m_revision || after < store.m_historyFrom) {
             co_return jsonReply(410, "{}");
         }
         if (!store.m_history.empty() && store.m_history.front().m_revision > after + 1 && store.m_history.size() >= HostingStore::MaxHistory) {
@@ -253,6 +253,12 @@
     }
 }
 
+void hostingForgetHistory(HostingStore &store)
+{
+    store.m_history.clear();
+    store.m_historyFrom = store.m_revision;
+}
+
 void hostingExpireLeases(HostingStore &store, std::int64_t nowMs)
 {
     if (nowMs < store.m_downUntilMs) {
--- a/standins/hostingstore.h
+++ b/standins/hostingstore.h
@@ -49,6 +49,10 @@
     std::map<std::uint64_t, HostingLease> m_leases;
     /** All calls are answered with 503 until this time. */
     std::int64_t m_downUntilMs = 0;
+    /** Calls at the second address are answered with 503 until this time: the store turns the daemons away that use it. */
+    std::int64_t m_apartUntilMs = 0;
+    /** The history before this revision was dropped. */
+    std::uint64_t m_historyFrom = 0;
     /** Number of calls of each kind, and of bytes in their bodies, both ways. */
     std::map<std::string, std::uint64_t> m_calls;
     std::uint64_t m_bytes = 0;
@@ -71,6 +75,8 @@
 void hostingPut(HostingStore &store, const std::string &key, const std::string &value);
 /** Removes @p key if it exists. */
 void hostingRemove(HostingStore &store, const std::string &key);
+/** Drops the history of changes. */
+void hostingForgetHistory(HostingStore &store);
 /** Ends the leases that are over. Leases pause while the store is down. */
 void hostingExpireLeases(HostingStore &store, std::int64_t nowMs);
 /** Serves one call of the store's HTTP interface. */
