--- a/kernel/departures.cpp
+++ b/kernel/departures.cpp
@@ -64,6 +64,10 @@
         known.m_readMs = nowMs;
         known.m_removedMs = -1;
         m_latest[entry.m_id] = key;
+    } else if (order == EntryOrder::EarlierWrite) {
+        // A late write, too, keeps the entry from lapsing.
+        Lifetime &known = m_lifetimes[key];
+        known.m_writtenAfterMs = std::max(known.m_writtenAfterMs, entry.m_writtenAfterMs);
     }
     if (entry.m_leaving) {
         recordDeparture(key, DepartureSource::Listed, nowMs);
--- a/kernel/departures.h
+++ b/kernel/departures.h
@@ -111,8 +111,9 @@
         std::int64_t m_startedMs = 0;
         /** Of the latest entry that was Current. */
         std::int64_t m_writeNumber = -1;
-        std::int64_t m_writtenAfterMs = -1;
         std::int64_t m_readMs = -1;
+        /** The last write, in whatever order it was made, was carried out after this time; -1 if that is not known. */
+        std::int64_t m_writtenAfterMs = -1;
         /** When its entry was found to be removed; negative while it is listed. */
         std::int64_t m_removedMs = -1;
         /** What told this daemon that it leaves, and when. */
