--- a/autotests/processes/departures.sh
+++ b/autotests/processes/departures.sh
@@ -9,7 +9,8 @@
 COPY_AGE_S=2
 # name, path, first upstream of 9 engines and 4 plain ones, words, disturbance. "copy": the store comes back from a copy older than the word. "turned-away":
 # for 9 s the store serves all but one daemon, and drops its history. "restart": one daemon is killed and started again after the word. "lapsed": the entry
-# lapses and comes back, and the upstream must be used again.
+# lapses and comes back, and the upstream must be used again. "hidden": the store does not show heartbeats, so that a removal may be a lapse; the upstream's
+# answers say that it leaves once no request reaches it.
 cases=(
     "listed|/read/a|9|\"listed\":true|none"
     "listed-late|/read/a|9|\"listed\":true,\"late_report_ms\":3000,\"quiet_ms\":7000|none"
@@ -18,6 +19,7 @@
     "listed-late-restart|/read/a|9|\"listed\":true,\"late_report_ms\":4000,\"quiet_ms\":7000|restart"
     "removed-late|/read/a|9|\"unlisted\":true,\"late_report_ms\":3000|none"
     "removed-late-restart|/read/a|9|\"unlisted\":true,\"late_report_ms\":4000|restart"
+    "removed-late-hidden|/read/a|9|\"unlisted\":true,\"late_report_ms\":3000|hidden"
     "listed-copy|/read/a|9|\"listed\":true|copy"
     "removed-copy|/read/a|9|\"unlisted\":true|copy"
     "listed-turned-away|/read/a|9|\"listed\":true|turned-away"
@@ -44,9 +46,10 @@
 }
 
 run_case() { # name path first words disturbance
-    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 word engine late
+    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 options=() word engine late
     [ "$disturbance" != turned-away ] || APART=1
-    start_hosting 7 --engines 9 --services 4 --prefill-ms 10 --events 5 || { status=1; return; }
+    [ "$disturbance" != hidden ] || options=(--hide-heartbeats)
+    start_hosting 7 --engines 9 --services 4 --prefill-ms 10 --events 5 "${options[@]}" || { status=1; return; }
     wait_until 20 "$path is served by all daemons" serves "$path" || { status=1; return; }
     start_innocents 35 "$path"
     sleep 3
@@ -70,6 +73,10 @@
         wait "$(pid_of entry-1)" 2>/dev/null
         start_entry 1
         ;;
+    hidden)
+        sleep 1
+        words '"unlisted":true,"leaving":true' >/dev/null
+        ;;
     lapsed)
         sleep 3.7
         curl -sf -X PUT "http://$PREFIX.9.1:8500/standin/removed-key?key=servers/$engine" >/dev/null
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -10,6 +10,7 @@
 #include "daemons/entryavailability.h"
 #include "net/crashcodec.h"
 #include "net/logging.h"
+#include "platform/callheaders.h"
 #include "platform/enginecalls.h"
 
 namespace knapweedslip
@@ -33,6 +34,11 @@
 constexpr std::int64_t PublishPauseMs = 400;
 constexpr std::int64_t PublishRetryMs = 1'000;
 
+/** Upstreams that are listed again are checked only while fewer checks than this run: after a long outage of the store all of them are. */
+constexpr std::size_t MaxListedAgainChecks = 32;
+/** For which replicas such an upstream is withheld meanwhile. */
+constexpr std::uint64_t ListedAgainEpoch = UpstreamAvailability::AnyEpoch;
+
 /** Result of asking for an upstream at its address. */
 enum class ProbeResult {
     Answered,
@@ -58,6 +64,9 @@
     if (valueOf(reply).m_status == Misdirected) {
         co_return ProbeResult::Gone;
     }
+    if (platform::decodeResponseHeaders(valueOf(reply).m_status, valueOf(reply).m_headers).m_leaving) {
+        learnLeaving(context, {upstream.m_id, upstream.m_startedMs}, {});
+    }
     if (!connection->m_closing) {
         connection->m_bootId = upstream.m_id;
         context.m_connections.give(std::move(connection));
@@ -125,6 +134,7 @@
     }
     if (outcome == EndCheckOutcome::Lives) {
         context.m_availability.recordLives({upstream.m_id, upstream.m_startedMs}, steadyMs());
+        context.m_availability.endWithholding(upstream.m_id, ListedAgainEpoch);
         for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
             const CrashSuspects suspects(request.first, request.second.m_parts);
             context.m_crashLedger.recordLives(suspects, lifetime, steadyMs());
@@ -181,6 +191,16 @@
     }
 }
 
+void checkListedAgain(EntryContext &context, UpstreamInstance upstream)
+{
+    if (context.m_endChecks.size() >= MaxListedAgainChecks) {
+        return;
+    }
+    constexpr std::int64_t LongestProbeMs = ProbeConnectTimeoutMs + ProbeAnswerTimeoutMs;
+    context.m_availability.withhold(upstream.m_id, ListedAgainEpoch, WithheldReason::Unreachable, LongestProbeMs, steadyMs());
+    checkUpstream(context, std::move(upstream));
+}
+
 void mergeCrashes(EntryContext &context, const std::vector<CrashObservation> &observations, bool own)
 {
     const std::int64_t nowMs = steadyMs();
--- a/daemons/entrycrashes.h
+++ b/daemons/entrycrashes.h
@@ -30,6 +30,12 @@
 /** Finds out in the same way whether @p upstream has ended, which its answer to a request leaves open. */
 void checkUpstream(EntryContext &context, UpstreamInstance upstream);
 
+/**
+ * Must be called when the entry of @p upstream is listed again after it was removed. It has lapsed and the upstream lives, or a late write has brought it back
+ * after the upstream has left: the upstream itself is asked, and gets no requests until it answers or the time for that is over.
+ */
+void checkListedAgain(EntryContext &context, UpstreamInstance upstream);
+
 /** Merges what another daemon, or an earlier process of this one (@p own), observed. Upstreams that it found to have ended get no new requests here either. */
 void mergeCrashes(EntryContext &context, const std::vector<CrashObservation> &observations, bool own);
 
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -253,12 +253,17 @@
     // What the store accepted before this time was known already, unless it comes from an older copy of the store.
     const bool isSameEra = item.m_position.m_era == context.m_mirror.completeTo().m_era;
     entry.m_writtenAfterMs = isSameEra ? context.m_confirmedMs : -1;
+    const UpstreamLifetime lifetime{id, entry.m_startedMs};
+    const bool isListedAgain = context.m_availability.isRemoved(lifetime);
     const EntryOrder order = context.m_availability.observe(entry, nowMs);
     if (order != EntryOrder::Current) {
         ignoreEntry(context, entry, order);
         return ItemEffect::None;
     }
-    entry.m_leaving = context.m_availability.isLeaving({id, entry.m_startedMs});
+    entry.m_leaving = context.m_availability.isLeaving(lifetime);
+    if (isListedAgain && !entry.m_leaving) {
+        checkListedAgain(context, {id, entry.m_address, entry.m_startedMs});
+    }
     followState.m_pendingRemovals.erase(item.m_key);
     const auto known = context.m_upstreams.find(id);
     const bool isUpdate = known == context.m_upstreams.end() || !describesSameState(known->second, entry);
--- a/kernel/departures.cpp
+++ b/kernel/departures.cpp
@@ -149,6 +149,12 @@
     return found != m_lifetimes.end() && found->second.m_source.has_value();
 }
 
+bool Departures::isRemoved(std::uint64_t lifetime) const
+{
+    const auto found = m_lifetimes.find(lifetime);
+    return found != m_lifetimes.end() && found->second.m_removedMs >= 0;
+}
+
 std::vector<Departure> Departures::recent(std::int64_t withinMs, std::int64_t nowMs) const
 {
     std::vector<Departure> departures;
--- a/kernel/departures.h
+++ b/kernel/departures.h
@@ -101,6 +101,8 @@
     std::optional<DepartureSource> find(std::uint64_t lifetime, std::int64_t nowMs) const;
     /** Returns whether this daemon itself found that @p lifetime leaves. */
     bool foundHere(std::uint64_t lifetime) const;
+    /** Returns whether the entry of @p lifetime was removed and has not been written again since. */
+    bool isRemoved(std::uint64_t lifetime) const;
     /** Returns what this daemon itself found within the last @p withinMs, the latest first. */
     std::vector<Departure> recent(std::int64_t withinMs, std::int64_t nowMs) const;
 
--- a/kernel/upstreamavailability.cpp
+++ b/kernel/upstreamavailability.cpp
@@ -204,6 +204,11 @@
     return m_departures.foundHere(upstreamLifetime(lifetime.m_id, lifetime.m_startedMs));
 }
 
+bool UpstreamAvailability::isRemoved(const UpstreamLifetime &lifetime) const
+{
+    return m_departures.isRemoved(upstreamLifetime(lifetime.m_id, lifetime.m_startedMs));
+}
+
 std::vector<Departure> UpstreamAvailability::recentDepartures(std::int64_t withinMs, std::int64_t nowMs) const
 {
     return m_departures.recent(withinMs, nowMs);
--- a/kernel/upstreamavailability.h
+++ b/kernel/upstreamavailability.h
@@ -131,6 +131,8 @@
     std::array<std::uint64_t, WithheldReasonNames.size()> count(std::int64_t nowMs) const;
     /** Returns whether this daemon itself found that @p lifetime leaves. */
     bool isLeaving(const UpstreamLifetime &lifetime) const;
+    /** Returns whether the entry of @p lifetime was removed and has not been written again since. */
+    bool isRemoved(const UpstreamLifetime &lifetime) const;
     /** Returns the departures that this daemon found within the last @p withinMs, the latest first. */
     std::vector<Departure> recentDepartures(std::int64_t withinMs, std::int64_t nowMs) const;
 
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -246,6 +246,7 @@
     app.add_option("--silent-ms", options.m_times.m_silentMs, "how long the connections of an upstream that has crashed silently stay open");
     app.add_option("--prefill-ms", options.m_times.m_prefillMs, "how long after its arrival a request begins to run");
     app.add_option("--part", options.m_partWords, "id=words: a request whose prompt has this part is treated as if its body contained the words");
+    app.add_flag("--hide-heartbeats", options.m_times.m_hidesHeartbeats, "the store shows no change when an upstream only renews its entry");
     app.add_option("--events", options.m_times.m_events, "events of each stream");
     app.add_option("--event-ms", options.m_times.m_eventMs, "time that an engine takes for an event");
     app.add_option("--events-per-pass", options.m_times.m_eventsPerPass, "events that are written at once");
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -352,7 +352,11 @@
             co_await sleepFor(PollMs);
             if (m_alive && steadyMs() - heartbeatMs >= m_times.m_heartbeatMs) {
                 heartbeatMs = steadyMs();
-                publish();
+                if (m_times.m_hidesHeartbeats) {
+                    ++m_writes;
+                } else {
+                    publish();
+                }
             }
         }
         // The entry of an engine that has crashed stays in the list until its heartbeats are missed.
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -29,6 +29,8 @@
     /** How long the connections of an engine that has crashed silently stay open. */
     std::int64_t m_silentMs = 1'000;
     std::int64_t m_heartbeatMs = 1'200;
+    /** Heartbeats only renew the entry, and the store shows no change. */
+    bool m_hidesHeartbeats = false;
     /** Forming a group of one member: joining, then opening. */
     std::int64_t m_joinMs = 100;
     std::int64_t m_openMs = 100;
