What other daemons reported does not hide an upstream's own answer from the leader; the check of a returned entry ends no other withholding

Whether a departure is new counts what this daemon found itself now. - A check that found an upstream alive ended whatever it was withheld for, such as the rest after an attempt without an answer. The check of an entry that came back has a reason of its own (listed-again), and an entry whose removal was held back, and which stayed in use, is not checked.

--- a/autotests/departurestest.cpp
+++ b/autotests/departurestest.cpp
@@ -158,6 +158,12 @@
     CHECK(availability.check("u", UpstreamAvailability::AnyEpoch, endMs).m_reason == WithheldReason::None);
     CHECK_FALSE(availability.isLeaving({"u", 1}));
     CHECK(availability.recentDepartures(30'000, 2'000).empty());
+    SECTION("the leader, which asks the upstream itself, learns its answer as new")
+    {
+        CHECK(availability.recordLeaving({"u", 1}, 3'000));
+        CHECK(availability.isLeaving({"u", 1}));
+        CHECK_FALSE(availability.recordLeaving({"u", 1}, 3'000));
+    }
     SECTION("a removal that is older than the last entry is outdated")
     {
         availability.observe(writtenEntry(9, 0), 20'000);
@@ -182,3 +188,23 @@
     departures.recordEntry(other, laterMs);
     CHECK(departures.foundHere(upstreamLifetime("u", 1)) == (leaves && laterMs <= Departures::MemoryMs));
 }
+
+// Guards against an upstream that is left out for longer than it takes to ask it, and against a check that ends another reason for which it is withheld.
+TEST_CASE("an upstream whose entry comes back is withheld until it has answered", "[departures]")
+{
+    const WithheldReason reason = GENERATE(WithheldReason::ListedAgain, WithheldReason::Cold);
+    UpstreamAvailability availability;
+    availability.observe(writtenEntry(8, -1), 0);
+    CHECK_FALSE(availability.isRemoved({"u", 1}));
+    availability.recordRemoval("u", false, 1'000);
+    availability.markUnlisted("u", 1'000);
+    CHECK(availability.isRemoved({"u", 1}));
+    CHECK_FALSE(availability.isRemoved({"u", 2}));
+    availability.observe(writtenEntry(9, -1), 2'000);
+    CHECK_FALSE(availability.isRemoved({"u", 1}));
+    availability.withhold("u", UpstreamAvailability::AnyEpoch, reason, 300, 2'000);
+    CHECK(availability.check("u", 7, 2'001).m_reason == reason);
+    availability.endListedAgain("u");
+    CHECK(availability.check("u", 7, 2'001).m_reason == (reason == WithheldReason::ListedAgain ? WithheldReason::None : reason));
+    CHECK(availability.check("u", 7, 2'300).m_reason == WithheldReason::None);
+}
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -36,8 +36,6 @@
 
 /** Upstreams that are listed again are checked only while fewer checks than this run: after a long outage of the store all of them are. */
 constexpr std::size_t MaxListedAgainChecks = 32;
-/** For which replicas such an upstream is withheld meanwhile. */
-constexpr std::uint64_t ListedAgainEpoch = UpstreamAvailability::AnyEpoch;
 
 /** Result of asking for an upstream at its address. */
 enum class ProbeResult {
@@ -134,7 +132,7 @@
     }
     if (outcome == EndCheckOutcome::Lives) {
         context.m_availability.recordLives({upstream.m_id, upstream.m_startedMs}, steadyMs());
-        context.m_availability.endWithholding(upstream.m_id, ListedAgainEpoch);
+        context.m_availability.endListedAgain(upstream.m_id);
         for (const std::pair<const std::uint64_t, UnansweredRun> &request : waiting.mapped()) {
             const CrashSuspects suspects(request.first, request.second.m_parts);
             context.m_crashLedger.recordLives(suspects, lifetime, steadyMs());
@@ -197,7 +195,7 @@
         return;
     }
     constexpr std::int64_t LongestProbeMs = ProbeConnectTimeoutMs + ProbeAnswerTimeoutMs;
-    context.m_availability.withhold(upstream.m_id, ListedAgainEpoch, WithheldReason::Unreachable, LongestProbeMs, steadyMs());
+    context.m_availability.withhold(upstream.m_id, UpstreamAvailability::AnyEpoch, WithheldReason::ListedAgain, LongestProbeMs, steadyMs());
     checkUpstream(context, std::move(upstream));
 }
 
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -254,7 +254,8 @@
     const bool isSameEra = item.m_position.m_era == context.m_mirror.completeTo().m_era;
     entry.m_writtenAfterMs = isSameEra ? context.m_confirmedMs : -1;
     const UpstreamLifetime lifetime{id, entry.m_startedMs};
-    const bool isListedAgain = context.m_availability.isRemoved(lifetime);
+    // An entry whose removal was held back stayed in use.
+    const bool isListedAgain = context.m_upstreams.count(id) == 0 && context.m_availability.isRemoved(lifetime);
     const EntryOrder order = context.m_availability.observe(entry, nowMs);
     if (order != EntryOrder::Current) {
         ignoreEntry(context, entry, order);
--- a/kernel/departures.cpp
+++ b/kernel/departures.cpp
@@ -114,9 +114,9 @@
 
 bool Departures::recordDeparture(std::uint64_t lifetime, DepartureSource source, std::int64_t nowMs)
 {
-    const bool isNew = !find(lifetime, nowMs).has_value();
     Lifetime &known = m_lifetimes[lifetime];
-    if (!known.m_source.has_value()) {
+    const bool isNew = !known.m_source.has_value();
+    if (isNew) {
         known.m_leavesSinceMs = nowMs;
         m_recent.push_front({lifetime, source, nowMs});
         if (m_recent.size() > MaxRecent) {
@@ -124,7 +124,7 @@
         }
     }
     // Its own words bind a lifetime for good, a removal may have had another reason.
-    if (!known.m_source.has_value() || known.m_source == DepartureSource::Removed) {
+    if (isNew || known.m_source == DepartureSource::Removed) {
         known.m_source = source;
     }
     return isNew;
--- a/kernel/departures.h
+++ b/kernel/departures.h
@@ -92,7 +92,7 @@
      * lifetime is now known to leave.
      */
     bool recordRemoval(const std::string &upstream, bool mayBeLost, std::int64_t nowMs);
-    /** Records that an answer of @p lifetime says that it leaves. Returns whether that is new. */
+    /** Records that an answer of @p lifetime says that it leaves. Returns whether this daemon had not found that before. */
     bool recordAnswer(const UpstreamLifetime &lifetime, std::int64_t nowMs);
     /** Records what another daemon found. Returns whether the lifetime was not known to leave before. */
     bool recordReport(const Departure &departure, std::int64_t nowMs);
@@ -135,7 +135,7 @@
 
     /** Returns how @p entry, of the lifetime with @p key, relates to what is known. */
     EntryOrder orderOf(const UpstreamEntry &entry, std::uint64_t key, std::int64_t nowMs) const;
-    /** Records that this daemon found that a lifetime leaves. Returns whether that is new. */
+    /** Records that this daemon found that a lifetime leaves. Returns whether it had not found that before. */
     bool recordDeparture(std::uint64_t lifetime, DepartureSource source, std::int64_t nowMs);
     void removeOld(std::int64_t nowMs);
 
--- a/kernel/upstreamavailability.cpp
+++ b/kernel/upstreamavailability.cpp
@@ -151,6 +151,14 @@
     }
 }
 
+void UpstreamAvailability::endListedAgain(const std::string &upstream)
+{
+    const auto found = m_records.find(upstream);
+    if (found != m_records.end() && found->second.m_reason == WithheldReason::ListedAgain) {
+        found->second.m_untilMs = -1;
+    }
+}
+
 void UpstreamAvailability::endWithholding(const std::string &upstream, std::uint64_t epoch)
 {
     const auto found = m_records.find(upstream);
--- a/kernel/upstreamavailability.h
+++ b/kernel/upstreamavailability.h
@@ -31,6 +31,8 @@
     TurnedAway,
     /** That time is over, and a first request shows whether it takes requests again. It gets another one only if no other upstream is available. */
     OnTrial,
+    /** Its entry was removed and has come back, and it is being asked whether it leaves. */
+    ListedAgain,
     /** It could not be reached, or answered that it is not open. */
     Unreachable,
     /** It has outstanding work but sends no events. */
@@ -41,8 +43,19 @@
     Cold,
 };
 
-inline constexpr EnumNames<12> WithheldReasonNames{
-    "none", "ended", "leaving", "says-leaving", "removed", "zone-out-of-service", "turned-away", "on-trial", "unreachable", "silent", "full", "cold"};
+inline constexpr EnumNames<13> WithheldReasonNames{"none",
+                                                   "ended",
+                                                   "leaving",
+                                                   "says-leaving",
+                                                   "removed",
+                                                   "zone-out-of-service",
+                                                   "turned-away",
+                                                   "on-trial",
+                                                   "listed-again",
+                                                   "unreachable",
+                                                   "silent",
+                                                   "full",
+                                                   "cold"};
 
 /** Whether an upstream is withheld, why, and until when. */
 struct Withheld
@@ -95,7 +108,7 @@
     void markUnlisted(const std::string &upstream, std::int64_t nowMs);
     void setZonesOutOfService(const std::set<std::string> &zones);
 
-    /** Records that an answer of @p lifetime says that it will stop. Returns whether that is new. */
+    /** Records that an answer of @p lifetime says that it will stop. Returns whether this daemon had not found that before. */
     bool recordLeaving(const UpstreamLifetime &lifetime, std::int64_t nowMs);
     /** What a report of another daemon concerns. */
     struct ReportedDeparture
@@ -122,6 +135,8 @@
     void recordSend(const std::string &upstream, std::int64_t nowMs);
     /** Records that @p upstream accepted a request, which ends a trial. */
     void recordAccepted(const std::string &upstream);
+    /** Ends that @p upstream is withheld as ListedAgain. */
+    void endListedAgain(const std::string &upstream);
     /** Ends what withhold() began for @p upstream in the replica with @p epoch. */
     void endWithholding(const std::string &upstream, std::uint64_t epoch);
 
