--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -276,9 +276,9 @@
 
 void logCallSent(const EntryCall &call, const std::string &upstream, const std::string &group, double expectedMs, std::int64_t coldUntilMs)
 {
-    static const UpstreamEntry Unlisted;
+    static const UpstreamEntry unlisted;
     const auto found = call.m_context.m_upstreams.find(upstream);
-    const UpstreamEntry &entry = found == call.m_context.m_upstreams.end() ? Unlisted : found->second;
+    const UpstreamEntry &entry = found == call.m_context.m_upstreams.end() ? unlisted : found->second;
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
               {"fingerprint", toHex(call.m_suspects.m_request)},
