--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -279,6 +279,7 @@
     static const UpstreamEntry unlisted;
     const auto found = call.m_context.m_upstreams.find(upstream);
     const UpstreamEntry &entry = found == call.m_context.m_upstreams.end() ? unlisted : found->second;
+    const DepartureAges ages = call.m_context.m_availability.departureAges({upstream, entry.m_startedMs}, steadyMs());
     logEvent(LogEvent::CallSent,
              {{"request", call.m_caller.m_requestId},
               {"fingerprint", toHex(call.m_suspects.m_request)},
@@ -294,6 +295,8 @@
               {"write", entry.m_writeNumber},
               {"revision", static_cast<std::int64_t>(entry.m_position.m_revision)},
               {"entry_age_ms", steadyMs() - entry.m_readMs},
+              {"removal_age_ms", ages.m_removedMs},
+              {"heard_leaving_age_ms", ages.m_heardMs},
               {"proof_age_ms", steadyMs() - call.m_context.m_confirmedMs}});
 }
 
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -8,6 +8,7 @@
 #include "kernel/loadreport.h"
 #include "kernel/replicareconciler.h"
 #include "kernel/replicaselector.h"
+#include "kernel/reportpeers.h"
 #include "kernel/storemirror.h"
 #include "kernel/storeoutage.h"
 #include "kernel/updatesource.h"
@@ -185,6 +186,7 @@
     ReplicaSelector m_replicaSelector;
     /** The last load report of each other daemon. */
     LoadReportTable m_loadReports;
+    ReportPeers m_reportPeers;
     UpstreamSelector m_upstreamSelector;
     std::map<std::string, ResendBudget> m_resendBudgets;
     /** The daemons that share the limits on resends. */
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -119,12 +119,32 @@
     }
 }
 
+std::int64_t LoadReportExchange::reportIntervalMs() const
+{
+    constexpr std::int64_t MsPerSecond = 1'000;
+    return std::max(LoadReportIntervalMs, daemonCount(m_context) * MsPerSecond / MaxLoadReportsPerSecond);
+}
+
+void LoadReportExchange::logContacts()
+{
+    /** Reports in a row that may be lost before a daemon counts as silent. */
+    constexpr std::int64_t LostReports = 3;
+    const std::int64_t silentMs = std::max(LoadReportTable::ExpiryMs, (LostReports + 1) * reportIntervalMs());
+    for (const ContactChange &change : m_context.m_reportPeers.takeChanges(silentMs, steadyMs())) {
+        logEvent(change.m_heard ? LogEvent::DaemonHeard : LogEvent::DaemonSilent,
+                 {{"daemon", change.m_daemon},
+                  {"heard_age_ms", change.m_ageMs},
+                  {"registered", m_context.m_peers.count(change.m_daemon) > 0},
+                  {"proof_age_ms", steadyMs() - m_context.m_confirmedMs}});
+    }
+}
+
 awaitable<void> LoadReportExchange::sendLoop()
 {
     while (true) {
         sendNow();
-        constexpr std::int64_t MsPerSecond = 1'000;
-        co_await sleepFor(std::max(LoadReportIntervalMs, daemonCount(m_context) * MsPerSecond / MaxLoadReportsPerSecond));
+        logContacts();
+        co_await sleepFor(reportIntervalMs());
     }
 }
 
@@ -146,6 +166,7 @@
             logEvent(LogEvent::PeerRejected, {{"error", describe(errorOf(report))}});
             continue;
         }
+        m_context.m_reportPeers.recordReport(valueOf(report).m_sender, steadyMs());
         if (!valueOf(report).m_crashesOnly) {
             m_context.m_loadReports.take(valueOf(report), steadyMs());
             if (valueOf(report).m_proofAgeMs >= 0) {
--- a/daemons/entryloadreports.h
+++ b/daemons/entryloadreports.h
@@ -35,6 +35,9 @@
     std::int64_t m_departuresSentMs = 0;
 
     void sendToAll(const DaemonLoadReport &report);
+    std::int64_t reportIntervalMs() const;
+    /** Logs which daemons have fallen silent, or are heard again. */
+    void logContacts();
 };
 
 /** Passes what the other daemons reported to the replica selector and, if this daemon leads, to the reconciler. */
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -346,7 +346,11 @@
     // An entry lapses no sooner: the last report of its upstream was up to one interval before.
     const bool mayHaveDropped = awayForAllMs >= (EntryLapseReports - 1) * context.m_settings.m_upstreamHeartbeatMs;
     context.m_storeRecoveredMs = mayHaveDropped ? nowMs : context.m_storeRecoveredMs;
-    logEvent(LogEvent::StoreRecovered, {{"away_ms", nowMs - followState.m_unreachableSinceMs}, {"away_for_all_ms", awayForAllMs}});
+    logEvent(LogEvent::StoreRecovered,
+             {{"away_ms", nowMs - followState.m_unreachableSinceMs},
+              {"away_for_all_ms", awayForAllMs},
+              {"removals_held_back", mayHaveDropped},
+              {"daemons_heard", static_cast<std::int64_t>(context.m_reportPeers.heardCount())}});
 }
 
 void recordStoreFailure(EntryContext &context, FollowState &followState, const Error &error)
@@ -354,7 +358,10 @@
     if (context.m_storeOutage.isOver()) {
         context.m_storeOutage.begin();
         followState.m_unreachableSinceMs = steadyMs();
-        logEvent(LogEvent::StoreLost, {{"error", describe(error)}, {"proof_age_ms", context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs}});
+        logEvent(LogEvent::StoreLost,
+                 {{"error", describe(error)},
+                  {"proof_age_ms", context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs},
+                  {"daemons_heard", static_cast<std::int64_t>(context.m_reportPeers.heardCount())}});
     }
 }
 
--- a/kernel/departures.cpp
+++ b/kernel/departures.cpp
@@ -155,6 +155,18 @@
     return found != m_lifetimes.end() && found->second.m_removedMs >= 0;
 }
 
+DepartureAges Departures::ages(std::uint64_t lifetime, std::int64_t nowMs) const
+{
+    DepartureAges ages;
+    const auto found = m_lifetimes.find(lifetime);
+    if (found != m_lifetimes.end()) {
+        const Lifetime &known = found->second;
+        ages.m_removedMs = known.m_removedMs < 0 ? -1 : nowMs - known.m_removedMs;
+        ages.m_heardMs = known.m_heardUntilMs < 0 ? -1 : nowMs - (known.m_heardUntilMs - HeardMs);
+    }
+    return ages;
+}
+
 std::vector<Departure> Departures::recent(std::int64_t withinMs, std::int64_t nowMs) const
 {
     std::vector<Departure> departures;
--- a/kernel/departures.h
+++ b/kernel/departures.h
@@ -47,6 +47,15 @@
     }
 };
 
+/** What speaks for it that a lifetime has left, by the time since it was found, in ms; -1 for what is not known. */
+struct DepartureAges
+{
+    /** Its entry was removed and has not been written again. */
+    std::int64_t m_removedMs = -1;
+    /** Another daemon last reported that it leaves. */
+    std::int64_t m_heardMs = -1;
+};
+
 /** How an entry of the list relates to what is known of its upstream. */
 enum class EntryOrder {
     /** It is the latest word. */
@@ -103,6 +112,8 @@
     bool foundHere(std::uint64_t lifetime) const;
     /** Returns whether the entry of @p lifetime was removed and has not been written again since. */
     bool isRemoved(std::uint64_t lifetime) const;
+    /** Returns what speaks for it that @p lifetime has left, also if it does not count or no longer does. */
+    DepartureAges ages(std::uint64_t lifetime, std::int64_t nowMs) const;
     /** Returns what this daemon itself found within the last @p withinMs, the latest first. */
     std::vector<Departure> recent(std::int64_t withinMs, std::int64_t nowMs) const;
 
--- a/kernel/logevents.cpp
+++ b/kernel/logevents.cpp
@@ -69,6 +69,8 @@
          LogLevel::Warning,
          "entry-ignored",
          "The list shows an entry of an upstream that is older than what is known of it; the reason is given."},
+        {LogEvent::DaemonHeard, 1121, LogLevel::Info, "daemon-heard", "Load reports of another daemon arrive."},
+        {LogEvent::DaemonSilent, 1122, LogLevel::Warning, "daemon-silent", "No load report of another daemon arrives any longer."},
         {LogEvent::RequestRefused, 1201, LogLevel::Info, "request-refused", "A request was refused; the reason and the time to retry are given."},
         {LogEvent::AttemptFailed, 1202, LogLevel::Warning, "attempt-failed", "An attempt at an upstream failed."},
         {LogEvent::StreamResumed, 1203, LogLevel::Info, "stream-resumed", "An answer is continued by another upstream."},
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -39,6 +39,8 @@
     ConfigKept,
     RemovalHeldBack,
     EntryIgnored,
+    DaemonHeard,
+    DaemonSilent,
     RequestRefused,
     AttemptFailed,
     StreamResumed,
--- a/kernel/upstreamavailability.cpp
+++ b/kernel/upstreamavailability.cpp
@@ -212,6 +212,11 @@
     return m_departures.foundHere(upstreamLifetime(lifetime.m_id, lifetime.m_startedMs));
 }
 
+DepartureAges UpstreamAvailability::departureAges(const UpstreamLifetime &lifetime, std::int64_t nowMs) const
+{
+    return m_departures.ages(upstreamLifetime(lifetime.m_id, lifetime.m_startedMs), nowMs);
+}
+
 bool UpstreamAvailability::isRemoved(const UpstreamLifetime &lifetime) const
 {
     return m_departures.isRemoved(upstreamLifetime(lifetime.m_id, lifetime.m_startedMs));
