--- a/autotests/processes/departures.sh
+++ b/autotests/processes/departures.sh
@@ -8,7 +8,8 @@
 UNDERWAY_MS=200
 COPY_AGE_S=2
 # name, path, first upstream of 9 engines and 4 plain ones, words, disturbance. "copy": the store comes back from a copy older than the word. "turned-away":
-# for 9 s the store serves all but one daemon, and drops its history. "restart": one daemon is killed and started again after the word. "lapsed": the entry
+# for 9 s the store serves all but one daemon, and drops its history. "turned-away-long": for 13 s it serves all but three, which lose their registrations, and the
+# word comes after that; an entry that says so is removed 2.5 s later. "stopped-long": the three stand still instead. "restart": one daemon is killed and started again after the word. "lapsed": the entry
 # lapses and comes back, and the upstream must be used again. "hidden": the store does not show heartbeats, so that a removal may be a lapse; the upstream's
 # answers say that it leaves once no request reaches it.
 cases=(
@@ -24,6 +25,11 @@
     "removed-copy|/read/a|9|\"unlisted\":true|copy"
     "listed-turned-away|/read/a|9|\"listed\":true|turned-away"
     "removed-turned-away|/read/a|9|\"unlisted\":true|turned-away"
+    "listed-turned-away-long|/read/a|9|\"listed\":true|turned-away-long"
+    "removed-turned-away-long|/read/a|9|\"unlisted\":true|turned-away-long"
+    "removed-turned-away-long-paid|/once/a|9|\"unlisted\":true|turned-away-long"
+    "removed-turned-away-long-head|/stream/a|0|\"unlisted\":true|turned-away-long"
+    "removed-stopped-long|/read/a|9|\"unlisted\":true|stopped-long"
     "lapsed|/read/a|9|\"quiet_ms\":6000|lapsed"
 )
 # Rows at a time.
@@ -45,9 +51,18 @@
         END { print late + 0, last + 0 }' "$RUN/history"
 }
 
+# Prints the ids of the processes of the first three daemons.
+first_daemons() {
+    local n
+    for n in 1 2 3; do
+        pid_of "entry-$n"
+    done
+}
+
 run_case() { # name path first words disturbance
     local name=$1 path=$2 first=$3 said=$4 disturbance=$5 options=() word engine late
     [ "$disturbance" != turned-away ] || APART=1
+    [ "$disturbance" != turned-away-long ] || APART=3
     [ "$disturbance" != hidden ] || options=(--hide-heartbeats)
     start_hosting 7 --engines 9 --services 4 --prefill-ms 10 --events 5 "${options[@]}" || { status=1; return; }
     wait_until 20 "$path is served by all daemons" serves "$path" || { status=1; return; }
@@ -56,6 +71,8 @@
     [ "$disturbance" != copy ] || { faults '{"copy":true}'; sleep $COPY_AGE_S; }
     # A watch that waits already is still answered.
     [ "$disturbance" != turned-away ] || { faults '{"turned_away_ms":9000}'; sleep 1; }
+    [ "$disturbance" != turned-away-long ] || { faults '{"turned_away_ms":13000}'; sleep 6; }
+    [ "$disturbance" != stopped-long ] || { kill -STOP $(first_daemons); sleep 6; }
     word=$(uptime_ms)
     engine=$(words "$said")
     case $disturbance in
@@ -67,6 +84,13 @@
         faults '{"forget":true}'
         sleep 3
         ;;
+    turned-away-long | stopped-long)
+        sleep 2.5
+        words '"unlisted":true' >/dev/null
+        faults '{"forget":true}'
+        sleep 4.5
+        [ "$disturbance" != stopped-long ] || kill -CONT $(first_daemons)
+        ;;
     restart)
         sleep 1
         kill -KILL "$(pid_of entry-1)"
