--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -186,6 +186,7 @@
     ReplicaSelector m_replicaSelector;
     /** The last load report of each other daemon. */
     LoadReportTable m_loadReports;
+    /** The daemons with which load reports are exchanged, also if the store no longer lists them. */
     ReportPeers m_reportPeers;
     UpstreamSelector m_upstreamSelector;
     std::map<std::string, ResendBudget> m_resendBudgets;
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -1,5 +1,5 @@
 // Problem: a daemon needs the load that the others place on each replica within one pass of the engines; a lost report does no harm.
-// Approach: one datagram to each daemon. The next one follows soon, whether or not this one arrives.
+// Approach: one datagram to each daemon, see ReportPeers. The next one follows soon, whether or not this one arrives.
 // Connections between all daemons would cost memory and can fail unnoticed, and an old load is worthless by the time it is delivered.
 
 #include "daemons/entryloadreports.h"
@@ -108,9 +108,9 @@
 void LoadReportExchange::sendToAll(const DaemonLoadReport &report)
 {
     const std::string bytes = encodeLoadReport(report);
-    for (const std::pair<const std::string, EntryPeer> &peer : m_context.m_peers) {
-        const Result<Tcp::endpoint> parsed = parseEndpoint(peer.second.m_address);
-        if (peer.first == m_context.m_settings.m_name || failed(parsed)) {
+    for (const std::string &address : m_context.m_reportPeers.recipients(m_context.m_settings.m_name, steadyMs())) {
+        const Result<Tcp::endpoint> parsed = parseEndpoint(address);
+        if (failed(parsed)) {
             continue;
         }
         // A report that cannot be sent now would be outdated later.
@@ -166,7 +166,7 @@
             logEvent(LogEvent::PeerRejected, {{"error", describe(errorOf(report))}});
             continue;
         }
-        m_context.m_reportPeers.recordReport(valueOf(report).m_sender, steadyMs());
+        m_context.m_reportPeers.recordReport(valueOf(report).m_sender, sender.address().to_string() + ":" + std::to_string(sender.port()), steadyMs());
         if (!valueOf(report).m_crashesOnly) {
             m_context.m_loadReports.take(valueOf(report), steadyMs());
             if (valueOf(report).m_proofAgeMs >= 0) {
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -296,6 +296,7 @@
 {
     if (item.m_deleted) {
         context.m_peers.erase(name);
+        context.m_reportPeers.endRegistration(name, steadyMs());
         context.m_coldMembers.remove(name, steadyMs());
         context.m_resendMembers.remove(name, steadyMs());
     } else {
@@ -303,6 +304,7 @@
         context.m_resendMembers.add(name, steadyMs());
         const json::object object = parseJsonObject(item.m_value);
         context.m_peers[name] = {name, stringField(object, "address"), stringField(object, "availability_zone"), doubleField(object, "cpu_share")};
+        context.m_reportPeers.setRegistered(name, stringField(object, "address"));
     }
     logEvent(LogEvent::DaemonsChanged, {{"daemon", name}, {"gone", item.m_deleted}, {"daemons", static_cast<std::int64_t>(daemonCount(context))}});
 }
