--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -281,6 +281,7 @@
     report.m_serving = true;
     report.m_groups = {{1'100'004, {3, 2, 41.5, 9'000}, 17, true}};
     report.m_proofAgeMs = 1'500;
+    report.m_answeredForMs = 70'000;
     report.m_departures = {{1ULL << 63U, DepartureSource::Removed, 29'000}, {7, DepartureSource::Listed, 0}};
     const std::string bytes = encodeLoadReport(report);
     const Result<DaemonLoadReport> decodedReport = decodeLoadReport(bytes.data(), bytes.size());
@@ -291,6 +292,7 @@
     CHECK(valueOf(decodedReport).m_groups.front().m_silent);
     CHECK(valueOf(decodedReport).m_departures == report.m_departures);
     CHECK(valueOf(decodedReport).m_proofAgeMs == 1'500);
+    CHECK(valueOf(decodedReport).m_answeredForMs == 70'000);
     CHECK(failed(decodeLoadReport(bytes.data(), bytes.size() / 2)));
     CHECK(failed(decodeLoadReport("", 0)));
 }
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -7,6 +7,7 @@
 #include "daemons/entrycrashes.h"
 #include "daemons/entryloadreports.h"
 #include "daemons/entryreconciler.h"
+#include "daemons/entryremovals.h"
 #include "daemons/entrystore.h"
 #include "daemons/entrystoreupdates.h"
 #include "net/logging.h"
@@ -244,6 +245,7 @@
     listenOn(context, settings.m_peerListen, serveStoreUpdates);
     logEvent(LogEvent::ProcessStarted, {{"availability_zone", settings.m_availabilityZone}, {"listen", settings.m_listen}});
     asio::co_spawn(io, followStore(context), asio::detached);
+    asio::co_spawn(io, runHeldBackRemovals(context), asio::detached);
     asio::co_spawn(io, maintainRegistration(context), asio::detached);
     asio::co_spawn(io, publishCrashes(context), asio::detached);
     asio::co_spawn(io, runLeaderElection(context), asio::detached);
--- a/daemons/entrycontext.cpp
+++ b/daemons/entrycontext.cpp
@@ -31,6 +31,7 @@
     : m_io(io)
     , m_settings(std::move(settings))
     , m_random(randomId())
+    , m_storeOutage(shortestOutageMs(m_settings))
     , m_resendMembers(m_settings.m_name, m_settings.m_resends.m_windowMs, MaxResendViewAgeMs)
     , m_coldMembers(m_settings.m_name, ColdLimiter::WindowMs)
 {
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -164,8 +164,10 @@
     StoreMirror m_mirror;
     bool m_mirrorSynced = false;
     StoreOutage m_storeOutage;
-    /** When the store answered again after it was last away for all; negative if that was not seen. */
-    std::int64_t m_storeRecoveredMs = -1;
+    /** When the store answered again after it was last away for all, as the daemon tells from which updates are fetched; negative if that does not know. */
+    std::int64_t m_sourceRecoveredMs = -1;
+    /** Keys whose removal is held back, see holdBackRemoval(). */
+    std::set<std::string> m_heldBackRemovals;
     /** Latest era of the store of which items were applied. */
     std::uint64_t m_followedEra = 0;
     /** When this daemon learned that the store had come back from a copy; negative if it did not. */
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -80,6 +80,8 @@
     m_departuresSentMs = isRepeat ? nowMs : m_departuresSentMs;
     report.m_departures = m_context.m_availability.recentDepartures(isRepeat ? DepartureReportMs : NewDepartureMs, nowMs);
     report.m_proofAgeMs = m_context.m_confirmedMs < 0 ? -1 : nowMs - m_context.m_confirmedMs;
+    const std::int64_t answeredSinceMs = m_context.m_storeOutage.answeredSinceMs();
+    report.m_answeredForMs = answeredSinceMs < 0 ? 0 : m_context.m_confirmedMs - answeredSinceMs;
     sendToAll(report);
 }
 
@@ -170,7 +172,8 @@
         if (!valueOf(report).m_crashesOnly) {
             m_context.m_loadReports.take(valueOf(report), steadyMs());
             if (valueOf(report).m_proofAgeMs >= 0) {
-                m_context.m_storeOutage.recordProof(steadyMs() - valueOf(report).m_proofAgeMs);
+                const std::int64_t provenMs = steadyMs() - valueOf(report).m_proofAgeMs;
+                m_context.m_storeOutage.recordAnswers(provenMs - valueOf(report).m_answeredForMs, provenMs, steadyMs());
             }
             for (const Departure &departure : valueOf(report).m_departures) {
                 learnReport(m_context, departure);
--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -27,6 +27,11 @@
 }
 }
 
+std::int64_t shortestOutageMs(const EntrySettings &settings)
+{
+    return (EntryLapseReports - 1) * settings.m_upstreamHeartbeatMs;
+}
+
 std::variant<EntrySettings, Findings> readEntrySettings(const std::string &path)
 {
     YamlReader reader;
--- a/daemons/entrysettings.h
+++ b/daemons/entrysettings.h
@@ -46,6 +46,9 @@
 /** Reports that an upstream may miss before the store drops its entry. */
 inline constexpr std::int64_t EntryLapseReports = 3;
 
+/** Returns the shortest time without an answer of the store after which it may have dropped entries: the last report came up to one interval before. */
+std::int64_t shortestOutageMs(const EntrySettings &settings);
+
 /** Returns the settings in the YAML file @p path, or all findings if there are any. */
 std::variant<EntrySettings, Findings> readEntrySettings(const std::string &path);
 }
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -8,6 +8,7 @@
 #include "daemons/entrystore.h"
 
 #include "daemons/entrycrashes.h"
+#include "daemons/entryremovals.h"
 #include "daemons/entrystoreupdates.h"
 #include "net/jsonfields.h"
 #include "net/logging.h"
@@ -86,8 +87,6 @@
     bool m_watchesForZone = false;
     /** Number of items in the last answer to a watch. */
     std::size_t m_lastItemCount = 0;
-    /** Keys of upstreams and evacuated zones that the store lost in an outage, and the time until which what they say is kept. */
-    std::map<std::string, std::int64_t> m_pendingRemovals;
     /** Upstreams with an unreadable entry that was already logged. */
     std::set<std::string> m_loggedUnreadable;
 };
@@ -127,19 +126,12 @@
     }
 }
 
-/** Returns whether @p sinceMs, a time or -1, is so recent that keys which the store lost then may still be written again. */
-bool mayBeWrittenAgain(const EntryContext &context, std::int64_t sinceMs)
+void applyEvacuation(EntryContext &context, const std::string &zone, const StoreItem &item)
 {
-    return sinceMs >= 0 && steadyMs() - sinceMs < context.m_settings.m_addressReuseMs;
-}
-
-void applyEvacuation(EntryContext &context, FollowState &followState, const std::string &zone, const StoreItem &item)
-{
-    if (item.m_deleted && context.m_evacuatedZones.count(zone) > 0 && mayBeWrittenAgain(context, context.m_eraRisenMs)) {
-        followState.m_pendingRemovals[item.m_key] = context.m_eraRisenMs + context.m_settings.m_addressReuseMs;
+    if (item.m_deleted && context.m_evacuatedZones.count(zone) > 0 && holdBackRemoval(context, item)) {
         return;
     }
-    followState.m_pendingRemovals.erase(item.m_key);
+    context.m_heldBackRemovals.erase(item.m_key);
     const bool changed = item.m_deleted ? context.m_evacuatedZones.erase(zone) > 0 : context.m_evacuatedZones.insert(zone).second;
     if (changed) {
         context.m_availability.setZonesOutOfService(context.m_evacuatedZones);
@@ -147,28 +139,6 @@
     }
 }
 
-/** Stops using upstream @p id, which @p item removed or made unreadable, or which was held back until now if @p item is null. */
-void dropUpstream(EntryContext &context, const std::string &id, const char *why, const StoreItem *item)
-{
-    const auto found = context.m_upstreams.find(id);
-    if (found == context.m_upstreams.end()) {
-        return;
-    }
-    const UpstreamEntry last = std::move(found->second);
-    context.m_upstreams.erase(found);
-    context.m_reconciler.markUnlisted(id);
-    context.m_availability.markUnlisted(id, steadyMs());
-    logEvent(LogEvent::UpstreamChanged,
-             {{"upstream", id},
-              {"change", std::string(why)},
-              {"leaving", last.m_leaving},
-              {"started_ms", last.m_startedMs},
-              {"write", last.m_writeNumber},
-              {"entry_age_ms", steadyMs() - last.m_readMs},
-              {"proof_age_ms", steadyMs() - context.m_confirmedMs},
-              {"revision", item == nullptr ? std::int64_t(-1) : revisionOf(*item)}});
-}
-
 /**
  * Returns whether two entries describe the same state of an upstream. Small differences in the end of the cold phase are ignored: each renewal
  * contains the remaining time, which varies with the delay of the renewal.
@@ -191,25 +161,20 @@
 };
 
 /** Applies the removal of the entry of upstream @p id. */
-void applyUpstreamRemoval(EntryContext &context, FollowState &followState, const std::string &id, const StoreItem &item)
+void applyUpstreamRemoval(EntryContext &context, const std::string &id, const StoreItem &item)
 {
     const auto known = context.m_upstreams.find(id);
     if (known == context.m_upstreams.end()) {
         return;
     }
-    const std::int64_t nowMs = steadyMs();
     const std::int64_t startedMs = known->second.m_startedMs;
     const bool mayBeLost = item.m_position.m_era != known->second.m_position.m_era;
-    if (context.m_availability.recordRemoval(id, mayBeLost, nowMs)) {
+    if (context.m_availability.recordRemoval(id, mayBeLost, steadyMs())) {
         context.m_reconciler.markLeaving(id, startedMs);
-    } else if (mayBeWrittenAgain(context, context.m_storeRecoveredMs)) {
-        const std::int64_t untilMs = context.m_storeRecoveredMs + context.m_settings.m_addressReuseMs;
-        if (followState.m_pendingRemovals.emplace(item.m_key, untilMs).second) {
-            logEvent(LogEvent::RemovalHeldBack, {{"upstream", id}, {"for_ms", untilMs - nowMs}, {"revision", revisionOf(item)}});
-        }
+    } else if (holdBackRemoval(context, item)) {
         return;
     }
-    followState.m_pendingRemovals.erase(item.m_key);
+    context.m_heldBackRemovals.erase(item.m_key);
     dropUpstream(context, id, "gone", &item);
 }
 
@@ -235,7 +200,7 @@
 {
     const std::int64_t nowMs = steadyMs();
     if (item.m_deleted) {
-        applyUpstreamRemoval(context, followState, id, item);
+        applyUpstreamRemoval(context, id, item);
         return ItemEffect::Changes;
     }
     Result<UpstreamEntry> decoded = platform::decodeEntry(id, item.m_value, nowMs);
@@ -243,7 +208,7 @@
         if (followState.m_loggedUnreadable.insert(id).second) {
             logEvent(LogEvent::UpstreamUnreadable, {{"upstream", id}, {"error", describe(errorOf(decoded))}});
         }
-        followState.m_pendingRemovals.erase(item.m_key);
+        context.m_heldBackRemovals.erase(item.m_key);
         dropUpstream(context, id, "unreadable", &item);
         return ItemEffect::Changes;
     }
@@ -265,7 +230,7 @@
     if (isListedAgain && !entry.m_leaving) {
         checkListedAgain(context, {id, entry.m_address, entry.m_startedMs});
     }
-    followState.m_pendingRemovals.erase(item.m_key);
+    context.m_heldBackRemovals.erase(item.m_key);
     const auto known = context.m_upstreams.find(id);
     const bool isUpdate = known == context.m_upstreams.end() || !describesSameState(known->second, entry);
     const bool changed = known == context.m_upstreams.end() || known->second.m_leaving != entry.m_leaving || known->second.m_startedMs != entry.m_startedMs
@@ -318,7 +283,7 @@
     if (item.m_key == platform::key::Config) {
         applyConfig(context, item);
     } else if (startsWith(item.m_key, platform::key::EvacuatedZone)) {
-        applyEvacuation(context, followState, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
+        applyEvacuation(context, item.m_key.substr(platform::key::EvacuatedZone.size()), item);
     } else if (startsWith(item.m_key, platform::key::Upstream)) {
         effect = applyUpstream(context, followState, item.m_key.substr(platform::key::Upstream.size()), item);
     } else if (startsWith(item.m_key, DaemonPrefix)) {
@@ -345,13 +310,10 @@
     }
     const std::int64_t nowMs = steadyMs();
     const std::int64_t awayForAllMs = context.m_storeOutage.end(nowMs);
-    // An entry lapses no sooner: the last report of its upstream was up to one interval before.
-    const bool mayHaveDropped = awayForAllMs >= (EntryLapseReports - 1) * context.m_settings.m_upstreamHeartbeatMs;
-    context.m_storeRecoveredMs = mayHaveDropped ? nowMs : context.m_storeRecoveredMs;
     logEvent(LogEvent::StoreRecovered,
              {{"away_ms", nowMs - followState.m_unreachableSinceMs},
               {"away_for_all_ms", awayForAllMs},
-              {"removals_held_back", mayHaveDropped},
+              {"removals_held_back", awayForAllMs >= shortestOutageMs(context.m_settings)},
               {"daemons_heard", static_cast<std::int64_t>(context.m_reportPeers.heardCount())}});
 }
 
@@ -384,7 +346,6 @@
         return;
     }
     context.m_eraRisenMs = steadyMs();
-    context.m_storeRecoveredMs = context.m_eraRisenMs;
     logEvent(LogEvent::StoreEraRisen,
              {{"era", static_cast<std::int64_t>(era)},
               {"known_era", static_cast<std::int64_t>(known.m_era)},
@@ -439,32 +400,6 @@
     co_return Done{};
 }
 
-void removePending(EntryContext &context, const std::string &key)
-{
-    if (startsWith(key, platform::key::Upstream)) {
-        dropUpstream(context, key.substr(platform::key::Upstream.size()), "not listed again after the store's outage", nullptr);
-        return;
-    }
-    const std::string zone = key.substr(platform::key::EvacuatedZone.size());
-    context.m_evacuatedZones.erase(zone);
-    context.m_availability.setZonesOutOfService(context.m_evacuatedZones);
-    logEvent(LogEvent::EvacuationChanged, {{"availability_zone", zone}, {"out_of_service", false}, {"revision", std::int64_t(0)}});
-}
-
-/** Removes what m_pendingRemovals keeps once its time has passed. */
-void applyPendingRemovals(EntryContext &context, FollowState &followState)
-{
-    const std::int64_t nowMs = steadyMs();
-    for (auto it = followState.m_pendingRemovals.begin(); it != followState.m_pendingRemovals.end();) {
-        if (nowMs >= it->second) {
-            removePending(context, it->first);
-            it = followState.m_pendingRemovals.erase(it);
-        } else {
-            ++it;
-        }
-    }
-}
-
 std::int64_t watchPause(const EntryContext &context, const FollowState &followState)
 {
     // The leader needs a current list of upstreams to repair replicas.
@@ -519,9 +454,8 @@
         co_return errorOf(answer);
     }
     const StoreUpdates &updates = valueOf(answer).m_updates;
-    if (valueOf(answer).m_recoveredAgeMs >= 0) {
-        context.m_storeRecoveredMs = std::max(context.m_storeRecoveredMs, askedMs - valueOf(answer).m_recoveredAgeMs);
-    }
+    const std::int64_t recoveredAgeMs = valueOf(answer).m_recoveredAgeMs;
+    context.m_sourceRecoveredMs = recoveredAgeMs < 0 ? -1 : askedMs - recoveredAgeMs;
     enterEra(context, updates.m_completeTo.m_era);
     for (const StoreItem &item : updates.m_items) {
         applyItem(context, followState, item);
@@ -581,7 +515,6 @@
         } else {
             done = co_await readWholeStore(context, followState);
         }
-        applyPendingRemovals(context, followState);
         refreshSelectors(context);
         if (!source.empty()) {
             // After a failure the next source, or the store, is tried at once.
--- a/daemons/entrystoreupdates.cpp
+++ b/daemons/entrystoreupdates.cpp
@@ -6,6 +6,8 @@
 
 #include "daemons/entrystoreupdates.h"
 
+#include "daemons/entryremovals.h"
+
 #include <charconv>
 
 namespace knapweedslip
@@ -71,7 +73,8 @@
     StoreUpdatesReply answer;
     answer.m_updates = context.m_mirror.updatesSince(after);
     answer.m_confirmationAgeMs = nowMs - context.m_confirmedMs;
-    answer.m_recoveredAgeMs = context.m_storeRecoveredMs < 0 ? -1 : nowMs - context.m_storeRecoveredMs;
+    const std::int64_t recoveredMs = storeRecoveredMs(context);
+    answer.m_recoveredAgeMs = recoveredMs < 0 ? -1 : nowMs - recoveredMs;
     reply.m_headers.emplace_back("Content-Type", "application/octet-stream");
     reply.m_body = encodeStoreUpdates(answer);
     ++context.m_metrics.m_updatesServed;
--- a/kernel/loadreport.h
+++ b/kernel/loadreport.h
@@ -35,6 +35,8 @@
     std::vector<Departure> m_departures;
     /** Age of the sender's confirmation that its copy of the store is current, in ms; negative if it has none. */
     std::int64_t m_proofAgeMs = -1;
+    /** For how long before that the store has answered the sender without a break, see StoreOutage, in ms. */
+    std::int64_t m_answeredForMs = 0;
     /** The report is no load report: it holds only m_crashes. */
     bool m_crashesOnly = false;
     /** The sender's latest observations of upstreams that ended. */
--- a/net/loadreportcodec.cpp
+++ b/net/loadreportcodec.cpp
@@ -38,6 +38,7 @@
         const std::int64_t ageMs = std::clamp<std::int64_t>(departure.m_ageMs, 0, std::numeric_limits<std::uint32_t>::max());
         departures.emplace_back(departure.m_lifetime, static_cast<std::uint32_t>(ageMs), static_cast<std::uint8_t>(departure.m_source));
     }
+    const std::int64_t answeredForMs = std::clamp<std::int64_t>(report.m_answeredForMs, 0, std::numeric_limits<std::uint32_t>::max());
     const std::int32_t proofAgeMs = static_cast<std::int32_t>(std::clamp<std::int64_t>(report.m_proofAgeMs, -1, std::numeric_limits<std::int32_t>::max()));
     builder.Finish(wire::CreatePulse(builder,
                                      builder.CreateString(report.m_sender),
@@ -47,7 +48,8 @@
                                      encodeCrashItems(builder, report.m_crashes),
                                      report.m_crashesOnly,
                                      builder.CreateVectorOfStructs(departures),
-                                     proofAgeMs));
+                                     proofAgeMs,
+                                     static_cast<std::uint32_t>(answeredForMs)));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -84,6 +86,7 @@
         }
     }
     report.m_proofAgeMs = root->proof_age_ms();
+    report.m_answeredForMs = root->answered_for_ms();
     report.m_crashes = decodeCrashItems(root->crashes());
     report.m_crashesOnly = root->crashes_only();
     return report;
--- a/wire/pulse_generated.h
+++ b/wire/pulse_generated.h
@@ -194,6 +194,7 @@
   bool crashes_only = false;
   std::vector<knapweedslip::wire::Departure> departures{};
   int32_t proof_age_ms = -1;
+  uint32_t answered_for_ms = 0;
   PulseT() = default;
   PulseT(const PulseT &o);
   PulseT(PulseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -211,7 +212,8 @@
     VT_CRASHES = 12,
     VT_CRASHES_ONLY = 14,
     VT_DEPARTURES = 18,
-    VT_PROOF_AGE_MS = 20
+    VT_PROOF_AGE_MS = 20,
+    VT_ANSWERED_FOR_MS = 22
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -237,6 +239,9 @@
   int32_t proof_age_ms() const {
     return GetField<int32_t>(VT_PROOF_AGE_MS, -1);
   }
+  uint32_t answered_for_ms() const {
+    return GetField<uint32_t>(VT_ANSWERED_FOR_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -253,6 +258,7 @@
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
            VerifyField<int32_t>(verifier, VT_PROOF_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERED_FOR_MS, 4) &&
            verifier.EndTable();
   }
   PulseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -288,6 +294,9 @@
   void add_proof_age_ms(int32_t proof_age_ms) {
     fbb_.AddElement<int32_t>(Pulse::VT_PROOF_AGE_MS, proof_age_ms, -1);
   }
+  void add_answered_for_ms(uint32_t answered_for_ms) {
+    fbb_.AddElement<uint32_t>(Pulse::VT_ANSWERED_FOR_MS, answered_for_ms, 0);
+  }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -308,9 +317,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<knapweedslip::wire::Crash>>> crashes = 0,
     bool crashes_only = false,
     flatbuffers::Offset<flatbuffers::Vector<const knapweedslip::wire::Departure *>> departures = 0,
-    int32_t proof_age_ms = -1) {
+    int32_t proof_age_ms = -1,
+    uint32_t answered_for_ms = 0) {
   PulseBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_answered_for_ms(answered_for_ms);
   builder_.add_proof_age_ms(proof_age_ms);
   builder_.add_departures(departures);
   builder_.add_crashes(crashes);
@@ -330,7 +341,8 @@
     const std::vector<flatbuffers::Offset<knapweedslip::wire::Crash>> *crashes = nullptr,
     bool crashes_only = false,
     const std::vector<knapweedslip::wire::Departure> *departures = nullptr,
-    int32_t proof_age_ms = -1) {
+    int32_t proof_age_ms = -1,
+    uint32_t answered_for_ms = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::GroupPulse>>(*groups) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<knapweedslip::wire::Crash>>(*crashes) : 0;
@@ -344,7 +356,8 @@
       crashes__,
       crashes_only,
       departures__,
-      proof_age_ms);
+      proof_age_ms,
+      answered_for_ms);
 }
 
 flatbuffers::Offset<Pulse> CreatePulse(flatbuffers::FlatBufferBuilder &_fbb, const PulseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -399,7 +412,8 @@
         serving(o.serving),
         crashes_only(o.crashes_only),
         departures(o.departures),
-        proof_age_ms(o.proof_age_ms) {
+        proof_age_ms(o.proof_age_ms),
+        answered_for_ms(o.answered_for_ms) {
   groups.reserve(o.groups.size());
   for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new knapweedslip::wire::GroupPulseT(*groups_) : nullptr); }
   crashes.reserve(o.crashes.size());
@@ -415,6 +429,7 @@
   std::swap(crashes_only, o.crashes_only);
   std::swap(departures, o.departures);
   std::swap(proof_age_ms, o.proof_age_ms);
+  std::swap(answered_for_ms, o.answered_for_ms);
   return *this;
 }
 
@@ -435,6 +450,7 @@
   { auto _e = crashes_only(); _o->crashes_only = _e; }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = *_e->Get(_i); } } }
   { auto _e = proof_age_ms(); _o->proof_age_ms = _e; }
+  { auto _e = answered_for_ms(); _o->answered_for_ms = _e; }
 }
 
 inline flatbuffers::Offset<Pulse> Pulse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PulseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -453,6 +469,7 @@
   auto _crashes_only = _o->crashes_only;
   auto _departures = _o->departures.size() ? _fbb.CreateVectorOfStructs(_o->departures) : 0;
   auto _proof_age_ms = _o->proof_age_ms;
+  auto _answered_for_ms = _o->answered_for_ms;
   return knapweedslip::wire::CreatePulse(
       _fbb,
       _sender,
@@ -462,7 +479,8 @@
       _crashes,
       _crashes_only,
       _departures,
-      _proof_age_ms);
+      _proof_age_ms,
+      _answered_for_ms);
 }
 
 inline const knapweedslip::wire::Pulse *GetPulse(const void *buf) {
