--- a/autotests/departurestest.cpp
+++ b/autotests/departurestest.cpp
@@ -189,6 +189,39 @@
     CHECK(departures.foundHere(upstreamLifetime("u", 1)) == (leaves && laterMs <= Departures::MemoryMs));
 }
 
+// Guards against requests to an upstream that other daemons had reported to leave before this one was cut off from them, and whose entry is gone at its return
+// (rule DRAIN, issue 49): reports count for a while only.
+TEST_CASE("a removal confirms what another daemon had read of the upstream's own words", "[departures]")
+{
+    struct Row
+    {
+        const char *m_description;
+        DepartureSource m_heard;
+        std::int64_t m_heardStartedMs;
+        bool m_mayBeLost;
+        bool m_leaves;
+        EntryOrder m_orderOfLateWrite;
+    };
+    const std::vector<Row> rows{
+        {"its entry said so", DepartureSource::Listed, 1, false, true, EntryOrder::AfterRemoval},
+        {"its answers said so", DepartureSource::Answered, 1, false, true, EntryOrder::AfterRemoval},
+        {"another daemon saw a removal, which may have had another reason", DepartureSource::Removed, 1, false, false, EntryOrder::Current},
+        {"another lifetime said so", DepartureSource::Listed, 2, false, false, EntryOrder::Current},
+        {"the store came back from a copy without it", DepartureSource::Listed, 1, true, false, EntryOrder::Current},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.m_description);
+        Departures departures;
+        departures.setLapseMs(LapseMs);
+        departures.recordEntry(writtenEntry(8, 0), 0);
+        departures.recordReport({upstreamLifetime("u", row.m_heardStartedMs), row.m_heard, 0}, 1'000);
+        const std::int64_t removedMs = 1'000 + Departures::HeardMs;
+        CHECK(departures.recordRemoval("u", row.m_mayBeLost, removedMs) == row.m_leaves);
+        CHECK(departures.recordEntry(writtenEntry(9, removedMs), removedMs + 1'000) == row.m_orderOfLateWrite);
+        CHECK(departures.recordEntry(writtenEntry(10, removedMs), removedMs + 1 + Departures::MaxLateWriteMs) == EntryOrder::Current);
+    }
+}
+
 // Guards against an upstream that is left out for longer than it takes to ask it, and against a check that ends another reason for which it is withheld.
 TEST_CASE("an upstream whose entry comes back is withheld until it has answered", "[departures]")
 {
--- a/kernel/departures.cpp
+++ b/kernel/departures.cpp
@@ -86,7 +86,8 @@
     known.m_removedMs = isRepeated ? known.m_removedMs : nowMs;
     // The upstream wrote later than m_writtenAfterMs, so that it was silent for less than this.
     const std::int64_t silentMs = nowMs - known.m_writtenAfterMs;
-    if (!isRepeated && !mayBeLost && known.m_writtenAfterMs >= 0 && silentMs < m_lapseMs) {
+    const bool hasNotLapsed = known.m_writtenAfterMs >= 0 && silentMs < m_lapseMs;
+    if (!isRepeated && !mayBeLost && (hasNotLapsed || known.m_isHeardLeaving)) {
         recordDeparture(latest->second, DepartureSource::Removed, nowMs);
     }
     return find(latest->second, nowMs).has_value();
@@ -107,6 +108,7 @@
     }
     const bool isNew = !find(departure.m_lifetime, nowMs).has_value();
     Lifetime &known = m_lifetimes[departure.m_lifetime];
+    known.m_isHeardLeaving = known.m_isHeardLeaving || departure.m_source != DepartureSource::Removed;
     known.m_heardSource = departure.m_source;
     known.m_heardUntilMs = nowMs + HeardMs;
     return isNew;
--- a/kernel/departures.h
+++ b/kernel/departures.h
@@ -74,7 +74,8 @@
  * Decides which lifetimes of upstreams leave, and which entries of the list are older than what is known. Writes to the list may be carried out late, and the
  * list may come back from an older copy, so that its order is not the order in which an upstream spoke. Invariants:
  * - Nothing takes back that a lifetime leaves. Only after a removal, an entry that was certainly written later shows that it stayed.
- * - What another daemon found counts as long as it repeats that, and for HeardMs more: anyone may have sent such a report.
+ * - What another daemon found counts as long as it repeats that, and for HeardMs more: anyone may have sent such a report. The removal of the entry
+ *   confirms it.
  * - An entry is ignored only if it is older than what is known, and for MaxLateWriteMs at most: then the upstream's start times or numbers are wrong.
  * - An entry that lapsed because its upstream fell silent counts again as soon as it is written again.
  * Memory: one record for each listed upstream, for each lifetime that was listed within MaxLateWriteMs, and for each one that left within MemoryMs. All
@@ -132,7 +133,9 @@
         /** What told this daemon that it leaves, and when. */
         std::optional<DepartureSource> m_source;
         std::int64_t m_leavesSinceMs = -1;
-        /** What another daemon reported, and until when that counts. */
+        /** Another daemon reported that its entry or its answers say that it leaves. */
+        bool m_isHeardLeaving = false;
+        /** What another daemon reported last, and until when that counts. */
         DepartureSource m_heardSource = DepartureSource::Listed;
         std::int64_t m_heardUntilMs = -1;
     };
