--- a/autotests/processes/departures.sh
+++ b/autotests/processes/departures.sh
@@ -9,7 +9,8 @@
 COPY_AGE_S=2
 # name, path, first upstream of 9 engines and 4 plain ones, words, disturbance. "copy": the store comes back from a copy older than the word. "turned-away":
 # for 9 s the store serves all but one daemon, and drops its history. "turned-away-long": for 13 s it serves all but three, which lose their registrations, and the
-# word comes after that; an entry that says so is removed 2.5 s later. "stopped-long": the three stand still instead. "restart": one daemon is killed and started again after the word. "lapsed": the entry
+# word comes after that; an entry that says so is removed 2.5 s later. "stopped-long": the three stand still instead. "lost-in-outage": the store is away for all for 3 s and drops the entries of all plain
+# upstreams, which write them again soon after: no caller may be refused. "restart": one daemon is killed and started again after the word. "lapsed": the entry
 # lapses and comes back, and the upstream must be used again. "hidden": the store does not show heartbeats, so that a removal may be a lapse; the upstream's
 # answers say that it leaves once no request reaches it.
 cases=(
@@ -30,6 +31,7 @@
     "removed-turned-away-long-paid|/once/a|9|\"unlisted\":true|turned-away-long"
     "removed-turned-away-long-head|/stream/a|0|\"unlisted\":true|turned-away-long"
     "removed-stopped-long|/read/a|9|\"unlisted\":true|stopped-long"
+    "lost-in-outage|/read/a|9|\"quiet_ms\":3500|lost-in-outage"
     "lapsed|/read/a|9|\"quiet_ms\":6000|lapsed"
 )
 # Rows at a time.
@@ -60,7 +62,7 @@
 }
 
 run_case() { # name path first words disturbance
-    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 options=() word engine late
+    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 options=() word engine upstreams late
     [ "$disturbance" != turned-away ] || APART=1
     [ "$disturbance" != turned-away-long ] || APART=3
     [ "$disturbance" != hidden ] || options=(--hide-heartbeats)
@@ -73,6 +75,7 @@
     [ "$disturbance" != turned-away ] || { faults '{"turned_away_ms":9000}'; sleep 1; }
     [ "$disturbance" != turned-away-long ] || { faults '{"turned_away_ms":13000}'; sleep 6; }
     [ "$disturbance" != stopped-long ] || { kill -STOP $(first_daemons); sleep 6; }
+    [ "$disturbance" != lost-in-outage ] || faults '{"store_down_ms":3000}'
     word=$(uptime_ms)
     engine=$(words "$said")
     case $disturbance in
@@ -91,6 +94,13 @@
         sleep 4.5
         [ "$disturbance" != stopped-long ] || kill -CONT $(first_daemons)
         ;;
+    lost-in-outage)
+        upstreams=$(curl -sf -X PUT -d "{\"first\":$first,\"count\":4,$said}" "http://$PREFIX.9.1:8500/standin/engines" | tr -d '[]"' | tr ',' ' ')
+        sleep 2
+        for engine in $upstreams; do
+            curl -sf -X PUT "http://$PREFIX.9.1:8500/standin/removed-key?key=servers/$engine" >/dev/null
+        done
+        ;;
     restart)
         sleep 1
         kill -KILL "$(pid_of entry-1)"
@@ -111,7 +121,9 @@
     history >"$RUN/history"
     late=$(arrivals "$engine" "$word" $((word + DRAIN_MS + UNDERWAY_MS)))
     echo "$name: sent later than the bound, and the last after the word in ms: $late; answers $(sort "$RUN/innocent" | uniq -c | tr '\n' ';')"
-    if [ "$disturbance" = lapsed ]; then
+    if [ "$disturbance" = lost-in-outage ]; then
+        ! grep -qv '^200' "$RUN/innocent" || { echo "FAILED: $name: callers are refused although all upstreams live"; status=1; }
+    elif [ "$disturbance" = lapsed ]; then
         # Reports go on after 6 s.
         [ "$(arrivals "$engine" "$word" $((word + 7500)) | cut -d' ' -f1)" -gt 0 ] || { echo "FAILED: $name: an upstream that lives is not used"; status=1; }
     else
--- a/daemons/entrystore.cpp
+++ b/daemons/entrystore.cpp
@@ -493,6 +493,8 @@
         co_return Error{ErrorCode::NotFound, "the store came back from a copy"};
     }
     followState.m_lastItemCount = valueOf(changes).m_items.size();
+    // Removals in the first answer after an outage may have to be held back.
+    recordStoreAnswer(context, followState, -1);
     for (const StoreItem &item : valueOf(changes).m_items) {
         applyItem(context, followState, item);
     }
