--- a/autotests/processes/departures.sh
+++ b/autotests/processes/departures.sh
@@ -10,7 +10,10 @@
 # name, path, first upstream of 9 engines and 4 plain ones, words, disturbance. "copy": the store comes back from a copy older than the word. "turned-away":
 # for 9 s the store serves all but one daemon, and drops its history. "turned-away-long": for 13 s it serves all but three, which lose their registrations, and the
 # word comes after that; an entry that says so is removed 2.5 s later. "stopped-long": the three stand still instead. "lost-in-outage": the store is away for all for 3 s and drops the entries of all plain
-# upstreams, which write them again soon after: no caller may be refused. "restart": one daemon is killed and started again after the word. "lapsed": the entry
+# upstreams, which write them again soon after: no caller may be refused. "resends" and "resumed": the other
+# upstreams break a share of their answers off. "slow" and "lost": answers of the store take 600 ms longer, or a third of them is lost. "forgotten": the store
+# drops its history right before and after the word. "answered": the upstream says it in its answers alone, and a daemon is bound by what it has passed on
+# itself. A name that ends with -20 has 20 daemons. "restart": one daemon is killed and started again after the word. "lapsed": the entry
 # lapses and comes back, and the upstream must be used again. "hidden": the store does not show heartbeats, so that a removal may be a lapse; the upstream's
 # answers say that it leaves once no request reaches it.
 cases=(
@@ -32,6 +35,22 @@
     "removed-turned-away-long-head|/stream/a|0|\"unlisted\":true|turned-away-long"
     "removed-stopped-long|/read/a|9|\"unlisted\":true|stopped-long"
     "lost-in-outage|/read/a|9|\"quiet_ms\":3500|lost-in-outage"
+    "listed-turned-away-long-20|/read/a|9|\"listed\":true|turned-away-long"
+    "removed-late-paid|/once/a|9|\"unlisted\":true,\"late_report_ms\":3000|none"
+    "removed-late-head|/stream/a|0|\"unlisted\":true,\"late_report_ms\":3000|none"
+    "listed-late-resends|/read/a|9|\"listed\":true,\"late_report_ms\":3000,\"quiet_ms\":7000|resends"
+    "removed-late-resends|/read/a|9|\"unlisted\":true,\"late_report_ms\":3000|resends"
+    "listed-late-resumed|/stream/a|0|\"listed\":true,\"late_report_ms\":3000,\"quiet_ms\":7000|resumed"
+    "removed-late-resumed|/stream/a|0|\"unlisted\":true,\"late_report_ms\":3000|resumed"
+    "answered-resends|/read/a|9|\"leaving\":true|answered-resends"
+    "answered-resumed|/stream/a|0|\"leaving\":true|answered-resumed"
+    "answered-paid|/once/a|9|\"leaving\":true|answered"
+    "listed-slow|/read/a|9|\"listed\":true|slow"
+    "removed-slow|/read/a|9|\"unlisted\":true|slow"
+    "listed-lost|/read/a|9|\"listed\":true|lost"
+    "removed-lost|/read/a|9|\"unlisted\":true|lost"
+    "listed-forgotten|/read/a|9|\"listed\":true|forgotten"
+    "removed-forgotten|/read/a|9|\"unlisted\":true|forgotten"
     "lapsed|/read/a|9|\"quiet_ms\":6000|lapsed"
 )
 # Rows at a time.
@@ -61,12 +80,28 @@
     done
 }
 
+# Sets how the answers of all upstreams but the one that leaves are spoiled.
+spoil() { # faults
+    curl -sf -X PUT -d "{\"first\":$((first + 1)),\"count\":12,\"faults\":{$1}}" "http://$PREFIX.9.1:8500/standin/engines" >/dev/null
+}
+
+# As arrivals, but only requests through daemons that had passed an answer of the upstream on which said so, and counted from then on.
+arrivals_after_answers() { # upstream word-ms
+    awk -v engine="\"engine\":\"$1\"" -v word="$2" -v limit="$((DRAIN_MS + UNDERWAY_MS))" '
+        index($0, engine) { match($0, /"at_ms":[0-9]+/); at = substr($0, RSTART + 8, RLENGTH - 8)
+          match($0, /"attempt":"d[0-9]+-/); daemon = substr($0, RSTART, RLENGTH)
+          if (index($0, "\"kind\":\"said-leaving\"") && !(daemon in said)) { said[daemon] = at }
+          if (index($0, "\"kind\":\"arrived\"")) { late += (daemon in said) && at - said[daemon] > limit; last = (daemon in said) ? at - word : last } }
+        END { print late + 0, last + 0 }' "$RUN/history"
+}
+
 run_case() { # name path first words disturbance
-    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 options=() word engine upstreams late
+    local name=$1 path=$2 first=$3 said=$4 disturbance=$5 options=() daemons=7 word engine upstreams late
+    [[ "$name" != *-20 ]] || daemons=20
     [ "$disturbance" != turned-away ] || APART=1
     [ "$disturbance" != turned-away-long ] || APART=3
     [ "$disturbance" != hidden ] || options=(--hide-heartbeats)
-    start_hosting 7 --engines 9 --services 4 --prefill-ms 10 --events 5 "${options[@]}" || { status=1; return; }
+    start_hosting $daemons --engines 9 --services 4 --prefill-ms 10 --events 5 "${options[@]}" || { status=1; return; }
     wait_until 20 "$path is served by all daemons" serves "$path" || { status=1; return; }
     start_innocents 35 "$path"
     sleep 3
@@ -76,6 +111,13 @@
     [ "$disturbance" != turned-away-long ] || { faults '{"turned_away_ms":13000}'; sleep 6; }
     [ "$disturbance" != stopped-long ] || { kill -STOP $(first_daemons); sleep 6; }
     [ "$disturbance" != lost-in-outage ] || faults '{"store_down_ms":3000}'
+    case $disturbance in
+    *resends) spoil '"reset":0.3' ;;
+    *resumed) spoil '"broken_streams":0.3' ;;
+    slow) faults '{"troubled_ms":12000,"slow_ms":600}' ;;
+    lost) faults '{"troubled_ms":12000,"lost":0.33}' ;;
+    forgotten) faults '{"forget":true}' ;;
+    esac
     word=$(uptime_ms)
     engine=$(words "$said")
     case $disturbance in
@@ -87,6 +129,11 @@
         faults '{"forget":true}'
         sleep 3
         ;;
+    forgotten)
+        faults '{"forget":true}'
+        sleep 1
+        faults '{"forget":true}'
+        ;;
     turned-away-long | stopped-long)
         sleep 2.5
         words '"unlisted":true' >/dev/null
@@ -119,7 +166,12 @@
     sleep 6
     stop_innocents
     history >"$RUN/history"
-    late=$(arrivals "$engine" "$word" $((word + DRAIN_MS + UNDERWAY_MS)))
+    if [[ "$disturbance" = answered* ]]; then
+        late=$(arrivals_after_answers "$engine" "$word")
+        grep -q '"kind":"said-leaving"' "$RUN/history" || { echo "FAILED: $name: no answer said that the upstream leaves"; status=1; }
+    else
+        late=$(arrivals "$engine" "$word" $((word + DRAIN_MS + UNDERWAY_MS)))
+    fi
     echo "$name: sent later than the bound, and the last after the word in ms: $late; answers $(sort "$RUN/innocent" | uniq -c | tr '\n' ';')"
     if [ "$disturbance" = lost-in-outage ]; then
         ! grep -qv '^200' "$RUN/innocent" || { echo "FAILED: $name: callers are refused although all upstreams live"; status=1; }
@@ -138,7 +190,7 @@
 selected=()
 for row in "${cases[@]}"; do
     name=${row%%|*}
-    [ $# -eq 0 ] || [ "$1" = "$name" ] || continue
+    [ $# -eq 0 ] || [[ " $* " = *" $name "* ]] || continue
     selected+=("$row")
 done
 run_rows "${selected[@]}"
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -123,7 +123,10 @@
     }
 }
 
-/** Applies {"store_down_ms":n}, {"turned_away_ms":n}, {"forget":true}, {"copy":true}, or {"drill_ms":n,"again_ms":n,"apart_ms":n,"skip":n}, see Drill. */
+/**
+ * Applies {"store_down_ms":n}, {"turned_away_ms":n}, {"troubled_ms":n,"slow_ms":n,"lost":share}, {"forget":true}, {"copy":true}, or
+ * {"drill_ms":n,"again_ms":n,"apart_ms":n,"skip":n}, see Drill.
+ */
 void applyStoreFaults(IoThreads &threads, HostingStore &store, const Upstreams &upstreams, const std::string &body)
 {
     const json::object object = parseJsonObject(body);
@@ -133,6 +136,10 @@
         hostingForgetHistory(store);
     } else if (object.contains("turned_away_ms")) {
         store.m_apartUntilMs = steadyMs() + integerField(object, "turned_away_ms");
+    } else if (object.contains("troubled_ms")) {
+        store.m_troubledUntilMs = steadyMs() + integerField(object, "troubled_ms");
+        store.m_slowMs = integerField(object, "slow_ms");
+        store.m_lostShare = doubleField(object, "lost");
     } else if (object.contains("drill_ms")) {
         const Drill drill{integerField(object, "drill_ms"),
                           integerField(object, "again_ms"),
--- a/standins/hostingstore.cpp
+++ b/standins/hostingstore.cpp
@@ -305,6 +305,13 @@
     ++store.m_calls[hasPrefix(path, platform::path::StoreLeaseRenew) ? platform::path::StoreLeaseRenew : path];
     store.m_bytes += request.m_body.size() + reply.m_body.size();
     reply.m_headers.emplace_back(platform::header::StoreEra, std::to_string(store.m_era));
+    if (steadyMs() < store.m_troubledUntilMs) {
+        co_await sleepFor(store.m_slowMs);
+        if (std::uniform_real_distribution<double>()(store.m_random) < store.m_lostShare) {
+            exchange.abort();
+            co_return;
+        }
+    }
     co_await exchange.respond(std::move(reply));
 }
 }
--- a/standins/hostingstore.h
+++ b/standins/hostingstore.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <random>
 #include <string>
 
 namespace knapweedslip::standin
@@ -51,6 +52,11 @@
     std::int64_t m_downUntilMs = 0;
     /** Calls at the second address are answered with 503 until this time: the store turns the daemons away that use it. */
     std::int64_t m_apartUntilMs = 0;
+    /** Until this time, answers take m_slowMs longer, and this share of them is lost after the call was carried out. */
+    std::int64_t m_troubledUntilMs = 0;
+    std::int64_t m_slowMs = 0;
+    double m_lostShare = 0.0;
+    std::mt19937_64 m_random;
     /** The history before this revision was dropped. */
     std::uint64_t m_historyFrom = 0;
     /** Number of calls of each kind, and of bytes in their bodies, both ways. */
