--- a/autotests/codectest.cpp
+++ b/autotests/codectest.cpp
@@ -112,6 +112,21 @@
     });
 }
 
+// Guards against an upstream that sends bytes without end inside one event, which filled a gateway's memory until the request's time was over (issue 49).
+TEST_CASE("an event that does not end is given up", "[codec]")
+{
+    const std::size_t pieceBytes = GENERATE(std::size_t(1), std::size_t(4), std::size_t(8'192));
+    const std::string piece(pieceBytes, 'x');
+    EventSplitter splitter;
+    CHECK(splitter.feed("data: first\n\ndata: ").size() == 1);
+    std::size_t fed = 6;
+    for (; fed <= EventReassembler::MaxEventBytes; fed += pieceBytes) {
+        splitter.feed(piece);
+    }
+    CHECK(splitter.isTooLong());
+    CHECK(splitter.feed("\n\ndata: next\n\n").empty());
+}
+
 TEST_CASE("histograms return quantiles and the Prometheus text format", "[metrics]")
 {
     LatencyHistogram histogram;
--- a/autotests/eventreassemblertest.cpp
+++ b/autotests/eventreassemblertest.cpp
@@ -240,3 +240,29 @@
     reassembler.recordDelivered(reassembler.feed(row.m_text));
     CHECK(reassembler.endsStream(row.m_endsWithConnection) == row.m_endsStream);
 }
+
+// Guards against an upstream that sends an event without end in chunks of a few bytes: searching all of it again for each chunk took up the daemon (issue 49).
+TEST_CASE("no byte of an incomplete event is examined twice", "[events]")
+{
+    struct Row
+    {
+        const char *m_description;
+        std::string m_first;
+        std::string m_second;
+        std::size_t m_length;
+    };
+    const std::vector<Row> rows{
+        {"an end in what was examined is not seen", "id: 1", "\n\n: 1x", 0},
+        {"an end in what is new", "id: 1", "id: 1\n\n", 7},
+        {"an end that begins in what was examined", "id: 1\n", "id: 1\n\nid", 7},
+        {"a line that ends with a carriage return", "id: 1\r\n\r", "id: 1\r\n\r\n", 9},
+        {"a line that was examined in part", "id: 1\nda", "id: 1\ndata\n\n", 12},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.m_description);
+        EventScan scan;
+        CHECK(completeEventLength(row.m_first, scan) == 0);
+        CHECK(scan.m_examined == row.m_first.size());
+        CHECK(completeEventLength(row.m_second, scan) == row.m_length);
+    }
+}
--- a/daemons/attempt.cpp
+++ b/daemons/attempt.cpp
@@ -25,7 +25,7 @@
     }
     HttpRequest status;
     status.m_target = "/control/status";
-    const Result<HttpReply> reply = co_await httpExchange(*valueOf(connected), status, timeoutMs);
+    const Result<HttpReply> reply = co_await httpExchange(*valueOf(connected), status, timeoutMs, MaxControlReplyBytes);
     if (failed(reply)) {
         co_return Error{ErrorCode::ConnectFailed, "no reply to the status request: " + describe(errorOf(reply))};
     }
--- a/daemons/domainreconciler.cpp
+++ b/daemons/domainreconciler.cpp
@@ -221,7 +221,7 @@
     Result<HttpConnectionPtr> connection = co_await httpConnect(order.m_address, timeoutMs);
     Result<HttpReply> reply = failed(connection) ? Result<HttpReply>(errorOf(connection)) : Result<HttpReply>(HttpReply{});
     if (!failed(connection) && maySendOrder(m_lease, m_leaseTimes, order.m_fence, steadyMs())) {
-        reply = co_await httpExchange(*valueOf(connection), request, timeoutMs);
+        reply = co_await httpExchange(*valueOf(connection), request, timeoutMs, MaxControlReplyBytes);
     }
     constexpr unsigned Ok = 200;
     const bool accepted = !failed(reply) && valueOf(reply).m_status == Ok;
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -141,8 +141,7 @@
     std::size_t m_bufferedBytes = 0;
 };
 
-/** Longest answer of a plain service, and the sum over all that are being read: a quarter of the smallest VM's memory. */
-inline constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
+/** Longest sum of the answers of plain services that are being read: a quarter of the smallest VM's memory. */
 inline constexpr std::size_t MaxBufferedAnswerBytes = 40 * 1024 * 1024;
 
 /** Longest wait for a new connection, in ms: connecting takes a few ms within a region, and a lost first packet is sent again after a second. */
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -22,7 +22,6 @@
 constexpr std::int64_t ProbeAnswerTimeoutMs = 150;
 /** Interval between two probes of an upstream that does not answer, in ms. */
 constexpr std::int64_t ProbeIntervalMs = 500;
-constexpr std::size_t MaxProbeAnswerBytes = 256 * 1024;
 /**
  * How long an upstream that does not answer is checked, in ms: the list drops it after three missed heartbeats of 1.2 s and the relay of the update, later
  * while the store is away.
@@ -55,7 +54,7 @@
     }
     HttpConnectionPtr connection = std::move(valueOf(connected));
     const HttpRequest request = platform::makeReportRequest(upstream.m_id);
-    const Result<HttpReply> reply = co_await httpExchange(*connection, request, ProbeAnswerTimeoutMs, MaxProbeAnswerBytes);
+    const Result<HttpReply> reply = co_await httpExchange(*connection, request, ProbeAnswerTimeoutMs, MaxControlReplyBytes);
     if (failed(reply)) {
         co_return ProbeResult::NoAnswer;
     }
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -20,8 +20,6 @@
 constexpr std::int64_t OrderTimeoutMs = 250;
 /** Longest wait for the answer to a probe, in ms. */
 constexpr std::int64_t ProbeTimeoutMs = 110;
-/** Longest answer of an engine to an order or a probe: a report has a few hundred bytes. */
-constexpr std::size_t MaxEngineReplyBytes = 256 * 1024;
 
 /** Returns whether an engine's answer on a connection that is shared with clients' requests was made for one of those: orders and probes have no id. */
 bool answersClient(const HttpReply &answer)
@@ -51,7 +49,7 @@
     ++context.m_metrics.m_orders;
     HttpRequest request = platform::makeOrderRequest(order);
     const Result<HttpReply> answer =
-        co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxEngineReplyBytes, answersClient);
+        co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxControlReplyBytes, answersClient);
     learnFromReply(context, engine, answer);
     OrderReply reply = OrderReply::Unanswered;
     if (!failed(answer)) {
@@ -86,7 +84,7 @@
     const UpstreamLifetime lifetime{engine, known->m_startedMs};
     ++context.m_metrics.m_probes;
     HttpRequest request = platform::makeReportRequest(engine);
-    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxEngineReplyBytes, answersClient);
+    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxControlReplyBytes, answersClient);
     const std::int64_t nowMs = steadyMs();
     constexpr unsigned Ok = 200;
     if (failed(answer) || valueOf(answer).m_status != Ok) {
--- a/daemons/modelrelay.cpp
+++ b/daemons/modelrelay.cpp
@@ -194,6 +194,9 @@
         if (failed(processed)) {
             co_return failedAttempt(errorOf(processed));
         }
+        if (splitter.isTooLong()) {
+            co_return failedAttempt(Error{ErrorCode::ProtocolViolation, "an event does not end"});
+        }
     }
     co_return AttemptResult{AttemptEnd::Finished, true, {}};
 }
--- a/daemons/prober.cpp
+++ b/daemons/prober.cpp
@@ -129,7 +129,7 @@
     }
     HttpRequest request;
     request.m_target = "/control/status";
-    const Result<HttpReply> reply = co_await httpCall(m_pool, address, std::move(request), m_settings.m_probeTimeoutMs);
+    const Result<HttpReply> reply = co_await httpCall(m_pool, address, std::move(request), m_settings.m_probeTimeoutMs, MaxControlReplyBytes);
     // The targets may have changed during the probe.
     const auto after = m_domains.find(domain);
     if (after == m_domains.end() || after->second.count(vm) == 0 || after->second[vm].m_state.m_address != address) {
--- a/daemons/servicecall.cpp
+++ b/daemons/servicecall.cpp
@@ -119,7 +119,7 @@
     }
     HttpConnectionPtr connection = std::move(valueOf(connected));
     const std::int64_t remainingMs = std::max<std::int64_t>(1, state.m_call.m_deadlineMs - steadyMs());
-    const Result<HttpReply> reply = co_await httpExchange(*connection, makeServiceRequest(state), remainingMs);
+    const Result<HttpReply> reply = co_await httpExchange(*connection, makeServiceRequest(state), remainingMs, MaxAnswerBytes);
     if (failed(reply)) {
         result.m_outcome = RunOutcome::Unknown;
         result.m_error = errorOf(reply);
--- a/kernel/eventreassembler.cpp
+++ b/kernel/eventreassembler.cpp
@@ -10,28 +10,23 @@
 
 namespace knapweedslip
 {
-namespace
+std::size_t completeEventLength(std::string_view text, EventScan &scan)
 {
-/**
- * Returns the length of the event at the start of @p text including its empty line, or 0 if it is incomplete. @p line is the start of the first line
- * that was not examined before, and is moved to the start of the first incomplete line.
- */
-std::size_t completeEventLength(std::string_view text, std::size_t &line)
-{
-    while (line < text.size()) {
-        const std::size_t end = text.find('\n', line);
+    while (scan.m_examined < text.size()) {
+        const std::size_t end = text.find('\n', scan.m_examined);
         if (end == std::string_view::npos) {
+            scan.m_examined = text.size();
             return 0;
         }
+        const std::size_t line = scan.m_lineStart;
         const bool emptyLine = end == line || (end == line + 1 && text[line] == '\r');
-        line = end + 1;
+        scan = {end + 1, end + 1};
         if (emptyLine) {
             return end + 1;
         }
     }
     return 0;
 }
-}
 
 std::optional<std::int64_t> parseEventId(std::string_view event)
 {
@@ -66,7 +61,7 @@
 void EventReassembler::startAttempt()
 {
     m_partialEvent.clear();
-    m_lineStart = 0;
+    m_scan = {};
     m_readId = m_deliveredId;
     m_hasNewEvents = false;
     m_state = EventReassemblyState::Good;
@@ -80,10 +75,10 @@
     }
     m_partialEvent.append(bytes);
     std::string_view left = m_partialEvent;
-    for (std::size_t length = completeEventLength(left, m_lineStart); length > 0; length = completeEventLength(left, m_lineStart)) {
+    for (std::size_t length = completeEventLength(left, m_scan); length > 0; length = completeEventLength(left, m_scan)) {
         const std::string_view event = left.substr(0, length);
         left.remove_prefix(length);
-        m_lineStart = 0;
+        m_scan = {};
         const std::optional<std::int64_t> number = parseEventId(event);
         if (!number || (m_readId && *number > *m_readId + 1)) {
             m_state = EventReassemblyState::Broken;
--- a/kernel/eventreassembler.h
+++ b/kernel/eventreassembler.h
@@ -25,6 +25,21 @@
     Broken,
 };
 
+/** How far the text of an incomplete event was searched for its end. */
+struct EventScan
+{
+    /** Start of the last line, which is not complete. */
+    std::size_t m_lineStart = 0;
+    /** What is before this was examined. */
+    std::size_t m_examined = 0;
+};
+
+/**
+ * Returns the length of the event at the start of @p text including its empty line, or 0 if it is incomplete. @p scan tells what an earlier call with the
+ * beginning of @p text has examined, and is brought up to date.
+ */
+std::size_t completeEventLength(std::string_view text, EventScan &scan);
+
 /**
  * Combines the server-sent events of several attempts into one stream: complete events only, each id once, in order. An event that an
  * attempt left incomplete is discarded. Memory: at most MaxEventBytes of one incomplete event. Each byte is examined once.
@@ -68,8 +83,7 @@
     /** The current attempt brought an event that the client did not have. */
     bool m_hasNewEvents = false;
     std::string m_partialEvent;
-    /** Start of the last line in m_partialEvent, which is not complete. */
-    std::size_t m_lineStart = 0;
+    EventScan m_scan;
     EventReassemblyState m_state = EventReassemblyState::Good;
 };
 
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -356,16 +356,31 @@
 std::vector<std::string> EventSplitter::feed(std::string_view text)
 {
     constexpr std::string_view DataPrefix = "data:";
-    m_partialEvent += text;
     std::vector<std::string> events;
-    for (std::size_t end = m_partialEvent.find("\n\n"); end != std::string::npos; end = m_partialEvent.find("\n\n")) {
-        const std::string block = m_partialEvent.substr(0, end);
-        m_partialEvent.erase(0, end + 2);
+    if (m_isTooLong) {
+        return events;
+    }
+    m_partialEvent += text;
+    std::string_view left = m_partialEvent;
+    for (std::size_t length = completeEventLength(left, m_scan); length > 0; length = completeEventLength(left, m_scan)) {
+        std::string_view block = left.substr(0, length);
+        left.remove_prefix(length);
+        m_scan = {};
         if (block.compare(0, DataPrefix.size(), DataPrefix) == 0) {
-            const std::size_t start = block.find_first_not_of(' ', DataPrefix.size());
-            events.push_back(start == std::string::npos ? std::string() : block.substr(start));
+            block.remove_prefix(std::min(block.size(), block.find_first_not_of(' ', DataPrefix.size())));
+            events.emplace_back(block.substr(0, block.find_last_not_of("\r\n") + 1));
         }
     }
+    m_partialEvent.erase(0, m_partialEvent.size() - left.size());
+    if (m_partialEvent.size() > EventReassembler::MaxEventBytes) {
+        m_isTooLong = true;
+        m_partialEvent = {};
+    }
     return events;
 }
+
+bool EventSplitter::isTooLong() const
+{
+    return m_isTooLong;
+}
 }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/eventreassembler.h"
 #include "net/http.h"
 
 #include <memory>
@@ -79,6 +80,11 @@
 /** Longest body of a response that is read as a whole, unless the caller sets another limit. The store's changes and other daemons' snapshots of it fit. */
 inline constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 
+/** Longest answer of an upstream to an order or a request for its state: a report has a few hundred bytes. */
+inline constexpr std::size_t MaxControlReplyBytes = 256 * 1024;
+/** Longest answer of an upstream to a client's request that is read as a whole. */
+inline constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
+
 /** Returns whether a response belongs to another request than the one that was sent, such as a late second copy of an earlier one. */
 using IsOtherResponse = bool (*)(const HttpReply &);
 
@@ -159,14 +165,21 @@
     std::shared_ptr<bool> m_requestSent = std::make_shared<bool>(false);
 };
 
-/** Splits a stream of server-sent events. Events that do not begin with a "data" field are skipped. */
+/**
+ * Splits a stream of server-sent events. Events that do not begin with a "data" field are skipped. Memory: at most EventReassembler::MaxEventBytes of one
+ * incomplete event, and the text that is fed.
+ */
 class EventSplitter
 {
 public:
-    /** Appends @p text and returns the data of the events that it completes. */
+    /** Appends @p text and returns the data of the events that it completes; none once an event is too long. */
     std::vector<std::string> feed(std::string_view text);
+    /** Returns whether an event did not end within EventReassembler::MaxEventBytes. */
+    bool isTooLong() const;
 
 private:
     std::string m_partialEvent;
+    EventScan m_scan;
+    bool m_isTooLong = false;
 };
 }
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -53,6 +53,8 @@
     faults.m_cutShare = doubleField(object, "cut");
     faults.m_resetShare = doubleField(object, "reset");
     faults.m_brokenHeadShare = doubleField(object, "broken_heads");
+    faults.m_endlessOrderReply = enumFromName<EndlessPart>(EndlessPartNames, stringField(object, "endless_order_reply"));
+    faults.m_endlessReport = enumFromName<EndlessPart>(EndlessPartNames, stringField(object, "endless_report"));
     faults.m_brokenReplyShare = doubleField(object, "broken_replies");
     faults.m_spoiltStreamShare = doubleField(object, "spoilt_streams");
     faults.m_brokenStreamShare = doubleField(object, "broken_streams");
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -8,6 +8,7 @@
 #include "platform/names.h"
 
 #include <array>
+#include <cctype>
 #include <cstdlib>
 #include <cstring>
 #include <sstream>
@@ -28,9 +29,7 @@
 constexpr const char *UnsizedWord = "UNSIZED";
 constexpr const char *CrashSilentWord = "CRASH-SILENT";
 constexpr const char *CrashDarkWord = "CRASH-DARK";
-constexpr const char *EndlessHeadWord = "ENDLESS-HEAD";
-constexpr const char *EndlessBodyWord = "ENDLESS-BODY";
-constexpr const char *EndlessSizeWord = "ENDLESS-SIZE";
+constexpr std::string_view EndlessWord = "ENDLESS-";
 constexpr const char *WorksWord = "WORKS-";
 constexpr const char *PausesWord = "PAUSES-";
 
@@ -49,6 +48,31 @@
     return found == std::string::npos ? fallback : std::strtoll(text.c_str() + found + std::strlen(word), nullptr, 10);
 }
 
+/** Returns the part that the word in @p text names, or std::nullopt if it has no such word. */
+std::optional<EndlessPart> endlessPart(const std::string &text)
+{
+    const std::size_t found = text.find(EndlessWord);
+    if (found == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string name;
+    for (std::size_t i = found + EndlessWord.size(); i < text.size() && std::isupper(static_cast<unsigned char>(text[i])) != 0; ++i) {
+        name += static_cast<char>(std::tolower(static_cast<unsigned char>(text[i])));
+    }
+    return enumFromName<EndlessPart>(EndlessPartNames, name);
+}
+
+/** Returns @p text several times, so that it is sent in few writes. */
+std::string manyTimes(const std::string &text)
+{
+    constexpr std::size_t BlockBytes = 16 * 1024;
+    std::string block;
+    while (block.size() < BlockBytes) {
+        block += text;
+    }
+    return block;
+}
+
 /** Returns the words of all parts of the prompt but the last. */
 std::string wordsOfParts(const HttpRequest &request, const PartWords &partWords)
 {
@@ -200,8 +224,55 @@
     connection.m_stream.socket().close(ignored);
 }
 
+awaitable<void> HostingEngine::answerWithoutEnd(Connection &connection, const HttpRequest &request, EndlessPart part)
+{
+    const std::string chunked = unsizedHead(request, "Transfer-Encoding: chunked\r\n");
+    std::string head;
+    std::string block = manyTimes("x");
+    switch (part) {
+    case EndlessPart::Head:
+        head = "HTTP/1.1 200 OK\r\nX-Filler: ";
+        break;
+    case EndlessPart::Fields:
+        head = "HTTP/1.1 200 OK\r\n";
+        block = manyTimes("X-Filler: x\r\n");
+        break;
+    case EndlessPart::Informational:
+        block = manyTimes("HTTP/1.1 100 Continue\r\n\r\n");
+        break;
+    case EndlessPart::Size:
+        head = chunked + "5;";
+        break;
+    case EndlessPart::Trailer:
+        head = chunked + "0\r\n";
+        block = manyTimes("X-Filler: x\r\n");
+        break;
+    case EndlessPart::Body:
+        head = unsizedHead(request, {});
+        break;
+    case EndlessPart::Chunks:
+        head = chunked;
+        block = manyTimes("4\r\nxxxx\r\n");
+        break;
+    }
+    const std::uint64_t lifetime = m_lifetime;
+    bool open = co_await connection.write(head);
+    std::uint64_t bytes = 0;
+    while (open && lifetime == m_lifetime && m_alive) {
+        open = co_await connection.write(block);
+        bytes += open ? block.size() : 0;
+    }
+    record(m_history, "endless", describeRequest(request, m_entry.m_id) + ",\"bytes\":" + std::to_string(bytes));
+}
+
 awaitable<void> HostingEngine::answerLeader(Connection &connection, HttpReply reply, const HttpRequest &request)
 {
+    const bool isOrder = pathOf(request.m_target) == platform::path::Order;
+    const std::optional<EndlessPart> endless = isOrder ? m_faults.m_endlessOrderReply : m_faults.m_endlessReport;
+    if (endless) {
+        co_await answerWithoutEnd(connection, request, *endless);
+        co_return;
+    }
     if (happens(m_faults.m_brokenReplyShare)) {
         std::string text = Connection::toText(reply, request);
         const std::size_t end = text.size();
@@ -614,22 +685,9 @@
         crash(request);
         co_return;
     }
-    const bool endlessSize = contains(request.m_body, EndlessSizeWord);
-    if (endlessSize || contains(request.m_body, EndlessHeadWord) || contains(request.m_body, EndlessBodyWord)) {
-        const std::string block(16 * 1024, 'x');
-        std::string head = "HTTP/1.1 200 OK\r\nX-Filler: ";
-        if (endlessSize) {
-            head = unsizedHead(request, "Transfer-Encoding: chunked\r\n") + "5;";
-        } else if (contains(request.m_body, EndlessBodyWord)) {
-            head = unsizedHead(request, {});
-        }
-        bool open = co_await connection.write(head);
-        std::uint64_t bytes = 0;
-        while (open && lifetime == m_lifetime && m_alive) {
-            open = co_await connection.write(block);
-            bytes += open ? block.size() : 0;
-        }
-        record(m_history, "endless", describeRequest(request, m_entry.m_id) + ",\"bytes\":" + std::to_string(bytes));
+    const std::optional<EndlessPart> endless = endlessPart(request.m_body);
+    if (endless) {
+        co_await answerWithoutEnd(connection, request, *endless);
         co_return;
     }
     if (m_words.m_leaving) {
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -71,6 +72,25 @@
 
 inline constexpr EnumNames<6> ResumedReplyNames{"events", "signed-error", "error", "refusal", "error-text", "closed"};
 
+/** The part of an answer that does not end. */
+enum class EndlessPart {
+    /** The value of a field of the head. */
+    Head,
+    /** The lines of the head. */
+    Fields,
+    /** Answers with status 100 before the answer. */
+    Informational,
+    /** The size line of a chunk. */
+    Size,
+    /** The fields after the last chunk. */
+    Trailer,
+    Body,
+    /** Chunks that never hold the end of an event. */
+    Chunks,
+};
+
+inline constexpr EnumNames<7> EndlessPartNames{"head", "fields", "informational", "size", "trailer", "body", "chunks"};
+
 /** How an upstream spoils its answers to clients' requests. All shares are from 0 to 1. */
 struct AnswerFaults
 {
@@ -91,6 +111,9 @@
     /** Share of the answers to clients, streams too, that break off inside their head, and of those to orders and reports that break off anywhere. */
     double m_brokenHeadShare = 0.0;
     double m_brokenReplyShare = 0.0;
+    /** Answers to orders, and to requests for reports, have this part without end. */
+    std::optional<EndlessPart> m_endlessOrderReply;
+    std::optional<EndlessPart> m_endlessReport;
 };
 
 /** Words by the id of a part of a prompt: a request whose prompt has the part, other than as its last, is treated as if its body contained the words. */
@@ -101,9 +124,9 @@
  * request choose what it does: CRASH ends the upstream when the request begins to run, CRASH-IN-ANSWER after the head of an answer without a length, as
  * an exit does; CRASH-IN-EVENT in the middle of the second event of such an answer; CRASH-SILENT as a process does whose end takes long: it no longer listens,
  * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
- * successor starts. ENDLESS-HEAD, ENDLESS-SIZE (of a chunk) and ENDLESS-BODY are answered with bytes without end. UNSIZED: the stream has neither a length nor
- * chunks and ends with its connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart. An upstream that
- * has ended comes back under another id.
+ * successor starts. ENDLESS- and the name of an EndlessPart in capitals, as in ENDLESS-HEAD: answered with bytes without end. UNSIZED: the stream has neither a
+ * length nor chunks and ends with its connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart. An
+ * upstream that has ended comes back under another id.
  */
 class HostingEngine
 {
@@ -144,6 +167,8 @@
     awaitable<void> breakOff(Connection &connection, std::string text, std::size_t end);
     /** Sends the answer to a client's request, and a second copy of it with the probability @p copiedShare. */
     awaitable<void> answerClient(Connection &connection, HttpReply reply, const HttpRequest &request, double copiedShare);
+    /** Answers with bytes without end, until the caller closes the connection or the lifetime ends. */
+    awaitable<void> answerWithoutEnd(Connection &connection, const HttpRequest &request, EndlessPart part);
     /** Sends the answer to an order or a request for a report. */
     awaitable<void> answerLeader(Connection &connection, HttpReply reply, const HttpRequest &request);
     /** Adds the fields of all answers to @p reply and sends it. */
--- a/tools/httpload.cpp
+++ b/tools/httpload.cpp
@@ -143,6 +143,10 @@
         for (const std::string &data : splitter.feed(valueOf(chunk))) {
             applyEvent(data, result);
         }
+        cut = splitter.isTooLong();
+        if (cut) {
+            break;
+        }
     }
     if (!streamed) {
         finishRequest(state, name, "refused-" + std::to_string(stream.status()), {});
