--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -164,7 +164,7 @@
     StoreMirror m_mirror;
     bool m_mirrorSynced = false;
     StoreOutage m_storeOutage;
-    /** When the store answered again after it was last away for all, as the daemon tells from which updates are fetched; negative if that does not know. */
+    /** When the store answered again after it was last away for all, as told by the daemon from which updates are fetched; negative if it told none. */
     std::int64_t m_sourceRecoveredMs = -1;
     /** Keys whose removal is held back, see holdBackRemoval(). */
     std::set<std::string> m_heldBackRemovals;
--- a/daemons/entryremovals.h
+++ b/daemons/entryremovals.h
@@ -11,9 +11,9 @@
 std::int64_t storeRecoveredMs(const EntryContext &context);
 
 /**
- * Keeps in use what @p removal removes if the store may have lost that key and its writer may write it again: an upstream's after an outage for all, an
- * evacuated zone's after the store came back from a copy. Returns whether it does. Once it is known that the store was not away, or the time for writing
- * again has passed, runHeldBackRemovals() applies the removal.
+ * Holds @p removal back if the store may have lost its key and the writer may write it again: the key of an upstream after an outage for all, that of an
+ * evacuated zone after the store came back from a copy. Returns whether it does. runHeldBackRemovals() applies the removal once it is known that the store was
+ * not away, or the time for writing again has passed.
  */
 bool holdBackRemoval(EntryContext &context, const StoreItem &removal);
 
--- a/kernel/departures.h
+++ b/kernel/departures.h
@@ -47,7 +47,7 @@
     }
 };
 
-/** What speaks for it that a lifetime has left, by the time since it was found, in ms; -1 for what is not known. */
+/** What suggests that a lifetime has left, as the time since it was found, in ms; -1 for what is not known. */
 struct DepartureAges
 {
     /** Its entry was removed and has not been written again. */
@@ -113,7 +113,7 @@
     bool foundHere(std::uint64_t lifetime) const;
     /** Returns whether the entry of @p lifetime was removed and has not been written again since. */
     bool isRemoved(std::uint64_t lifetime) const;
-    /** Returns what speaks for it that @p lifetime has left, also if it does not count or no longer does. */
+    /** Returns what suggests that @p lifetime has left, whether or not it counts. For logs. */
     DepartureAges ages(std::uint64_t lifetime, std::int64_t nowMs) const;
     /** Returns what this daemon itself found within the last @p withinMs, the latest first. */
     std::vector<Departure> recent(std::int64_t withinMs, std::int64_t nowMs) const;
--- a/kernel/reportpeers.h
+++ b/kernel/reportpeers.h
@@ -31,7 +31,7 @@
 public:
     /** How long a daemon gets reports after its registration ended and after its last report, in ms: longer than outages of the store usually are. */
     static constexpr std::int64_t KeepMs = 60'000;
-    /** Anyone may send a report. */
+    /** Largest number of daemons that get reports though they were never registered: anyone may send a report. */
     static constexpr std::size_t MaxUnknown = 64;
 
     /** Records that @p daemon is registered, with the address @p address for reports. */
--- a/kernel/storeoutage.cpp
+++ b/kernel/storeoutage.cpp
@@ -64,12 +64,8 @@
         }
     }
     m_outages = std::move(left);
-    if (sinceMs <= m_provenMs) {
-        m_provenMs = std::max(m_provenMs, provenMs);
-    } else {
-        advance(sinceMs, nowMs);
-        m_provenMs = std::max(m_provenMs, provenMs);
-    }
+    advance(sinceMs, nowMs);
+    m_provenMs = std::max(m_provenMs, provenMs);
 }
 
 void StoreOutage::breakOwnAnswers(std::int64_t nowMs)
--- a/kernel/upstreamavailability.h
+++ b/kernel/upstreamavailability.h
@@ -148,7 +148,7 @@
     bool isLeaving(const UpstreamLifetime &lifetime) const;
     /** Returns whether the entry of @p lifetime was removed and has not been written again since. */
     bool isRemoved(const UpstreamLifetime &lifetime) const;
-    /** Returns what speaks for it that @p lifetime has left, also if it does not count or no longer does. */
+    /** Returns what suggests that @p lifetime has left, whether or not it counts. For logs. */
     DepartureAges departureAges(const UpstreamLifetime &lifetime, std::int64_t nowMs) const;
     /** Returns the departures that this daemon found within the last @p withinMs, the latest first. */
     std::vector<Departure> recentDepartures(std::int64_t withinMs, std::int64_t nowMs) const;
