--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -23,6 +23,8 @@
 constexpr unsigned NotExecutedStatus = 503;
 constexpr unsigned FailedStatus = 500;
 constexpr unsigned MisdirectedStatus = 421;
+/** Longest body of a request: as long as clients may send by default (operators' configuration). */
+constexpr std::size_t MaxRequestBytes = 4 * 1024 * 1024;
 constexpr const char *CrashWord = "CRASH";
 constexpr const char *CrashInAnswerWord = "CRASH-IN-ANSWER";
 constexpr const char *CrashInEventWord = "CRASH-IN-EVENT";
@@ -462,6 +464,7 @@
 {
     while (lifetime == m_lifetime && m_alive) {
         http::request_parser<http::string_body> parser;
+        parser.body_limit(MaxRequestBytes);
         const auto [error, size] = co_await http::async_read(connection->m_stream, connection->m_buffer, parser, UseTuple);
         if (error || lifetime != m_lifetime || !m_alive) {
             break;
