--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -95,6 +95,7 @@
         text += "knapweedslip_upstreams{withheld=\"" + std::string(WithheldReasonNames.at(i)) + "\"} " + std::to_string(withheld.at(i)) + "\n";
     }
     text += admissionMetrics(context);
+    text += ingressMetrics(context.m_clientServer->ingressCounts());
     const std::int64_t confirmationAgeMs = context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs;
     text += exposeMetric("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(confirmationAgeMs), true);
     text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(context.m_coldMembers.count(steadyMs())), true);
@@ -138,6 +139,7 @@
     context.m_settings.m_coldShare = settings.m_coldShare;
     context.m_settings.m_enginesCheckFence = settings.m_enginesCheckFence;
     context.m_settings.m_overloadAdmission = settings.m_overloadAdmission;
+    context.m_settings.m_ingress = settings.m_ingress;
     context.m_settings.m_stopGraceMs = settings.m_stopGraceMs;
     context.m_settings.m_addressReuseMs = settings.m_addressReuseMs;
     context.m_settings.m_storeTimeoutMs = settings.m_storeTimeoutMs;
@@ -207,23 +209,28 @@
 awaitable<void> applyLimits(EntryContext &context, HttpServer &server)
 {
     constexpr std::int64_t PollMs = 500;
-    CallConfigPtr applied;
     while (true) {
-        if (context.m_config != applied && context.m_config != nullptr) {
-            applied = context.m_config;
-            const IngressLimits &limits = applied->m_limits;
-            server.setLimits({limits.m_maxHeaderBytes, limits.m_maxBodyBytes, limits.m_headerTimeoutMs, limits.m_idleTimeoutMs});
+        if (context.m_config != nullptr) {
+            const IngressLimits &limits = context.m_config->m_limits;
+            IngressBudgetLimits budget = context.m_settings.m_ingress;
+            // Two of the longest requests that the configuration allows always fit.
+            budget.m_maxBytes = std::max(budget.m_maxBytes, 2 * limits.m_maxBodyBytes);
+            server.setLimits({limits.m_maxHeaderBytes, limits.m_maxBodyBytes, limits.m_headerTimeoutMs, limits.m_idleTimeoutMs, budget});
         }
         co_await sleepFor(PollMs);
     }
 }
 
 /** Starts a server whose requests are answered by @p serve. Returns null if it cannot listen on @p address, and logs the error. */
-std::shared_ptr<HttpServer> listenOn(EntryContext &context, const std::string &address, awaitable<void> (*serve)(EntryContext &, HttpExchange &))
+std::shared_ptr<HttpServer>
+listenOn(EntryContext &context, const std::string &address, awaitable<void> (*serve)(EntryContext &, HttpExchange &), const IngressBudgetLimits &budget = {})
 {
-    Result<std::shared_ptr<HttpServer>> server = HttpServer::create({&context.m_io}, address, [&context, serve](HttpExchange &exchange) {
+    const HttpHandler handler = [&context, serve](HttpExchange &exchange) {
         return serve(context, exchange);
-    });
+    };
+    HttpServerLimits limits;
+    limits.m_budget = budget;
+    Result<std::shared_ptr<HttpServer>> server = HttpServer::create({&context.m_io}, address, handler, limits);
     if (failed(server)) {
         logEvent(LogEvent::ListenFailed, {{"error", describe(errorOf(server))}});
         return nullptr;
@@ -235,11 +242,12 @@
 {
     asio::io_context io(1);
     EntryContext context(io, settings);
-    const std::shared_ptr<HttpServer> clients = listenOn(context, settings.m_listen, serveClient);
+    const std::shared_ptr<HttpServer> clients = listenOn(context, settings.m_listen, serveClient, settings.m_ingress);
     const std::shared_ptr<HttpServer> readiness = listenOn(context, settings.m_readinessListen, serveReadiness);
     if (clients == nullptr || readiness == nullptr) {
         return ExitCannotListen;
     }
+    context.m_clientServer = clients;
     if (!settings.m_metricsListen.empty()) {
         // The daemon also serves without metrics; listenOn() logs the failure.
         listenOn(context, settings.m_metricsListen, serveMetrics);
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -74,7 +74,6 @@
     HttpRequest request;
     request.m_method = m_call.m_exchange.request().m_method;
     request.m_target = m_call.m_exchange.request().m_target;
-    request.m_body = m_call.m_exchange.request().m_body;
     platform::UpstreamHeaders headers;
     headers.m_upstream = target.m_upstream;
     headers.m_workspace = workspaceName(m_call);
@@ -87,7 +86,7 @@
     m_sentMs = steadyMs();
     m_call.m_running->m_connection = m_connection.get();
     m_stream = std::make_unique<HttpStream>(*m_connection);
-    Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout);
+    Result<Done> opened = co_await m_stream->open(request, HttpStream::NoTimeout, m_call.m_exchange.body());
     if (!failed(opened)) {
         opened = co_await readHeader();
     }
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -237,6 +237,8 @@
     /** Sends new observations of upstreams that ended to the other daemons; empty if that is not possible. */
     std::function<void()> m_sendCrashes;
     EntryMetrics m_metrics;
+    /** The server of the clients; null until it listens. */
+    std::shared_ptr<HttpServer> m_clientServer;
     bool m_stopping = false;
     /** Set when a planned stop begins. */
     ShutdownDeadlines m_shutdownDeadlines;
--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -6,6 +6,7 @@
 
 #include "kernel/yamlreader.h"
 #include "net/asio.h"
+#include "net/settings.h"
 
 #include <fstream>
 #include <sstream>
@@ -44,11 +45,31 @@
     text << file.rdbuf();
     const YAML::Node root = parseYaml(reader, text.str());
     EntrySettings settings;
-    const bool known = checkKeys(reader, root, {"name",           "availability_zone",   "listen",        "readiness_listen", "metrics_listen",
-                                                "peer_listen",    "cpu_share",           "store_address", "store_timeout_ms", "lease_ms",
-                                                "max_key_age_ms", "max_denial_age_ms",   "resend_ratio",  "resend_extra",     "resend_window_s",
-                                                "cold_share",     "engines_check_fence", "stop_grace_s",  "address_reuse_s",  "upstream_heartbeat_ms",
-                                                "overload_admission"});
+    const bool known = checkKeys(reader,
+                                 root,
+                                 {"name",
+                                  "availability_zone",
+                                  "listen",
+                                  "readiness_listen",
+                                  "metrics_listen",
+                                  "peer_listen",
+                                  "cpu_share",
+                                  "store_address",
+                                  "store_timeout_ms",
+                                  "lease_ms",
+                                  "max_key_age_ms",
+                                  "max_denial_age_ms",
+                                  "resend_ratio",
+                                  "resend_extra",
+                                  "resend_window_s",
+                                  "cold_share",
+                                  "engines_check_fence",
+                                  "stop_grace_s",
+                                  "address_reuse_s",
+                                  "upstream_heartbeat_ms",
+                                  "overload_admission",
+                                  "ingress_memory_bytes",
+                                  "max_client_connections"});
     if (!known) {
         return reader.m_findings;
     }
@@ -76,6 +97,7 @@
     };
     settings.m_enginesCheckFence = !isEmpty("engines_check_fence") && readBool(reader, root, "engines_check_fence", false);
     settings.m_overloadAdmission = readBool(reader, root, "overload_admission", false);
+    settings.m_ingress = readIngressBudget(reader, root);
     settings.m_stopGraceMs = static_cast<std::int64_t>(readReal(reader, root, "stop_grace_s", 0.1, MaxRatio) * MsPerSecond);
     settings.m_addressReuseMs = static_cast<std::int64_t>(readReal(reader, root, "address_reuse_s", 0.0, MaxRatio, 2.0) * MsPerSecond);
     if (!isEmpty("upstream_heartbeat_ms")) {
--- a/daemons/entrysettings.h
+++ b/daemons/entrysettings.h
@@ -2,6 +2,7 @@
 
 #include "kernel/admitcall.h"
 #include "kernel/findings.h"
+#include "kernel/ingressbudget.h"
 #include "kernel/resendbudget.h"
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     bool m_enginesCheckFence = false;
     /** While the replicas of a model have too little room, the requests whose callers lose least by it are refused or delayed. */
     bool m_overloadAdmission = false;
+    /** Limits on what all connections of clients hold together. */
+    IngressBudgetLimits m_ingress;
     /** Time from the stop signal to the kill. */
     std::int64_t m_stopGraceMs = 8'000;
     /** Time between two reports of an upstream to the store. Its entry lapses after EntryLapseReports of them. */
--- a/daemons/gateway.cpp
+++ b/daemons/gateway.cpp
@@ -149,8 +149,8 @@
     hooks.m_dump = [&context]() {
         return context.m_dispatcher->dump();
     };
-    hooks.m_metrics = [&context]() {
-        return gatewayMetrics(context);
+    hooks.m_metrics = [&context, &server]() {
+        return gatewayMetrics(context) + (server == nullptr ? std::string() : ingressMetrics(server->ingressCounts()));
     };
     hooks.m_onStopAccepting = [&server]() {
         server->stopAccepting();
@@ -180,6 +180,7 @@
     context.m_ledger = std::make_unique<IntentLedger>(node, settings.m_common.m_name + "/" + incarnation, settings.m_intentWritesPerSecond);
     HttpServerLimits limits;
     limits.m_maxBodyBytes = static_cast<std::size_t>(settings.m_maxBodyBytes);
+    limits.m_budget = settings.m_ingress;
     Result<std::shared_ptr<HttpServer>> listening = HttpServer::create(
         threads.workers(),
         settings.m_common.m_listen,
--- a/kernel/replicaselector.cpp
+++ b/kernel/replicaselector.cpp
@@ -177,7 +177,9 @@
     double least = std::numeric_limits<double>::max();
     for (const TrackedReplica *replica : usable) {
         const bool fits = hasMemory(*replica, query.m_promptTokens + query.m_answerTokens);
-        const double ms = !fits ? std::numeric_limits<double>::max() : expectedMs(*replica, query.m_promptTokens) + (replica->m_availabilityZone == query.m_ownZone ? 0.0 : m_settings.m_crossZoneMs);
+        const double ms = !fits
+                              ? std::numeric_limits<double>::max()
+                              : expectedMs(*replica, query.m_promptTokens) + (replica->m_availabilityZone == query.m_ownZone ? 0.0 : m_settings.m_crossZoneMs);
         costs.push_back(ms);
         least = std::min(least, ms);
     }
--- a/kernel/replicaselector.h
+++ b/kernel/replicaselector.h
@@ -99,8 +99,6 @@
 {
     std::string m_model;
     std::int64_t m_promptTokens = 0;
-    /** Expected length of the answer. */
-    std::int64_t m_answerTokens = 0;
     /** Availability zone of this daemon. */
     std::string m_ownZone;
     /** The request is not sent if its first event is expected later than this, in ms. */
@@ -115,6 +113,8 @@
      * connection takes a round trip, and engines accept only so many from all daemons. Empty: connections do not matter.
      */
     std::function<bool(const TrackedReplica &)> m_isConnected = nullptr;
+    /** Expected length of the answer. */
+    std::int64_t m_answerTokens = 0;
 };
 
 /** Time limits and cost factors of ReplicaSelector. */
@@ -183,8 +183,8 @@
     const FirstEventBias &firstEventBias() const;
 
     /** Records that a request was sent to @p replica. Returns the number of the stream for event() and end(). */
-    std::uint64_t begin(
-        UpstreamAvailability &availability, const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs, const StreamDetails &details = {});
+    std::uint64_t
+    begin(UpstreamAvailability &availability, const TrackedReplica &replica, std::int64_t promptTokens, std::int64_t nowMs, const StreamDetails &details = {});
     /** Records that @p events events of @p stream arrived. Does nothing if the stream has ended. */
     void event(UpstreamAvailability &availability, std::uint64_t stream, int events, std::int64_t nowMs);
     /** Removes @p stream and its load. Does nothing if it has ended already. */
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -28,9 +28,12 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-http::request<http::string_body> toMessage(const HttpConnection &connection, const HttpRequest &request)
+using RequestMessage = http::request<http::span_body<const char>>;
+
+/** Returns the message that sends @p request with @p body, which is not copied and must stay valid. */
+RequestMessage toMessage(const HttpConnection &connection, const HttpRequest &request, const std::string &body)
 {
-    http::request<http::string_body> message(http::string_to_verb(request.m_method), request.m_target, 11);
+    RequestMessage message(http::string_to_verb(request.m_method), request.m_target, 11);
     if (message.method() == http::verb::unknown) {
         message.method_string(request.m_method);
     }
@@ -40,7 +43,7 @@
     for (const std::pair<std::string, std::string> &field : request.m_headers) {
         message.insert(field.first, field.second);
     }
-    message.body() = request.m_body;
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     return message;
 }
@@ -175,7 +178,7 @@
 awaitable<Result<HttpReply>>
 httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes, IsOtherResponse isOther)
 {
-    const http::request<http::string_body> message = toMessage(connection, request);
+    const RequestMessage message = toMessage(connection, request, request.m_body);
     connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
     const auto [writeError, written] = co_await http::async_write(connection.m_stream, message, UseTuple);
     if (writeError) {
@@ -245,12 +248,14 @@
     }
 }
 
-awaitable<Result<Done>> HttpStream::open(const HttpRequest &request, std::int64_t timeoutMs)
+awaitable<Result<Done>> HttpStream::open(const HttpRequest &request, std::int64_t timeoutMs, std::shared_ptr<const std::string> body)
 {
-    using Message = http::request<http::string_body>;
-    const std::shared_ptr<Message> message = std::make_shared<Message>(toMessage(m_connection, request));
+    if (body == nullptr) {
+        body = std::make_shared<const std::string>(request.m_body);
+    }
+    const std::shared_ptr<RequestMessage> message = std::make_shared<RequestMessage>(toMessage(m_connection, request, *body));
     extendDeadline(timeoutMs);
-    if (message->body().size() <= ShortBodyBytes) {
+    if (body->size() <= ShortBodyBytes) {
         const auto [writeError, written] = co_await http::async_write(m_connection.m_stream, *message, UseTuple);
         if (writeError) {
             co_return toError(writeError);
@@ -258,7 +263,7 @@
         *m_requestSent = true;
     } else {
         // The server may respond before it has read a long body; reading that response must not wait for the write.
-        http::async_write(m_connection.m_stream, *message, [message, sent = m_requestSent](const boost::system::error_code &error, std::size_t) {
+        http::async_write(m_connection.m_stream, *message, [message, body, sent = m_requestSent](const boost::system::error_code &error, std::size_t) {
             *sent = !error;
         });
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -122,8 +122,11 @@
     /** Timeout value that sets no timeout; the caller closes the connection itself when its time has run out. */
     static constexpr std::int64_t NoTimeout = 0;
 
-    /** Sends the request and reads the header of the response, even if that arrives before a long request body is sent completely. */
-    awaitable<Result<Done>> open(const HttpRequest &request, std::int64_t timeoutMs);
+    /**
+     * Sends the request and reads the header of the response, even if that arrives before a long request body is sent completely. The body is @p body if
+     * that is set, which is shared and not copied, and that of @p request otherwise.
+     */
+    awaitable<Result<Done>> open(const HttpRequest &request, std::int64_t timeoutMs, std::shared_ptr<const std::string> body = nullptr);
     /**
      * Drops the answer whose header was read, which belongs to another request, and reads the header of the next one on the connection. Fails with
      * ProtocolViolation if the dropped answer is longer than @p maxBodyBytes, and with ConnectionLost if none can follow it.
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -5,8 +5,13 @@
 
 #include "net/httpserver.h"
 
+#include "net/metrics.h"
+
+#include <algorithm>
 #include <array>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace knapweedslip
 {
@@ -14,7 +19,13 @@
 {
 constexpr std::int64_t WriteTimeoutMs = 30'000;
 /** Longest size line of a chunk, and what else of a body is buffered until it can be used, in bytes. */
-constexpr std::size_t MaxBufferedBodyBytes = 64 * 1024;
+constexpr std::size_t MaxBufferedBodyBytes = 16 * 1024;
+/** A connection keeps a read buffer of at most this size between requests, in bytes. */
+constexpr std::size_t MaxIdleBufferBytes = 4 * 1024;
+/** Time after which a client should come back that was refused because all clients together hold too much, in ms. */
+constexpr std::int64_t IngressRetryMs = 1'000;
+/** Pause before the next connection is accepted after the process could open no more descriptors, in ms. */
+constexpr std::int64_t AcceptPauseMs = 20;
 
 template<typename Message>
 void setFields(Message &message, const HeaderFields &headers)
@@ -24,21 +35,30 @@
     }
 }
 
-HttpRequest toRequest(const http::request<http::string_body> &message)
+HttpRequest toRequest(http::request<GrowingBody> message)
 {
     HttpRequest request;
     request.m_method = std::string(message.method_string());
     request.m_target = std::string(message.target());
     request.m_headers = toFields(message);
-    request.m_body = message.body();
+    request.m_body = std::move(message.body());
     return request;
 }
 
-/** Responds to a request that could not be read, if the caller can still read the response. Returns false: the connection must close. */
-awaitable<bool> refuseRequest(beast::tcp_stream &stream, boost::system::error_code error)
+/**
+ * Responds to a request that could not be read, or that is ended because all clients together hold too much (@p isEnded), if the caller can still read the
+ * response. Returns false: the connection must close.
+ */
+awaitable<bool> refuseRequest(beast::tcp_stream &stream, boost::system::error_code error, bool isEnded)
 {
     ErrorCode code = ErrorCode::MalformedRequest;
-    if (error == http::error::body_limit) {
+    std::int64_t retryAfterMs = 0;
+    std::string detail = error.message();
+    if (isEnded) {
+        code = ErrorCode::Overloaded;
+        retryAfterMs = IngressRetryMs;
+        detail = "all clients together hold too much";
+    } else if (error == http::error::body_limit) {
         code = ErrorCode::BodyTooLarge;
     } else if (error == http::error::header_limit) {
         code = ErrorCode::HeaderTooLarge;
@@ -49,7 +69,7 @@
     HttpExchange exchange(stream, {}, []() {
         return true;
     });
-    co_await exchange.respond(problemReply(Error{code, error.message()}));
+    co_await exchange.respond(problemReply(Error{code, detail}, retryAfterMs));
     co_return false;
 }
 
@@ -71,9 +91,25 @@
 }
 }
 
+IngressBudgetLimits defaultIngressBudgetLimits()
+{
+    constexpr std::size_t MiB = 1024 * 1024;
+    constexpr std::size_t MemoryParts = 8;
+    constexpr std::size_t LeastBytes = 16 * MiB;
+    constexpr std::size_t MostBytes = 48 * MiB;
+    constexpr rlim_t MostDescriptors = 1'000'000;
+    const long pages = ::sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = ::sysconf(_SC_PAGESIZE);
+    const std::size_t memory = pages > 0 && pageBytes > 0 ? static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes) : 0;
+    rlimit descriptors{};
+    const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &descriptors) == 0;
+    const rlim_t most = isKnown ? std::min(descriptors.rlim_cur, MostDescriptors) : 1'024;
+    return {std::clamp(memory / MemoryParts, LeastBytes, MostBytes), static_cast<std::size_t>(most / 4 * 3)};
+}
+
 HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, std::function<bool()> shouldClose)
     : m_stream(stream)
-    , m_request(std::move(request))
+    , m_request(std::make_shared<const HttpRequest>(std::move(request)))
     , m_shouldClose(std::move(shouldClose))
 {
 }
@@ -119,7 +155,12 @@
 
 const HttpRequest &HttpExchange::request() const
 {
-    return m_request;
+    return *m_request;
+}
+
+std::shared_ptr<const std::string> HttpExchange::body() const
+{
+    return {m_request, &m_request->m_body};
 }
 
 awaitable<Result<Done>> HttpExchange::respond(HttpReply reply)
@@ -217,6 +258,8 @@
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
     m_limits.publish(std::make_shared<const HttpServerLimits>(limits));
+    const std::lock_guard<std::mutex> lock(m_ingressMutex);
+    m_budget.setLimits(limits.m_budget);
 }
 
 void HttpServer::closeAfterResponses()
@@ -255,6 +298,23 @@
     return server;
 }
 
+/** The connection of one client. Its members are used only on its thread, except for the shared pointer that owns it. */
+struct HttpServer::ClientConnection
+{
+    explicit ClientConnection(Tcp::socket socket)
+        : m_stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    ConnectionId m_id = 0;
+    /** Bytes of the header of the request that is being read. */
+    std::size_t m_headerBytes = 0;
+    /** The connection ends because all clients together hold too much. */
+    bool m_isEnded = false;
+};
+
 awaitable<void> HttpServer::acceptLoop()
 {
     while (!m_stopping) {
@@ -264,6 +324,8 @@
             if (m_stopping || !m_acceptor.is_open()) {
                 co_return;
             }
+            // Without a pause this loop would take the whole processor while no descriptor is free.
+            co_await sleepFor(AcceptPauseMs);
             continue;
         }
         const asio::any_io_executor executor = socket.get_executor();
@@ -276,14 +338,72 @@
     }
 }
 
-awaitable<bool> HttpServer::readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser)
+void HttpServer::endExcess(ConnectionId cause)
+{
+    for (const ConnectionId id : m_budget.chooseEnded(cause, steadyMs())) {
+        const std::shared_ptr<ClientConnection> connection = m_clients[id].lock();
+        if (connection == nullptr) {
+            continue;
+        }
+        const auto end = [connection]() {
+            connection->m_isEnded = true;
+            connection->m_stream.cancel();
+        };
+        if (id == cause) {
+            connection->m_isEnded = true;
+        } else {
+            asio::post(connection->m_stream.get_executor(), end);
+        }
+    }
+}
+
+bool HttpServer::setPhase(ClientConnection &connection, ConnectionPhase phase)
+{
+    const std::lock_guard<std::mutex> lock(m_ingressMutex);
+    return m_budget.setPhase(connection.m_id, phase, steadyMs()) && !connection.m_isEnded;
+}
+
+bool HttpServer::account(ClientConnection &connection, const RequestParser *parser)
+{
+    // The fields of the header are kept twice: by the parser and in the request.
+    const std::size_t bytes = connection.m_buffer.capacity() + (parser == nullptr ? 0 : 2 * connection.m_headerBytes + parser->get().body().capacity());
+    const std::lock_guard<std::mutex> lock(m_ingressMutex);
+    m_budget.hold(connection.m_id, bytes, steadyMs());
+    endExcess(connection.m_id);
+    return !connection.m_isEnded;
+}
+
+awaitable<boost::system::error_code> HttpServer::readBody(ClientConnection &connection, RequestParser &parser)
+{
+    while (!parser.is_done()) {
+        const auto [error, size] = co_await http::async_read_some(connection.m_stream, connection.m_buffer, parser, UseTuple);
+        if (error) {
+            co_return error;
+        }
+        if (!account(connection, &parser)) {
+            co_return asio::error::operation_aborted;
+        }
+    }
+    co_return boost::system::error_code();
+}
+
+awaitable<bool> HttpServer::readRequest(ClientConnection &connection, RequestParser &parser)
 {
     constexpr std::size_t FirstReadBytes = 4 * 1024;
+    beast::tcp_stream &stream = connection.m_stream;
+    beast::flat_buffer &buffer = connection.m_buffer;
     const std::shared_ptr<const HttpServerLimits> limits = m_limits.current();
     parser.header_limit(static_cast<std::uint32_t>(limits->m_maxHeaderBytes));
     parser.body_limit(limits->m_maxBodyBytes);
     buffer.max_size(limits->m_maxHeaderBytes + MaxBufferedBodyBytes);
     if (buffer.size() == 0) {
+        if (buffer.capacity() > MaxIdleBufferBytes) {
+            buffer.shrink_to_fit();
+        }
+        connection.m_headerBytes = 0;
+        if (!account(connection, nullptr) || !setPhase(connection, ConnectionPhase::Idle)) {
+            co_return false;
+        }
         stream.expires_after(std::chrono::milliseconds(limits->m_idleTimeoutMs));
         const auto [error, size] = co_await stream.async_read_some(buffer.prepare(FirstReadBytes), UseTuple);
         if (error) {
@@ -291,22 +411,29 @@
         }
         buffer.commit(size);
     }
+    if (!setPhase(connection, ConnectionPhase::Reading)) {
+        co_return false;
+    }
     stream.expires_after(std::chrono::milliseconds(limits->m_headerTimeoutMs));
     const auto [headerError, headerSize] = co_await http::async_read_header(stream, buffer, parser, UseTuple);
     if (headerError) {
-        co_return co_await refuseRequest(stream, headerError);
+        co_return co_await refuseRequest(stream, headerError, connection.m_isEnded);
     }
+    connection.m_headerBytes = headerSize;
     if (hasUnsupportedTransferCoding(parser.get().version(), toFields(parser.get()))) {
-        co_return co_await refuseRequest(stream, http::make_error_code(http::error::bad_transfer_encoding));
+        co_return co_await refuseRequest(stream, http::make_error_code(http::error::bad_transfer_encoding), false);
     }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
     }
     stream.expires_after(std::chrono::milliseconds(limits->m_idleTimeoutMs));
-    const auto [bodyError, bodySize] = co_await http::async_read(stream, buffer, parser, UseTuple);
-    if (bodyError) {
-        co_return co_await refuseRequest(stream, bodyError);
+    const boost::system::error_code bodyError = account(connection, &parser) ? co_await readBody(connection, parser) : asio::error::operation_aborted;
+    if (bodyError || !setPhase(connection, ConnectionPhase::Serving)) {
+        // What has arrived is freed before the response is written, which the client may not read.
+        parser.release();
+        account(connection, &parser);
+        co_return co_await refuseRequest(stream, bodyError, connection.m_isEnded);
     }
     stream.expires_never();
     co_return true;
@@ -316,16 +443,21 @@
 {
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    const std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(std::move(socket));
+    {
+        const std::lock_guard<std::mutex> lock(m_ingressMutex);
+        connection->m_id = m_budget.open(steadyMs());
+        m_clients[connection->m_id] = connection;
+        endExcess(connection->m_id);
+    }
     while (!m_stopping) {
-        http::request_parser<http::string_body> parser;
-        const bool complete = co_await readRequest(stream, buffer, parser);
+        RequestParser parser;
+        const bool complete = co_await readRequest(*connection, parser);
         if (!complete) {
             break;
         }
         const bool keepAlive = parser.get().keep_alive();
-        HttpExchange exchange(stream, toRequest(parser.get()), [this, keepAlive]() {
+        HttpExchange exchange(connection->m_stream, toRequest(parser.release()), [this, keepAlive]() {
             return !keepAlive || m_closeAfterResponses;
         });
         ++m_activeRequests;
@@ -338,8 +470,43 @@
             break;
         }
     }
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    co_await lingerUntilClosed(stream);
+    {
+        const std::lock_guard<std::mutex> lock(m_ingressMutex);
+        m_ingressCounts.m_endedRequests += connection->m_isEnded && connection->m_headerBytes > 0 ? 1 : 0;
+        m_ingressCounts.m_endedIdle += connection->m_isEnded && connection->m_headerBytes == 0 ? 1 : 0;
+        m_budget.close(connection->m_id);
+        m_clients.erase(connection->m_id);
+    }
+    connection->m_buffer.clear();
+    connection->m_buffer.shrink_to_fit();
+    connection->m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    if (!connection->m_isEnded) {
+        co_await lingerUntilClosed(connection->m_stream);
+    }
+}
+
+IngressCounts HttpServer::ingressCounts() const
+{
+    const std::lock_guard<std::mutex> lock(m_ingressMutex);
+    IngressCounts counts = m_ingressCounts;
+    counts.m_bytes = m_budget.bytes();
+    counts.m_connections = m_budget.connections();
+    return counts;
+}
+
+std::string ingressMetrics(const IngressCounts &counts)
+{
+    std::string text = exposeMetric("knapweedslip_ingress_bytes", "Bytes held of requests of clients", static_cast<double>(counts.m_bytes), true);
+    text += exposeMetric("knapweedslip_client_connections", "Open connections of clients", static_cast<double>(counts.m_connections), true);
+    text += exposeMetric("knapweedslip_ingress_ended_requests_total",
+                         "Requests ended while they arrived because all clients together held too much",
+                         static_cast<double>(counts.m_endedRequests),
+                         false);
+    text += exposeMetric("knapweedslip_ingress_ended_idle_total",
+                         "Idle connections closed because too many were open or all clients together held too much",
+                         static_cast<double>(counts.m_endedIdle),
+                         false);
+    return text;
 }
 
 void HttpServer::stopAccepting()
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -1,14 +1,59 @@
 #pragma once
 
+#include "kernel/ingressbudget.h"
 #include "net/http.h"
 #include "net/snapshotcell.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <unordered_map>
 
 namespace knapweedslip
 {
+/**
+ * Body of a request that is read into a string. The string grows with what has arrived: a client that announces a long body and sends nothing costs
+ * nothing.
+ */
+struct GrowingBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields> &, value_type &body)
+            : m_body(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        {
+            error = {};
+        }
+
+        template<typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+        {
+            error = {};
+            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
+                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
+            }
+            return beast::buffer_bytes(buffers);
+        }
+
+        void finish(boost::system::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type &m_body;
+    };
+};
+
 /** A request that is being served, and the functions to respond to it. May be used only on the connection's thread. */
 class HttpExchange
 {
@@ -20,6 +65,8 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     const HttpRequest &request() const;
+    /** Returns the request's body. It stays valid for as long as the pointer is kept, also after this object is gone. */
+    std::shared_ptr<const std::string> body() const;
     /** Sends a complete response. */
     awaitable<Result<Done>> respond(HttpReply reply);
     /** Sends the header of a chunked response. */
@@ -50,7 +97,7 @@
     bool closesAfterResponse();
 
     beast::tcp_stream &m_stream;
-    HttpRequest m_request;
+    std::shared_ptr<const HttpRequest> m_request;
     std::function<bool()> m_shouldClose;
     std::shared_ptr<CallerWatch> m_watch;
     bool m_answered = false;
@@ -71,8 +118,28 @@
     std::int64_t m_headerTimeoutMs = 60'000;
     /** Longest time between two requests, and to read a body. */
     std::int64_t m_idleTimeoutMs = 60'000;
+    /** Limits on all connections together. */
+    IngressBudgetLimits m_budget;
+};
+
+/**
+ * Returns the limits on all connections of clients for the VM that the process runs on: an eighth of its memory, at least 16 and at most 48 MiB, and three
+ * quarters of the descriptors that the process may open.
+ */
+IngressBudgetLimits defaultIngressBudgetLimits();
+
+/** What a server ended or refused because of the limits on all connections together. */
+struct IngressCounts
+{
+    std::uint64_t m_endedRequests = 0;
+    std::uint64_t m_endedIdle = 0;
+    std::size_t m_bytes = 0;
+    std::size_t m_connections = 0;
 };
 
+/** Returns @p counts in the text format of Prometheus. */
+std::string ingressMetrics(const IngressCounts &counts);
+
 /** Listens on one address and distributes the connections over the contexts in turn. Each context must be run by one thread. */
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
@@ -87,6 +154,8 @@
     void closeAfterResponses();
     /** Stops accepting connections. Existing connections close after the request that they are serving. */
     void stopAccepting();
+    /** Returns what the connections hold together, and how many were ended because of the limits on that. */
+    IngressCounts ingressCounts() const;
     /** Returns the number of requests that are being served. */
     int activeRequests() const;
     /** Returns the address that it listens on, as "ip:port", or an empty string once it has stopped listening. */
@@ -96,8 +165,20 @@
     HttpServer(std::vector<asio::io_context *> contexts, HttpHandler handler, const HttpServerLimits &limits);
     awaitable<void> acceptLoop();
     awaitable<void> serve(Tcp::socket socket);
+    /** The connection of one client. May be used only on the connection's thread. */
+    struct ClientConnection;
+    using RequestParser = http::request_parser<GrowingBody>;
+
     /** Waits for a request and reads it. Returns false if the connection must close. */
-    awaitable<bool> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser);
+    awaitable<bool> readRequest(ClientConnection &connection, RequestParser &parser);
+    /** Reads the rest of the request's body. */
+    awaitable<boost::system::error_code> readBody(ClientConnection &connection, RequestParser &parser);
+    /** Sets what @p connection waits for. Returns false if it is being ended. */
+    bool setPhase(ClientConnection &connection, ConnectionPhase phase);
+    /** Accounts for what @p connection holds, and ends connections if it is too much. Returns false if @p connection is being ended. */
+    bool account(ClientConnection &connection, const RequestParser *parser);
+    /** Ends connections that exceed the limits on all together because of @p cause. */
+    void endExcess(ConnectionId cause);
 
     std::vector<asio::io_context *> m_contexts;
     std::size_t m_nextContext = 0;
@@ -107,5 +188,10 @@
     std::atomic<bool> m_closeAfterResponses{false};
     std::atomic<int> m_activeRequests{0};
     std::atomic<bool> m_stopping{false};
+    /** Guards the members below. */
+    mutable std::mutex m_ingressMutex;
+    IngressBudget m_budget;
+    std::unordered_map<ConnectionId, std::weak_ptr<ClientConnection>> m_clients;
+    IngressCounts m_ingressCounts;
 };
 }
--- a/net/settings.cpp
+++ b/net/settings.cpp
@@ -10,7 +10,9 @@
 #include "kernel/registry.h"
 #include "kernel/routepolicy.h"
 #include "net/asio.h"
+#include "net/httpserver.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -103,6 +105,22 @@
     return name;
 }
 
+}
+
+IngressBudgetLimits readIngressBudget(YamlReader &reader, const YAML::Node &root)
+{
+    constexpr std::int64_t LeastBytes = 1024 * 1024;
+    constexpr std::int64_t MostBytes = std::int64_t(64) * 1024 * 1024 * 1024;
+    constexpr std::int64_t MostConnections = 10'000'000;
+    const IngressBudgetLimits standard = defaultIngressBudgetLimits();
+    const std::int64_t bytes = readInteger(reader, root, "ingress_memory_bytes", LeastBytes, MostBytes, static_cast<std::int64_t>(standard.m_maxBytes));
+    const std::int64_t connections =
+        readInteger(reader, root, "max_client_connections", 1, MostConnections, static_cast<std::int64_t>(standard.m_maxConnections));
+    return {static_cast<std::size_t>(bytes), static_cast<std::size_t>(connections)};
+}
+
+namespace
+{
 GatewaySettings readGateway(YamlReader &reader, const YAML::Node &root)
 {
     GatewaySettings settings;
@@ -113,6 +131,9 @@
     settings.m_maxDeadlineMs = readInteger(reader, root, "max_deadline_ms", 1, MaxTimeMs, settings.m_maxDeadlineMs);
     settings.m_upstreamSilenceMs = readInteger(reader, root, "upstream_silence_ms", 1, MaxTimeMs, settings.m_upstreamSilenceMs);
     settings.m_maxBodyBytes = readInteger(reader, root, "max_body_bytes", 1, MaxBodyBytes, settings.m_maxBodyBytes);
+    settings.m_ingress = readIngressBudget(reader, root);
+    // Two of the longest requests that are allowed always fit.
+    settings.m_ingress.m_maxBytes = std::max(settings.m_ingress.m_maxBytes, 2 * static_cast<std::size_t>(settings.m_maxBodyBytes));
     settings.m_retryPercent = static_cast<int>(readInteger(reader, root, "retry_percent", 0, 100, settings.m_retryPercent));
     settings.m_intentWritesPerSecond = static_cast<int>(readInteger(reader, root, "intent_writes_per_s", 1, MaxTimeMs, settings.m_intentWritesPerSecond));
     return settings;
@@ -178,6 +199,8 @@
                                       "max_deadline_ms",
                                       "upstream_silence_ms",
                                       "max_body_bytes",
+                                      "ingress_memory_bytes",
+                                      "max_client_connections",
                                       "retry_percent",
                                       "intent_writes_per_s"},
                                      readGateway);
--- a/net/settings.h
+++ b/net/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/ingressbudget.h"
 #include "kernel/membership.h"
 #include "kernel/yamlreader.h"
 #include "net/keys.h"
@@ -41,6 +42,9 @@
     std::int64_t m_drainLimitMs = 120'000;
 };
 
+/** Reads the limits on all connections of clients together; the defaults are defaultIngressBudgetLimits(). */
+IngressBudgetLimits readIngressBudget(YamlReader &reader, const YAML::Node &root);
+
 struct GatewaySettings
 {
     CommonSettings m_common;
@@ -51,6 +55,7 @@
     /** Longest time that an upstream may send nothing in the middle of a response. */
     std::int64_t m_upstreamSilenceMs = 5'000;
     std::int64_t m_maxBodyBytes = 1'048'576;
+    IngressBudgetLimits m_ingress;
     /** Retries allowed for each hundred first attempts of a workspace. */
     int m_retryPercent = 10;
     /** Limit on this gateway's writes to the intent ledger per second; its part of the store's writes. */
