--- a/daemons/entryadmission.cpp
+++ b/daemons/entryadmission.cpp
@@ -23,8 +23,6 @@
 constexpr std::int64_t DelayPollMs = static_cast<std::int64_t>(DemandMeter::WindowMs);
 /** Part of its latency target by which a delayed request must be expected to have its first event. */
 constexpr double DelayFraction = 0.9;
-/** Longest delay of a request whose caller was refused before, in ms: clients leave after 2 s without an event (client interface). */
-constexpr std::int64_t LateDelayMs = 1'200;
 /** Shortest time after which a refused client should come back, in ms, and the width of the interval over which clients come back. */
 constexpr std::int64_t LeastRetryMs = 1'000;
 constexpr std::int64_t RetrySpreadMs = 1'000;
@@ -118,8 +116,7 @@
     input.m_rank.m_priority = call.m_admission.m_priority;
     input.m_rank.m_late = firstEventMs > leftMs;
     input.m_rank.m_size = requestSize(input.m_slotMs, context.m_admission.meanSlotMs(model));
-    const std::int64_t delayMs = input.m_rank.m_late ? LateDelayMs : static_cast<std::int64_t>(DelayFraction * leftMs - firstEventMs);
-    input.m_delayUntilMs = call.m_arrivedMs + delayMs;
+    input.m_delayUntilMs = call.m_arrivedMs + static_cast<std::int64_t>(DelayFraction * leftMs - firstEventMs);
     return input;
 }
 }
--- a/daemons/entryadmission.h
+++ b/daemons/entryadmission.h
@@ -15,8 +15,8 @@
 };
 
 /**
- * Decides whether a generation request is sent to a replica. Most requests are decided at once; one that is not admitted is delayed while that costs its
- * caller nothing, or if its caller was refused before. Admits every request if the settings do not ask for overload admission.
+ * Decides whether a generation request is sent to a replica. Most requests are decided at once; one that is not admitted is delayed while its answer may
+ * still be in time. Admits every request if the settings do not ask for overload admission.
  */
 awaitable<AdmissionOutcome> admitGeneration(EntryCall &call);
 
--- a/kernel/overloadadmission.cpp
+++ b/kernel/overloadadmission.cpp
@@ -21,9 +21,9 @@
 constexpr std::array<double, RequestSizeNames.size()> RelativeWork{0.35, 1.0, 2.2};
 /** A request one priority lower counts half as much. */
 constexpr double PriorityFactor = 0.5;
-/** An answer that can only be late is worth less to its caller than one in time. */
-constexpr double LateFactor = 0.4;
-/** Least fraction of the overall fraction that each rank gets. */
+/** An answer that can only be late is worth so much less that even the smallest late request follows the largest one of its priority that may be in time. */
+constexpr double LateFactor = 0.15;
+/** Least fraction of the overall fraction that each rank gets whose requests may be in time. */
 constexpr double LeastFraction = 0.5;
 /** Weight of a request in the mean time in a slot. */
 constexpr double MeanSmoothing = 0.02;
@@ -96,17 +96,22 @@
 
 RankWork admittedFractions(double capacitySlots, const RankWork &demand)
 {
-    const double total = sum(demand);
-    if (total <= capacitySlots) {
+    if (sum(demand) <= capacitySlots) {
         return constant(1.0);
     }
-    const double least = LeastFraction * std::max(0.0, capacitySlots) / total;
-    RankWork fractions = constant(least);
-    double left = capacitySlots - least * total;
+    double timely = 0.0;
+    for (std::size_t rank = 0; rank < AdmissionRankCount; ++rank) {
+        timely += rankAt(rank).m_late ? 0.0 : demand[rank];
+    }
+    const double least = timely > 0.0 ? LeastFraction * std::clamp(capacitySlots / timely, 0.0, 1.0) : 0.0;
+    RankWork fractions{};
+    double left = std::max(0.0, capacitySlots) - least * timely;
     for (const std::size_t rank : ranksByCost()) {
-        const double rest = (1.0 - least) * demand[rank];
+        const double certain = rankAt(rank).m_late ? 0.0 : least;
+        const double rest = (1.0 - certain) * demand[rank];
         const double used = std::clamp(left, 0.0, rest);
-        fractions[rank] = rest > 0.0 ? least + (1.0 - least) * used / rest : (left > 0.0 ? 1.0 : least);
+        const double share = rest > 0.0 ? used / rest : (left > 0.0 ? 1.0 : 0.0);
+        fractions[rank] = certain + (1.0 - certain) * share;
         left -= used;
     }
     return fractions;
