--- a/autotests/expectationtest.cpp
+++ b/autotests/expectationtest.cpp
@@ -142,7 +142,7 @@
     ClientDeadlines deadlines;
     CHECK(deadlines.waitedMs("r", 2'000) == 0);
     for (int request = 0; request < 20; ++request) {
-        deadlines.record("r", request % 2 == 0 ? 4'000 : 2'500, 1'000 + request);
+        deadlines.record("r", request % 2 == 0 ? 4'000 : 2'500);
     }
     struct Row
     {
@@ -155,7 +155,7 @@
     }
     CHECK(deadlines.waitedMs("other", 2'500) == 0);
     // The route's deadline is shorter from now on.
-    deadlines.record("r", 2'500, 40'000);
+    deadlines.record("r", 2'500);
     CHECK(deadlines.waitedMs("r", 2'500) == 0);
 }
 
@@ -164,7 +164,7 @@
     ClientDeadlines deadlines;
     std::mt19937 random(1);
     for (int request = 0; request < 1'000; ++request) {
-        deadlines.record("r", static_cast<std::int64_t>(1'000 + random() % 9'000), request);
+        deadlines.record("r", static_cast<std::int64_t>(1'000 + random() % 9'000));
     }
     CHECK(deadlines.waitedMs("r", 3'000) == 0);
 }
@@ -174,12 +174,12 @@
 {
     ClientDeadlines deadlines;
     for (int request = 0; request < 500; ++request) {
-        deadlines.record("r", 4'000, request);
+        deadlines.record("r", 4'000);
     }
-    deadlines.record("r", 60'000, 500);
+    deadlines.record("r", 60'000);
     int late = 0;
     for (int request = 0; request < 500; ++request) {
-        deadlines.record("r", 4'000, 501 + request);
+        deadlines.record("r", 4'000);
         late += deadlines.waitedMs("r", 4'000) > 0 ? 1 : 0;
     }
     CHECK(late == 0);
--- a/daemons/entryadmission.cpp
+++ b/daemons/entryadmission.cpp
@@ -17,12 +17,12 @@
 {
 namespace
 {
-/** A daemon that hears fewer of the others than this knows too little of the load and refuses nobody for it. */
-constexpr double LeastHeardFraction = 0.5;
 /** Interval between two looks at a delayed request, in ms: as long as the window of the demand meters, so that it counts as one request. */
 constexpr std::int64_t DelayPollMs = static_cast<std::int64_t>(DemandMeter::WindowMs);
 /** Part of its latency target by which a delayed request must be expected to have its first event. */
 constexpr double DelayFraction = 0.9;
+/** Longest delay, in ms: clients leave after 2 s without an event (client interface). */
+constexpr std::int64_t MaxDelayMs = 1'000;
 /** Shortest time after which a refused client should come back, in ms, and the width of the interval over which clients come back. */
 constexpr std::int64_t LeastRetryMs = 1'000;
 constexpr std::int64_t RetrySpreadMs = 1'000;
@@ -101,7 +101,9 @@
     const EngineTiming &engines = *call.m_service->m_engines;
     const CallRoute &route = *call.m_admission.m_route;
     const std::string &model = call.m_caller.m_model;
-    recordLatencyTarget(context, model, static_cast<double>(route.m_latencyTargetMs), call.m_arrivedMs);
+    // A route without a latency target has no late answers.
+    const double targetMs = route.m_latencyTargetMs > 0 ? static_cast<double>(route.m_latencyTargetMs) : std::numeric_limits<double>::infinity();
+    recordLatencyTarget(context, model, targetMs, call.m_arrivedMs);
     SlotTimeQuery query;
     query.m_promptTokens = call.m_caller.m_promptTokens;
     query.m_answerTokens = call.m_answerTokens;
@@ -112,11 +114,12 @@
     input.m_slotMs = slotTimeMs(engines, occupancy, query);
     query.m_answerTokens = 0.0;
     const double firstEventMs = slotTimeMs(engines, occupancy, query);
-    const double leftMs = static_cast<double>(route.m_latencyTargetMs - call.m_waitedMs);
+    const double leftMs = targetMs - static_cast<double>(call.m_waitedMs);
     input.m_rank.m_priority = call.m_admission.m_priority;
     input.m_rank.m_late = firstEventMs > leftMs;
     input.m_rank.m_size = requestSize(input.m_slotMs, context.m_admission.meanSlotMs(model));
-    input.m_delayUntilMs = call.m_arrivedMs + static_cast<std::int64_t>(DelayFraction * leftMs - firstEventMs);
+    const double delayMs = std::clamp(DelayFraction * leftMs - firstEventMs, 0.0, static_cast<double>(MaxDelayMs));
+    input.m_delayUntilMs = call.m_arrivedMs + static_cast<std::int64_t>(delayMs);
     return input;
 }
 }
@@ -131,19 +134,15 @@
     if (service == nullptr) {
         return;
     }
-    const int daemons = daemonCount(context);
-    const bool hearsEnough = summary.m_daemons + 1 >= LeastHeardFraction * daemons;
     for (const std::pair<const std::string, RankWork> &own : context.m_admission.ownDemand(nowMs)) {
         const ModelOccupancy occupancy = context.m_replicaSelector.occupancy(context.m_availability, own.first, nowMs);
         ModelLoad load;
         load.m_capacitySlots = occupancy.m_fullSpeedReplicas * targetOccupancyOf(context, *service, own.first);
         load.m_inFlight = occupancy.m_inFlight;
-        if (hearsEnough) {
-            load.m_demand = own.second;
-            const auto peers = summary.m_demand.find(modelKey(own.first));
-            if (peers != summary.m_demand.end()) {
-                std::transform(load.m_demand.begin(), load.m_demand.end(), peers->second.begin(), load.m_demand.begin(), std::plus<>());
-            }
+        load.m_demand = own.second;
+        const auto peers = summary.m_demand.find(modelKey(own.first));
+        if (peers != summary.m_demand.end()) {
+            std::transform(load.m_demand.begin(), load.m_demand.end(), peers->second.begin(), load.m_demand.begin(), std::plus<>());
         }
         context.m_admission.update(own.first, load, nowMs);
         logChange(context, own.first);
@@ -157,7 +156,7 @@
     const AnswerLengthHints hints{call.m_caller.m_answerTokensHint, call.m_caller.m_maxAnswerTokens};
     call.m_answerTokens = context.m_answerLength.expectedTokens(call.m_admission.m_route->m_name, hints, call.m_service->m_engines->m_meanAnswerTokens);
     const std::int64_t givenMs = call.m_caller.m_timeLeftMs.value_or(-1);
-    context.m_clientDeadlines.record(call.m_admission.m_route->m_name, givenMs, call.m_arrivedMs);
+    context.m_clientDeadlines.record(call.m_admission.m_route->m_name, givenMs);
     call.m_waitedMs = context.m_clientDeadlines.waitedMs(call.m_admission.m_route->m_name, givenMs);
     // A client that continues a stream has been admitted before.
     if (!context.m_settings.m_overloadAdmission || call.m_caller.m_lastEventId || findModel(*call.m_service, model) == nullptr) {
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -296,6 +296,9 @@
 double maxExpectedMs(const EntryCall &call)
 {
     const double targetMs = static_cast<double>(call.m_admission.m_route->m_latencyTargetMs);
+    if (targetMs <= 0.0) {
+        return MaxExpectedLateMs;
+    }
     if (call.m_context.m_settings.m_overloadAdmission) {
         return call.m_isLate ? MaxExpectedLateMs : MaxExpectedFractionWithAdmission * targetMs;
     }
--- a/kernel/ingressbudget.cpp
+++ b/kernel/ingressbudget.cpp
@@ -8,6 +8,14 @@
 
 namespace knapweedslip
 {
+namespace
+{
+/** Requests that hold no more than this are short: the longest header and a few KB of body. */
+constexpr std::size_t ShortRequestBytes = 64 * 1024;
+/** One of these parts of the limit is left to short requests. */
+constexpr std::size_t LongRequestParts = 4;
+}
+
 void IngressBudget::setLimits(const IngressBudgetLimits &limits)
 {
     m_limits = limits;
@@ -113,7 +121,11 @@
         }
         end(chosen, ended);
     }
-    while (m_limits.m_maxBytes > 0 && m_bytes > m_limits.m_maxBytes) {
+    // Short requests may use what long ones leave, so that long requests that are being served do not keep them out.
+    const auto causing = m_connections.find(cause);
+    const bool isShort = causing != m_connections.end() && causing->second.m_bytes <= ShortRequestBytes;
+    const std::size_t maxBytes = isShort ? m_limits.m_maxBytes : m_limits.m_maxBytes / LongRequestParts * (LongRequestParts - 1);
+    while (m_limits.m_maxBytes > 0 && m_bytes > maxBytes) {
         auto chosen = largestHolder(nowMs);
         if (chosen == m_connections.end()) {
             // All that is held belongs to requests that are being served.
--- a/kernel/overloadadmission.cpp
+++ b/kernel/overloadadmission.cpp
@@ -25,6 +25,8 @@
 constexpr double LateFactor = 0.15;
 /** Least fraction of the overall fraction that each rank gets whose requests may be in time. */
 constexpr double LeastFraction = 0.5;
+/** Demand may exceed the capacity by this factor before requests are refused: over a short time it varies by about as much. */
+constexpr double DemandTolerance = 1.1;
 /** Weight of a request in the mean time in a slot. */
 constexpr double MeanSmoothing = 0.02;
 /** Bounds of the factor that corrects the capacity, and the part of the difference that it corrects in a second. */
@@ -96,7 +98,7 @@
 
 RankWork admittedFractions(double capacitySlots, const RankWork &demand)
 {
-    if (sum(demand) <= capacitySlots) {
+    if (sum(demand) <= DemandTolerance * capacitySlots) {
         return constant(1.0);
     }
     double timely = 0.0;
--- a/kernel/overloadadmission.h
+++ b/kernel/overloadadmission.h
@@ -59,7 +59,8 @@
 
 /**
  * Returns the fraction of the requests of each rank to admit, where the work of those that are admitted may be @p capacitySlots. Ranks are admitted in the
- * order of refusalCost() until the capacity is used up; every rank whose requests may be in time gets at least half of the overall fraction of these. All are 1 if the demand fits.
+ * order of refusalCost() until the capacity is used up; every rank whose requests may be in time gets at least half of the overall fraction of these. All are 1
+ * if the demand fits.
  */
 RankWork admittedFractions(double capacitySlots, const RankWork &demand);
 
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -315,6 +315,54 @@
     bool m_isEnded = false;
 };
 
+/** Counts a connection in the budget for as long as this object exists. */
+struct HttpServer::Registration
+{
+    Registration(HttpServer &server, std::shared_ptr<ClientConnection> connection)
+        : m_server(server)
+        , m_connection(std::move(connection))
+    {
+        const std::lock_guard<std::mutex> lock(m_server.m_ingressMutex);
+        m_connection->m_id = m_server.m_budget.open(steadyMs());
+        m_server.m_clients[m_connection->m_id] = m_connection;
+        m_server.endExcess(m_connection->m_id);
+    }
+    ~Registration()
+    {
+        const std::lock_guard<std::mutex> lock(m_server.m_ingressMutex);
+        m_server.m_ingressCounts.m_endedRequests += m_connection->m_isEnded && m_connection->m_headerBytes > 0 ? 1 : 0;
+        m_server.m_ingressCounts.m_endedIdle += m_connection->m_isEnded && m_connection->m_headerBytes == 0 ? 1 : 0;
+        m_server.m_budget.close(m_connection->m_id);
+        m_server.m_clients.erase(m_connection->m_id);
+    }
+    Registration(const Registration &) = delete;
+    Registration &operator=(const Registration &) = delete;
+
+    HttpServer &m_server;
+    std::shared_ptr<ClientConnection> m_connection;
+};
+
+namespace
+{
+/** Counts a request that is being served for as long as this object exists. */
+struct ActiveRequest
+{
+    explicit ActiveRequest(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~ActiveRequest()
+    {
+        --m_count;
+    }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+
+    std::atomic<int> &m_count;
+};
+}
+
 awaitable<void> HttpServer::acceptLoop()
 {
     while (!m_stopping) {
@@ -365,14 +413,31 @@
 
 bool HttpServer::account(ClientConnection &connection, const RequestParser *parser)
 {
-    // The fields of the header are kept twice: by the parser and in the request.
-    const std::size_t bytes = connection.m_buffer.capacity() + (parser == nullptr ? 0 : 2 * connection.m_headerBytes + parser->get().body().capacity());
+    // The fields of the header are kept twice: by the parser and in the request. An idle connection keeps a small buffer that does not count.
+    const std::size_t bytes = parser == nullptr ? 0 : connection.m_buffer.capacity() + 2 * connection.m_headerBytes + parser->get().body().capacity();
     const std::lock_guard<std::mutex> lock(m_ingressMutex);
     m_budget.hold(connection.m_id, bytes, steadyMs());
     endExcess(connection.m_id);
     return !connection.m_isEnded;
 }
 
+awaitable<boost::system::error_code> HttpServer::readHeader(ClientConnection &connection, RequestParser &parser)
+{
+    std::size_t headerBytes = 0;
+    while (!parser.is_header_done()) {
+        const auto [error, size] = co_await http::async_read_some(connection.m_stream, connection.m_buffer, parser, UseTuple);
+        if (error) {
+            co_return error;
+        }
+        headerBytes += size;
+        if (!account(connection, &parser)) {
+            co_return asio::error::operation_aborted;
+        }
+    }
+    connection.m_headerBytes = headerBytes;
+    co_return boost::system::error_code();
+}
+
 awaitable<boost::system::error_code> HttpServer::readBody(ClientConnection &connection, RequestParser &parser)
 {
     while (!parser.is_done()) {
@@ -415,11 +480,10 @@
         co_return false;
     }
     stream.expires_after(std::chrono::milliseconds(limits->m_headerTimeoutMs));
-    const auto [headerError, headerSize] = co_await http::async_read_header(stream, buffer, parser, UseTuple);
+    const boost::system::error_code headerError = co_await readHeader(connection, parser);
     if (headerError) {
         co_return co_await refuseRequest(stream, headerError, connection.m_isEnded);
     }
-    connection.m_headerBytes = headerSize;
     if (hasUnsupportedTransferCoding(parser.get().version(), toFields(parser.get()))) {
         co_return co_await refuseRequest(stream, http::make_error_code(http::error::bad_transfer_encoding), false);
     }
@@ -444,12 +508,7 @@
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     const std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(std::move(socket));
-    {
-        const std::lock_guard<std::mutex> lock(m_ingressMutex);
-        connection->m_id = m_budget.open(steadyMs());
-        m_clients[connection->m_id] = connection;
-        endExcess(connection->m_id);
-    }
+    const Registration registration(*this, connection);
     while (!m_stopping) {
         RequestParser parser;
         const bool complete = co_await readRequest(*connection, parser);
@@ -460,27 +519,22 @@
         HttpExchange exchange(connection->m_stream, toRequest(parser.release()), [this, keepAlive]() {
             return !keepAlive || m_closeAfterResponses;
         });
-        ++m_activeRequests;
+        const ActiveRequest active(m_activeRequests);
         co_await m_handler(exchange);
         if (!exchange.answered()) {
             co_await exchange.respond(problemReply(Error{ErrorCode::NotFound, std::string(pathOf(exchange.request().m_target))}));
         }
-        --m_activeRequests;
         if (!keepAlive || !exchange.reusable()) {
             break;
         }
     }
-    {
-        const std::lock_guard<std::mutex> lock(m_ingressMutex);
-        m_ingressCounts.m_endedRequests += connection->m_isEnded && connection->m_headerBytes > 0 ? 1 : 0;
-        m_ingressCounts.m_endedIdle += connection->m_isEnded && connection->m_headerBytes == 0 ? 1 : 0;
-        m_budget.close(connection->m_id);
-        m_clients.erase(connection->m_id);
-    }
     connection->m_buffer.clear();
     connection->m_buffer.shrink_to_fit();
+    account(*connection, nullptr);
     connection->m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    if (!connection->m_isEnded) {
+    // A connection without a complete header is closed at once: its descriptor may be needed.
+    if (!connection->m_isEnded || connection->m_headerBytes > 0) {
+        setPhase(*connection, ConnectionPhase::Idle);
         co_await lingerUntilClosed(connection->m_stream);
     }
 }
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -167,10 +167,13 @@
     awaitable<void> serve(Tcp::socket socket);
     /** The connection of one client. May be used only on the connection's thread. */
     struct ClientConnection;
+    struct Registration;
     using RequestParser = http::request_parser<GrowingBody>;
 
     /** Waits for a request and reads it. Returns false if the connection must close. */
     awaitable<bool> readRequest(ClientConnection &connection, RequestParser &parser);
+    /** Reads until the header of the request is complete. */
+    awaitable<boost::system::error_code> readHeader(ClientConnection &connection, RequestParser &parser);
     /** Reads the rest of the request's body. */
     awaitable<boost::system::error_code> readBody(ClientConnection &connection, RequestParser &parser);
     /** Sets what @p connection waits for. Returns false if it is being ended. */
