--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -6,11 +6,14 @@
 #include "kernel/plan.h"
 #include "net/keys.h"
 #include "net/synccall.h"
+#include "platform/configtextcheck.h"
 #include "tools/ctlformat.h"
 #include "tools/explain.h"
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -40,6 +43,8 @@
     std::string m_author;
     std::string m_reason;
     std::string m_file;
+    std::string m_inForceFile;
+    bool m_hasInForce = false;
     std::string m_name;
     std::string m_state;
     std::string m_address;
@@ -65,9 +70,11 @@
 std::string readFile(const std::string &path, bool &found)
 {
     std::ifstream file(path);
+    // A directory can be opened, but not read.
+    file.peek();
+    found = file.is_open() && !file.bad();
     std::ostringstream text;
     text << file.rdbuf();
-    found = static_cast<bool>(file);
     return text.str();
 }
 
@@ -208,6 +215,38 @@
     return ExitOk;
 }
 
+int checkConfigFile(const Options &options)
+{
+    std::vector<std::string> texts;
+    for (const std::string &path : {options.m_file, options.m_hasInForce ? options.m_inForceFile : options.m_file}) {
+        bool found = false;
+        texts.push_back(readFile(path, found));
+        if (!found) {
+            std::cerr << path << ": the file cannot be read\n";
+            return ExitUsage;
+        }
+    }
+    const std::optional<std::string> inForce = options.m_hasInForce ? std::make_optional(texts.back()) : std::nullopt;
+    const auto isControl = [](unsigned char c) {
+        return std::iscntrl(c) != 0;
+    };
+    bool clean = true;
+    std::string lines;
+    Response response;
+    json::array &rows = response.m_body.emplace_array();
+    for (const ConfigFinding &finding : platform::checkConfigText(texts.front(), inForce)) {
+        const std::string kind(enumName(ConfigFindingKindNames, finding.m_kind));
+        rows.push_back(json::object{{"kind", kind}, {"place", finding.m_place}, {"text", finding.m_text}});
+        std::string line = kind + ": " + finding.m_place + ": " + finding.m_text;
+        // Names may hold line breaks, but a finding has one line.
+        std::replace_if(line.begin(), line.end(), isControl, ' ');
+        lines += line + "\n";
+        clean = clean && finding.m_kind == ConfigFindingKind::Difference;
+    }
+    printResponse(options, response, clean ? lines + options.m_file + (lines.empty() ? ": no findings\n" : ": no findings besides the differences\n") : lines);
+    return clean ? ExitOk : ExitRefused;
+}
+
 int applyPlan(const Options &options)
 {
     const int checked = checkPlan(options);
@@ -336,6 +375,23 @@
     });
 }
 
+void addConfigCommands(CLI::App &app, Options &options, std::function<int()> &run)
+{
+    CLI::App *config = app.add_subcommand("config", "work on the operators' configuration of the hosting platform");
+    config->require_subcommand(1);
+    CLI::App *check = config->add_subcommand("check", "check a configuration before it is sent and print all findings; needs no administration API");
+    check->add_option("file", options.m_file, "JSON file of the configuration")->required();
+    CLI::Option *inForce = check->add_option("--in-force", options.m_inForceFile, "JSON file of the configuration in force; print what differs from it");
+    inForce->each([&options](const std::string &) {
+        options.m_hasInForce = true;
+    });
+    check->callback([&]() {
+        run = [&options]() {
+            return checkConfigFile(options);
+        };
+    });
+}
+
 void addResourceCommands(CLI::App &app, Options &options, std::function<int()> &run)
 {
     CLI::App *zone = app.add_subcommand("zone", "take an availability zone out of service or bring it back");
@@ -420,10 +476,13 @@
                "  knapweedslipctl --key-file operator.key status\n"
                "  knapweedslipctl --key-file operator.key apply monday.yaml --base 4 --author dana --reason 'Monday plan' --wait\n"
                "  knapweedslipctl --key-file operator.key zone attica-2 out --author dana --reason 'switch work' --wait\n"
+               "  knapweedslipctl config check config.json --in-force current.json\n"
                "  knapweedslipctl explain 9992af0c649e5da9 logs/*.jsonl\n"
                "  knapweedslipctl explain --upstream i-7f3a91c2 logs/*.jsonl\n"
-               "Exit status: 0 done, 1 refused (explain: no line names the id), 2 usage, 3 conflict, 4 not reachable, 5 not in force everywhere in time");
+               "Exit status: 0 done, 1 refused (explain: no line names the id; config check: findings), 2 usage, 3 conflict, 4 not reachable, 5 not in force "
+               "everywhere in time");
     addPlanCommands(app, options, run);
+    addConfigCommands(app, options, run);
     addResourceCommands(app, options, run);
     addReadCommands(app, options, run);
     CLI11_PARSE(app, argc, argv);
