--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -96,6 +96,7 @@
     }
     text += admissionMetrics(context);
     text += ingressMetrics(context.m_clientServer->ingressCounts());
+    text += backlogMetrics(*context.m_clientBacklogs);
     const std::int64_t confirmationAgeMs = context.m_confirmedMs < 0 ? -1 : steadyMs() - context.m_confirmedMs;
     text += exposeMetric("knapweedslip_config_age_ms", "Age of the proof that the configuration is current", static_cast<double>(confirmationAgeMs), true);
     text += exposeMetric("knapweedslip_daemons", "Daemons that share the limits", static_cast<double>(context.m_coldMembers.count(steadyMs())), true);
@@ -140,6 +141,8 @@
     context.m_settings.m_enginesCheckFence = settings.m_enginesCheckFence;
     context.m_settings.m_overloadAdmission = settings.m_overloadAdmission;
     context.m_settings.m_ingress = settings.m_ingress;
+    context.m_settings.m_clientBacklog = settings.m_clientBacklog;
+    context.m_clientBacklogs->setLimits(settings.m_clientBacklog);
     context.m_settings.m_stopGraceMs = settings.m_stopGraceMs;
     context.m_settings.m_addressReuseMs = settings.m_addressReuseMs;
     context.m_settings.m_storeTimeoutMs = settings.m_storeTimeoutMs;
@@ -242,6 +245,7 @@
 {
     asio::io_context io(1);
     EntryContext context(io, settings);
+    context.m_clientBacklogs->setLimits(settings.m_clientBacklog);
     const std::shared_ptr<HttpServer> clients = listenOn(context, settings.m_listen, serveClient, settings.m_ingress);
     const std::shared_ptr<HttpServer> readiness = listenOn(context, settings.m_readinessListen, serveReadiness);
     if (clients == nullptr || readiness == nullptr) {
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -13,6 +13,7 @@
 #include "net/logging.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweedslip
 {
@@ -241,6 +242,8 @@
 void EntryAttempt::finish()
 {
     m_call.m_running->m_connection = nullptr;
+    // What is held of the answer for the client counts in EntryContext::m_clientBacklogs from now on.
+    m_call.m_context.m_bufferedAnswerBytes -= std::exchange(m_bufferedBytes, 0);
     if (m_stream != nullptr && m_stream->reusable()) {
         m_stream.reset();
         m_call.m_context.m_connections.give(std::move(m_connection));
@@ -265,6 +268,19 @@
     return call.m_context.m_endsNow ? RefusalReason::Draining : RefusalReason::TimeOver;
 }
 
+void logClientCut(const EntryCall &call, BacklogCut reason, std::optional<std::int64_t> lastEventId)
+{
+    ++call.m_context.m_metrics.m_cut;
+    logEvent(LogEvent::ClientCut,
+             {{"request", call.m_caller.m_requestId},
+              {"workspace", workspaceName(call)},
+              {"reason", std::string(enumName(BacklogCutNames, reason))},
+              {"last_event", lastEventId.value_or(-1)},
+              {"held_for_all", static_cast<std::int64_t>(call.m_context.m_clientBacklogs->bytes())},
+              {"sends", static_cast<std::int64_t>(call.m_sends)},
+              {"after_ms", steadyMs() - call.m_arrivedMs}});
+}
+
 void logCallEnd(const EntryCall &call, const char *outcome, unsigned status, const std::string &detail)
 {
     logEvent(LogEvent::CallEnded,
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -100,7 +100,7 @@
     const std::string &error() const;
     /**
      * Reads the rest of the answer into @p body. Fails with ProtocolViolation once it is longer than MaxAnswerBytes, or the answers that are being read
-     * are together longer than MaxBufferedAnswerBytes. What was read counts as long as this object exists.
+     * are together longer than MaxBufferedAnswerBytes. What was read counts until finish(), or as long as this object exists.
      */
     awaitable<Result<Done>> readBody(std::string &body);
     /**
@@ -169,6 +169,8 @@
 
 /** Answers the request with the status of @p reason and logs the reason. No time to retry is given if @p retryAfterMs is 0. */
 awaitable<void> refuseCall(EntryCall &call, RefusalReason reason, std::int64_t retryAfterMs);
+/** Logs and counts that the client was cut for @p reason; @p lastEventId is the last event of its stream that was handed over. */
+void logClientCut(const EntryCall &call, BacklogCut reason, std::optional<std::int64_t> lastEventId);
 /** Logs the end of a request. */
 void logCallEnd(const EntryCall &call, const char *outcome, unsigned status, const std::string &detail);
 /** Logs that the request is about to be sent to @p upstream, cold until @p coldUntilMs; @p group is empty for a plain service. */
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -19,6 +19,7 @@
 #include "kernel/upstreamselector.h"
 #include "net/httpserver.h"
 #include "net/metrics.h"
+#include "net/streamwriter.h"
 #include "platform/storecalls.h"
 
 #include <array>
@@ -45,9 +46,12 @@
     StreamStuck,
     /** The time for a planned stop is over. */
     Stopping,
+    /** The client read its stream too slowly. */
+    ClientCut,
 };
 
-inline constexpr EnumNames<7> AbortCauseNames{"none", "caller-left", "time-over", "attempt-timeout", "replica-silent", "stream-stuck", "stopping"};
+inline constexpr EnumNames<8> AbortCauseNames{
+    "none", "caller-left", "time-over", "attempt-timeout", "replica-silent", "stream-stuck", "stopping", "client-cut"};
 
 /** What was found out about an upstream at which an attempt had ended without an answer. */
 enum class EndCheckOutcome {
@@ -230,6 +234,8 @@
     std::set<std::shared_ptr<RunningCall>> m_running;
     /** Bytes of answers that are being read as a whole, of all calls. */
     std::size_t m_bufferedAnswerBytes = 0;
+    /** What is held for clients until their connections take it. */
+    std::shared_ptr<ClientBacklogs> m_clientBacklogs = std::make_shared<ClientBacklogs>();
     /** Silent replicas that were already logged and reported to the other daemons. */
     std::set<ReplicaRef> m_reportedSilent;
     /** Sends a load report to the other daemons at once; empty if load reports cannot be sent. */
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -1,7 +1,8 @@
 // Problem: a client must receive its stream complete and without long pauses, although the replica that generates it may fail at any time.
 // Approach: complete events are forwarded as they arrive. If the replica falls silent or the connection breaks, the stream is continued at another
 // replica after the last event, inside the same answer. A stream that cannot be continued is cut without its end, so that it cannot be taken for
-// complete.
+// complete. Events that the client does not read yet are held by its exchange, so that the reading from the replica never waits for a client. They are kept
+// across attempts: an event counts as delivered once the exchange has accepted it, and the next attempt continues after the last one that is held.
 // Ending it normally would hide the loss. Leaving the retry to the client would cost a connection and the time to notice the failure.
 
 #include "daemons/entryadmission.h"
@@ -134,7 +135,7 @@
     co_return AttemptResult::Failed;
 }
 
-/** Hands @p events over to the client, after the header of the answer if these are the first. */
+/** Hands @p events over to the client's exchange, after the header of the answer if these are the first. Does not wait for the client to read. */
 awaitable<Result<Done>> deliverEvents(EntryCall &call, const EntryAttempt &attempt, GenerationState &state, const EventBatch &events)
 {
     EntryMetrics &metrics = call.m_context.m_metrics;
@@ -202,10 +203,18 @@
             co_return AttemptResult::Failed;
         }
     }
+    co_return AttemptResult::Final;
+}
+
+/** Ends the client's stream once all of it was written. The attempt is over before, so that a client that reads slowly occupies no slot. */
+awaitable<void> endAnswer(EntryCall &call, const GenerationState &state)
+{
     const Result<Done> ended = co_await call.m_exchange.endStream();
-    logCallEnd(call, failed(ended) ? "caller-left" : "answered", Ok, {});
+    if (const std::optional<BacklogCut> cut = call.m_exchange.cut()) {
+        logClientCut(call, *cut, state.m_reassembler.lastEventId());
+    }
+    logCallEnd(call, failed(ended) ? (call.m_exchange.cut() ? "client-cut" : "caller-left") : "answered", Ok, {});
     ++call.m_context.m_metrics.m_answered;
-    co_return AttemptResult::Final;
 }
 
 awaitable<AttemptResult> tryReplica(EntryCall &call, GenerationState &state, const TrackedReplica &chosen)
@@ -260,7 +269,10 @@
 /** Ends the request without a further attempt, with the best answer that is still possible. */
 awaitable<void> giveUp(EntryCall &call, GenerationState &state, RefusalReason reason, std::int64_t retryAfterMs)
 {
-    if (call.m_exchange.callerDisconnected() || call.m_running->m_cause == AbortCause::CallerLeft) {
+    if (const std::optional<BacklogCut> cut = call.m_exchange.cut()) {
+        logClientCut(call, *cut, state.m_reassembler.lastEventId());
+        call.m_exchange.abort();
+    } else if (call.m_exchange.callerDisconnected() || call.m_running->m_cause == AbortCause::CallerLeft) {
         logEvent(LogEvent::CallerLeft,
                  {{"request", call.m_caller.m_requestId},
                   {"last_event", state.m_reassembler.lastEventId().value_or(-1)},
@@ -275,6 +287,8 @@
                   {"last_event", state.m_reassembler.lastEventId().value_or(-1)},
                   {"sends", static_cast<std::int64_t>(call.m_sends)},
                   {"after_ms", steadyMs() - call.m_arrivedMs}});
+        // The client may continue after the last event that it gets.
+        co_await call.m_exchange.drain();
         call.m_exchange.abort();
     } else if (state.m_hasFailure) {
         const unsigned status = state.m_failure.m_status;
@@ -364,6 +378,9 @@
 {
     GenerationState state(call.m_caller.m_lastEventId);
     const CallRoute &route = *call.m_admission.m_route;
+    call.m_exchange.bufferStream(call.m_context.m_clientBacklogs, [running = call.m_running](std::optional<BacklogCut> cut) {
+        abortAttempt(*running, cut ? AbortCause::ClientCut : AbortCause::CallerLeft);
+    });
     if (co_await admitGeneration(call) == AdmissionOutcome::Refused) {
         co_await giveUp(call, state, timeLeftMs(call) <= 0 ? overdueReason(call) : RefusalReason::Overloaded, overloadRetryMs(call.m_context));
         co_return;
@@ -394,6 +411,7 @@
         }
         const AttemptResult end = co_await tryReplica(call, state, *chosen);
         if (end == AttemptResult::Final) {
+            co_await endAnswer(call, state);
             co_return;
         }
         countAttempt(state.m_attempts, end == AttemptResult::NotRun ? AttemptOutcome::NotRun : AttemptOutcome::MayHaveRun);
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -63,7 +63,11 @@
     const unsigned status = reply.m_status;
     reply.m_headers = endToEndHeaders(reply.m_headers);
     const Result<Done> sent = co_await call.m_exchange.respond(std::move(reply));
-    logCallEnd(call, failed(sent) ? "caller-left" : outcome, status, {});
+    const std::optional<BacklogCut> cut = call.m_exchange.cut();
+    if (cut) {
+        logClientCut(call, *cut, std::nullopt);
+    }
+    logCallEnd(call, failed(sent) ? (cut ? "client-cut" : "caller-left") : outcome, status, {});
     ++call.m_context.m_metrics.m_answered;
 }
 
@@ -158,6 +162,7 @@
     const CallRoute &route = *call.m_admission.m_route;
     const bool repeatable = route.m_kind == CallKind::Idempotent;
     const EntryContext &context = call.m_context;
+    call.m_exchange.bufferStream(context.m_clientBacklogs, {});
     CallState state;
     while (true) {
         call.m_running->m_attemptDeadlineMs = 0;
--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -7,6 +7,7 @@
 #include "kernel/yamlreader.h"
 #include "net/asio.h"
 #include "net/settings.h"
+#include "net/streamwriter.h"
 
 #include <fstream>
 #include <sstream>
@@ -26,6 +27,17 @@
     }
     return address;
 }
+
+ClientBacklogLimits readClientBacklog(YamlReader &reader, const YAML::Node &root)
+{
+    constexpr std::int64_t LeastBytes = 4 * 1024;
+    constexpr std::int64_t MostBytes = std::int64_t(64) * 1024 * 1024 * 1024;
+    const ClientBacklogLimits standard = defaultClientBacklogLimits();
+    const std::int64_t client = readInteger(reader, root, "client_backlog_bytes", LeastBytes, MostBytes, static_cast<std::int64_t>(standard.m_maxClientBytes));
+    const std::int64_t total =
+        readInteger(reader, root, "client_backlog_total_bytes", LeastBytes, MostBytes, static_cast<std::int64_t>(standard.m_maxTotalBytes));
+    return {static_cast<std::size_t>(client), static_cast<std::size_t>(total)};
+}
 }
 
 std::int64_t shortestOutageMs(const EntrySettings &settings)
@@ -69,7 +81,9 @@
                                   "upstream_heartbeat_ms",
                                   "overload_admission",
                                   "ingress_memory_bytes",
-                                  "max_client_connections"});
+                                  "max_client_connections",
+                                  "client_backlog_bytes",
+                                  "client_backlog_total_bytes"});
     if (!known) {
         return reader.m_findings;
     }
@@ -98,6 +112,7 @@
     settings.m_enginesCheckFence = !isEmpty("engines_check_fence") && readBool(reader, root, "engines_check_fence", false);
     settings.m_overloadAdmission = readBool(reader, root, "overload_admission", false);
     settings.m_ingress = readIngressBudget(reader, root);
+    settings.m_clientBacklog = readClientBacklog(reader, root);
     settings.m_stopGraceMs = static_cast<std::int64_t>(readReal(reader, root, "stop_grace_s", 0.1, MaxRatio) * MsPerSecond);
     settings.m_addressReuseMs = static_cast<std::int64_t>(readReal(reader, root, "address_reuse_s", 0.0, MaxRatio, 2.0) * MsPerSecond);
     if (!isEmpty("upstream_heartbeat_ms")) {
--- a/daemons/entrysettings.h
+++ b/daemons/entrysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/admitcall.h"
+#include "kernel/clientbacklog.h"
 #include "kernel/findings.h"
 #include "kernel/ingressbudget.h"
 #include "kernel/resendbudget.h"
@@ -40,6 +41,8 @@
     bool m_overloadAdmission = false;
     /** Limits on what all connections of clients hold together. */
     IngressBudgetLimits m_ingress;
+    /** Limits on what is held for clients that read slowly. */
+    ClientBacklogLimits m_clientBacklog;
     /** Time from the stop signal to the kill. */
     std::int64_t m_stopGraceMs = 8'000;
     /** Time between two reports of an upstream to the store. Its entry lapses after EntryLapseReports of them. */
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -9,7 +9,7 @@
     echo "$PREFIX.$((1 + ($1 - 1) / 200)).$((($1 - 1) % 200 + 1))"
 }
 
-start_entry() { # number; the first APART daemons use the address at which the store can turn them away
+start_entry() { # number; the first APART daemons use the address at which the store can turn them away; ENTRY_SETTINGS are more lines of the settings
     local ip
     ip=$(entry_ip "$1")
     cat >"$RUN/entry-$1.yaml" <<END
@@ -28,6 +28,7 @@
 cold_share: 1.5
 stop_grace_s: 8
 address_reuse_s: 2
+${ENTRY_SETTINGS:-}
 END
     start "entry-$1" "${ENTRY_PROGRAM:-$BUILD/daemons/knapweedslip-entry}" --settings "$RUN/entry-$1.yaml"
 }
--- a/kernel/eventreassembler.h
+++ b/kernel/eventreassembler.h
@@ -45,7 +45,7 @@
  * attempt left incomplete is discarded. Memory: at most MaxEventBytes of one incomplete event. Each byte is examined once.
  *
  * Only recordDelivered() moves the point from which the next attempt continues: events that were read but not delivered, for whatever reason, are
- * requested again.
+ * requested again. Events that are held for the client in a queue that is kept across attempts count as delivered.
  */
 class EventReassembler
 {
@@ -63,7 +63,7 @@
      * out to be Broken; none after it.
      */
     EventBatch feed(std::string_view bytes);
-    /** Records that the events of @p batch were handed over to the client's connection. */
+    /** Records that the events of @p batch were handed over to the client's connection, or to a queue that sends them before all later ones. */
     void recordDelivered(const EventBatch &batch);
     EventReassemblyState state() const;
     /** Returns whether the bytes of an incomplete event are buffered. */
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -63,6 +63,7 @@
     OtherAnswerDropped,
     DepartureHeard,
     AdmissionChanged,
+    ClientCut,
     DomainClaimed,
     DomainReleased,
     DomainLost,
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
+#include <sstream>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -119,6 +121,9 @@
     if (m_watch != nullptr) {
         m_watch->m_finished = true;
     }
+    if (m_writer != nullptr) {
+        m_writer->detach();
+    }
 }
 
 bool HttpExchange::closesAfterResponse()
@@ -144,13 +149,82 @@
         if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
             watch->m_disconnected = true;
             watch->m_action();
+            if (watch->m_writer != nullptr) {
+                watch->m_writer->clientLeft();
+            }
         }
     });
 }
 
+void HttpExchange::bufferStream(std::shared_ptr<ClientBacklogs> backlogs, StreamWriter::FailedAction onFailed)
+{
+    m_writer = std::make_shared<StreamWriter>(m_stream, std::move(backlogs), std::move(onFailed));
+    if (m_watch != nullptr) {
+        m_watch->m_writer = m_writer;
+    }
+}
+
+awaitable<bool> HttpExchange::drain()
+{
+    if (m_writer == nullptr) {
+        co_return true;
+    }
+    co_return co_await m_writer->drain();
+}
+
+std::optional<BacklogCut> HttpExchange::cut() const
+{
+    return m_writer == nullptr ? std::nullopt : m_writer->cut();
+}
+
 bool HttpExchange::callerDisconnected() const
 {
-    return m_watch != nullptr && m_watch->m_disconnected;
+    return (m_watch != nullptr && m_watch->m_disconnected) || (m_writer != nullptr && m_writer->hasFailed());
+}
+
+Error HttpExchange::writeError() const
+{
+    return {ErrorCode::ConnectionLost, m_writer->cut() ? "the client reads too slowly" : "the client left"};
+}
+
+Result<Done> HttpExchange::writeBuffered(const std::array<std::string_view, 3> &parts, bool isComplete)
+{
+    if (!m_writer->write(parts, isComplete)) {
+        m_reusable = false;
+        return writeError();
+    }
+    return Done{};
+}
+
+Result<Done> HttpExchange::writeBufferedHeader(const http::response_header<> &header, std::string_view body, bool isComplete)
+{
+    std::ostringstream text;
+    text << header;
+    const std::string headerText = text.str();
+    return writeBuffered({headerText, body, {}}, isComplete);
+}
+
+Result<Done> HttpExchange::writeBufferedChunk(std::string_view text)
+{
+    std::array<char, 24> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return writeBuffered({std::string_view(size.data(), static_cast<std::size_t>(length)), text, "\r\n"});
+}
+
+Result<Done> HttpExchange::writeBufferedEnd()
+{
+    return writeBuffered({"0\r\n\r\n", {}, {}});
+}
+
+awaitable<Result<Done>> HttpExchange::drainBuffered()
+{
+    // With the co_await in the condition, g++ 12 generates a program that traps when it resumes here.
+    const bool isDrained = co_await m_writer->drain();
+    if (isDrained) {
+        co_return Done{};
+    }
+    m_reusable = false;
+    co_return writeError();
 }
 
 const HttpRequest &HttpExchange::request() const
@@ -171,6 +245,15 @@
     message.body() = std::move(reply.m_body);
     message.prepare_payload();
     message.keep_alive(!closesAfterResponse());
+    if (m_writer != nullptr) {
+        const Result<Done> written = writeBufferedHeader(message.base(), message.body(), true);
+        if (failed(written)) {
+            co_return written;
+        }
+        // What is left of it is held by the writer.
+        message.body() = std::string();
+        co_return co_await drainBuffered();
+    }
     m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
     const auto [error, size] = co_await http::async_write(m_stream, message, UseTuple);
     if (error) {
@@ -187,6 +270,9 @@
     setFields(message, headers);
     message.chunked(true);
     message.keep_alive(!closesAfterResponse());
+    if (m_writer != nullptr) {
+        co_return writeBufferedHeader(message.base(), {}, false);
+    }
     http::response_serializer<http::empty_body> serializer(message);
     extendDeadline();
     const auto [error, size] = co_await http::async_write_header(m_stream, serializer, UseTuple);
@@ -209,6 +295,9 @@
 
 awaitable<Result<Done>> HttpExchange::writeChunk(std::string_view text)
 {
+    if (m_writer != nullptr) {
+        co_return writeBufferedChunk(text);
+    }
     extendDeadline();
     const auto [error, size] = co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(text.data(), text.size())), UseTuple);
     if (error) {
@@ -220,6 +309,13 @@
 
 awaitable<Result<Done>> HttpExchange::endStream()
 {
+    if (m_writer != nullptr) {
+        const Result<Done> ended = writeBufferedEnd();
+        if (failed(ended)) {
+            co_return ended;
+        }
+        co_return co_await drainBuffered();
+    }
     m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
     const auto [error, size] = co_await asio::async_write(m_stream, http::make_chunk_last(), UseTuple);
     if (error) {
@@ -233,6 +329,9 @@
 {
     m_answered = true;
     m_reusable = false;
+    if (m_writer != nullptr) {
+        m_writer->detach();
+    }
     boost::system::error_code ignored;
     m_stream.socket().close(ignored);
 }
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -3,6 +3,7 @@
 #include "kernel/ingressbudget.h"
 #include "net/http.h"
 #include "net/snapshotcell.h"
+#include "net/streamwriter.h"
 
 #include <atomic>
 #include <functional>
@@ -72,12 +73,23 @@
     /** Sends the header of a chunked response. */
     awaitable<Result<Done>> beginStream(unsigned status, const HeaderFields &headers);
     awaitable<Result<Done>> writeChunk(std::string_view text);
+    /** Ends a chunked response. Waits until all of it was written. */
     awaitable<Result<Done>> endStream();
+    /**
+     * Makes beginStream() and writeChunk() return at once: what the connection does not take is held within the limits of @p backlogs, as are complete
+     * responses. @p onFailed, if not empty, is called once when nothing more can be written, also from within these functions. Must be called after
+     * onCallerDisconnect() and before a response is begun.
+     */
+    void bufferStream(std::shared_ptr<ClientBacklogs> backlogs, StreamWriter::FailedAction onFailed);
+    /** Waits until the connection has taken what is held. Returns false if it does not. */
+    awaitable<bool> drain();
+    /** Returns why the connection was reset if the caller read a buffered response too slowly, and nothing otherwise. */
+    std::optional<BacklogCut> cut() const;
     /** Closes the connection at once, so that the caller cannot take a partly sent response for a complete one. */
     void abort();
     /** Calls @p action once if the caller closes the connection while this request is being served. */
     void onCallerDisconnect(std::function<void()> action);
-    /** Returns whether the caller closed the connection. Always false without onCallerDisconnect(). */
+    /** Returns whether the caller closed the connection, or nothing more can be written to it. Always false without onCallerDisconnect() or bufferStream(). */
     bool callerDisconnected() const;
     /** Returns whether a response was begun or the connection was aborted. */
     bool answered() const;
@@ -89,6 +101,8 @@
     struct CallerWatch
     {
         std::function<void()> m_action;
+        /** Null unless the stream is buffered. */
+        std::shared_ptr<StreamWriter> m_writer;
         bool m_finished = false;
         bool m_disconnected = false;
     };
@@ -100,12 +114,24 @@
     std::shared_ptr<const HttpRequest> m_request;
     std::function<bool()> m_shouldClose;
     std::shared_ptr<CallerWatch> m_watch;
+    /** Null unless the stream is buffered. */
+    std::shared_ptr<StreamWriter> m_writer;
     bool m_answered = false;
     bool m_reusable = true;
     /** Time at which the stream's write timer expires, in ms of steadyMs(). */
     std::int64_t m_deadlineMs = 0;
 
     void extendDeadline();
+    /** Writes @p parts with m_writer. */
+    Result<Done> writeBuffered(const std::array<std::string_view, 3> &parts, bool isComplete = false);
+    /** Writes @p text as a chunk with m_writer. */
+    Result<Done> writeBufferedChunk(std::string_view text);
+    Result<Done> writeBufferedEnd();
+    /** Writes the header of a response with m_writer, and @p body; @p isComplete if that is all of it. */
+    Result<Done> writeBufferedHeader(const http::response_header<> &header, std::string_view body, bool isComplete);
+    /** Waits until m_writer has written everything. */
+    awaitable<Result<Done>> drainBuffered();
+    Error writeError() const;
 };
 
 using HttpHandler = std::function<awaitable<void>(HttpExchange &)>;
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -34,6 +34,7 @@
 constexpr std::string_view EndlessWord = "ENDLESS-";
 constexpr const char *WorksWord = "WORKS-";
 constexpr const char *PausesWord = "PAUSES-";
+constexpr const char *PaddedWord = "PADDED-";
 
 /** Time between an answer and its copy on the idle connection, in ms. */
 constexpr std::int64_t IdleCopyMs = 2;
@@ -582,6 +583,7 @@
     const std::int64_t spoilt = !caller.m_lastEventId && happens(m_faults.m_spoiltStreamShare) ? anyEvent(m_random) : -1;
     const std::int64_t broken = !caller.m_lastEventId && happens(m_faults.m_brokenStreamShare) ? anyEvent(m_random) : -1;
     const std::int64_t eventMs = numberAfter(request.m_body, PausesWord, m_times.m_eventMs);
+    const std::string token = "token" + std::string(static_cast<std::size_t>(numberAfter(request.m_body, PaddedWord, 0)), 'x');
     const bool isUnsized = contains(request.m_body, UnsizedWord);
     const std::string head = unsizedHead(request, headerLines() + (isUnsized ? "" : "Transfer-Encoding: chunked\r\n"));
     if (happens(m_faults.m_brokenHeadShare)) {
@@ -596,7 +598,7 @@
         const bool breaks = event <= broken && broken < passEnd;
         std::string text;
         for (; event < passEnd; ++event) {
-            text += event == spoilt ? "\x01?\xfe: #\n\x02\n\n" : "id: " + std::to_string(event) + "\ndata: token\n\n";
+            text += event == spoilt ? "\x01?\xfe: #\n\x02\n\n" : "id: " + std::to_string(event) + "\ndata: " + token + "\n\n";
         }
         if (breaks && isUnsized) {
             // Only an end inside an event tells such a stream from a whole one.
@@ -616,6 +618,9 @@
             co_return;
         }
     }
+    if (open) {
+        record(m_history, "streamed", describeRequest(request, m_entry.m_id));
+    }
     if (open && isUnsized) {
         boost::system::error_code ignored;
         connection.m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -125,8 +125,8 @@
  * an exit does; CRASH-IN-EVENT in the middle of the second event of such an answer; CRASH-SILENT as a process does whose end takes long: it no longer listens,
  * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
  * successor starts. ENDLESS- and the name of an EndlessPart in capitals, as in ENDLESS-HEAD: answered with bytes without end. UNSIZED: the stream has neither a
- * length nor chunks and ends with its connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart. An
- * upstream that has ended comes back under another id.
+ * length nor chunks and ends with its connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart.
+ * PADDED-n: each event of the stream is n bytes longer. An upstream that has ended comes back under another id.
  */
 class HostingEngine
 {
