--- a/daemons/entryadmission.cpp
+++ b/daemons/entryadmission.cpp
@@ -49,6 +49,11 @@
     return targetOccupancy(*service.m_engines, targetMs, query);
 }
 
+double totalWork(const RankWork &work)
+{
+    return std::accumulate(work.begin(), work.end(), 0.0);
+}
+
 void recordLatencyTarget(EntryContext &context, const std::string &model, double targetMs, std::int64_t nowMs)
 {
     /** The configuration may have replaced a target that no request has had for this long. */
@@ -153,6 +158,29 @@
     }
 }
 
+void updateModelDemand(EntryContext &context, const PeerLoadSummary &summary)
+{
+    const CallService *service = context.m_config == nullptr ? nullptr : findEngineService(*context.m_config);
+    if (!context.m_settings.m_replicasFollowDemand || !isLeader(context) || service == nullptr) {
+        context.m_modelDemand.reset();
+        context.m_reconciler.setDemand({});
+        return;
+    }
+    const std::int64_t nowMs = steadyMs();
+    if (summary.m_daemons + 1 >= LeastHeardFraction * daemonCount(context)) {
+        const std::map<std::string, RankWork> own = context.m_admission.ownDemand(nowMs);
+        std::map<std::string, double> slots;
+        for (const ServedModel &model : service->m_engines->m_models) {
+            const auto offered = own.find(model.m_name);
+            const auto peers = summary.m_demand.find(modelKey(model.m_name));
+            slots[model.m_name] =
+                (offered == own.end() ? 0.0 : totalWork(offered->second)) + (peers == summary.m_demand.end() ? 0.0 : totalWork(peers->second));
+        }
+        context.m_modelDemand.record(slots, nowMs);
+    }
+    context.m_reconciler.setDemand({context.m_modelDemand.shares(service->m_engines->m_models)});
+}
+
 awaitable<AdmissionOutcome> admitGeneration(EntryCall &call)
 {
     EntryContext &context = call.m_context;
--- a/daemons/entryadmission.h
+++ b/daemons/entryadmission.h
@@ -7,6 +7,9 @@
 /** Updates what admission knows of the load of all daemons from the load reports in @p summary. Must be called a few dozen times a second. */
 void updateAdmission(EntryContext &context, const PeerLoadSummary &summary);
 
+/** Measures the demand of each model from the load reports in @p summary and passes it to the reconciler, if this daemon leads and its settings ask for it. */
+void updateModelDemand(EntryContext &context, const PeerLoadSummary &summary);
+
 /** Result of admitGeneration(). */
 enum class AdmissionOutcome {
     Admitted,
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -8,6 +8,7 @@
 #include "kernel/crashledger.h"
 #include "kernel/enumnames.h"
 #include "kernel/loadreport.h"
+#include "kernel/modeldemand.h"
 #include "kernel/overloadadmission.h"
 #include "kernel/replicareconciler.h"
 #include "kernel/replicaselector.h"
@@ -198,6 +199,8 @@
     ReplicaSelector m_replicaSelector;
     /** Which generation requests are admitted while the replicas of a model have too little room. */
     OverloadAdmission m_admission;
+    /** Average work that clients offer for each model; measured only while this daemon leads. */
+    ModelDemand m_modelDemand;
     AnswerLength m_answerLength;
     ClientDeadlines m_clientDeadlines;
     /** Shortest latency target of the routes on which requests for each model arrive. */
--- a/daemons/entryloadreports.cpp
+++ b/daemons/entryloadreports.cpp
@@ -196,6 +196,7 @@
     context.m_serving = context.m_serving || view.m_serving;
     context.m_replicaSelector.setPeerLoads(view.m_loads);
     updateAdmission(context, view);
+    updateModelDemand(context, view);
     if (!isLeader(context)) {
         return;
     }
--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -68,6 +68,7 @@
                                   "address_reuse_s",
                                   "upstream_heartbeat_ms",
                                   "overload_admission",
+                                  "replicas_follow_demand",
                                   "ingress_memory_bytes",
                                   "max_client_connections"});
     if (!known) {
@@ -97,6 +98,7 @@
     };
     settings.m_enginesCheckFence = !isEmpty("engines_check_fence") && readBool(reader, root, "engines_check_fence", false);
     settings.m_overloadAdmission = readBool(reader, root, "overload_admission", false);
+    settings.m_replicasFollowDemand = readBool(reader, root, "replicas_follow_demand", false);
     settings.m_ingress = readIngressBudget(reader, root);
     settings.m_stopGraceMs = static_cast<std::int64_t>(readReal(reader, root, "stop_grace_s", 0.1, MaxRatio) * MsPerSecond);
     settings.m_addressReuseMs = static_cast<std::int64_t>(readReal(reader, root, "address_reuse_s", 0.0, MaxRatio, 2.0) * MsPerSecond);
--- a/daemons/entrysettings.h
+++ b/daemons/entrysettings.h
@@ -38,6 +38,8 @@
     bool m_enginesCheckFence = false;
     /** While the replicas of a model have too little room, the requests whose callers lose least by it are refused or delayed. */
     bool m_overloadAdmission = false;
+    /** The leader assigns engines to models by the measured demand instead of the configured shares. */
+    bool m_replicasFollowDemand = false;
     /** Limits on what all connections of clients hold together. */
     IngressBudgetLimits m_ingress;
     /** Time from the stop signal to the kill. */
--- a/kernel/replicareconciler.cpp
+++ b/kernel/replicareconciler.cpp
@@ -55,6 +55,7 @@
     m_nextEpoch = epochBeforeTerm(fence);
     m_termStartMs = nowMs;
     m_replicas.clear();
+    m_demand = {};
     for (std::pair<const std::string, Engine> &entry : m_engines) {
         entry.second.m_orderPending = false;
         entry.second.m_begunMs = -1;
@@ -82,6 +83,11 @@
     m_serving = serving;
 }
 
+void ReplicaReconciler::setDemand(ReplicaDemand demand)
+{
+    m_demand = std::move(demand);
+}
+
 void ReplicaReconciler::observe(const UpstreamEntry &entry, std::int64_t nowMs)
 {
     const auto found = m_engines.find(entry.m_id);
@@ -675,7 +681,7 @@
     for (std::pair<const std::string, LayoutDomain> &entry : domains) {
         list.push_back(std::move(entry.second));
     }
-    LayoutPlan plan = planLayout(m_service.m_engines->m_models, list, {});
+    LayoutPlan plan = planLayout(m_service.m_engines->m_models, list, m_demand.m_shares);
     for (std::pair<const std::string, Engine> &entry : m_engines) {
         Engine &engine = entry.second;
         if (!isUsable(engine) || !engine.m_model.empty()) {
--- a/kernel/replicareconciler.h
+++ b/kernel/replicareconciler.h
@@ -96,6 +96,13 @@
     std::vector<ReplicaEvent> m_events;
 };
 
+/** Measured demand that the assignment of engines to models follows. Without demand, the configured shares count. */
+struct ReplicaDemand
+{
+    /** Share of each model in the offered work, see ModelDemand::shares(). */
+    std::map<std::string, double> m_shares;
+};
+
 /** Intervals (in ms) and limits of ReplicaReconciler. */
 struct ReconcilerSettings
 {
@@ -147,6 +154,8 @@
     void setService(const CallService &service);
     /** Sets whether client requests have been seen. Until then, loads are fast and not limited. */
     void setServing(bool serving);
+    /** Sets the demand that was measured in the current term. A new term begins without any. */
+    void setDemand(ReplicaDemand demand);
 
     /** Records the state of an engine, as reported by itself or published in the list. */
     void observe(const UpstreamEntry &entry, std::int64_t nowMs);
@@ -305,6 +314,7 @@
     LeaderTerm m_term;
     std::uint64_t m_nextEpoch = 0;
     bool m_serving = false;
+    ReplicaDemand m_demand;
     std::int64_t m_termStartMs = 0;
     EngineMap m_engines;
     std::map<ReplicaRef, ManagedReplica> m_replicas;
