--- a/autotests/modeldemandtest.cpp
+++ b/autotests/modeldemandtest.cpp
@@ -106,7 +106,7 @@
     for (const Row &row : rows) {
         CAPTURE(row.m_description);
         SimulatedCluster cluster(1, 6, 9);
-        cluster.m_reconciler->setDemand({row.m_shares});
+        cluster.m_reconciler->setDemand({row.m_shares, {}, {}});
         cluster.run(5'000);
         CHECK(cluster.m_violations.empty());
         CHECK(engineCount(cluster, "big") + engineCount(cluster, "small") == 54);
@@ -114,7 +114,7 @@
         CHECK(engineCount(cluster, "big") <= row.m_mostBig);
         // Engines that have their weights stay with their model, whatever the demand.
         const int before = engineCount(cluster, "big");
-        cluster.m_reconciler->setDemand({{{"big", 0.5}, {"small", 0.5}}});
+        cluster.m_reconciler->setDemand({{{"big", 0.5}, {"small", 0.5}}, {}, {}});
         cluster.run(10'000);
         CHECK(engineCount(cluster, "big") == before);
     }
@@ -124,7 +124,7 @@
 TEST_CASE("a new term begins without demand", "[entry][demand][keeper]")
 {
     SimulatedCluster cluster(1, 6, 9);
-    cluster.m_reconciler->setDemand({{{"big", 0.9}, {"small", 0.1}}});
+    cluster.m_reconciler->setDemand({{{"big", 0.9}, {"small", 0.1}}, {}, {}});
     cluster.returnOfLeader();
     cluster.run(5'000);
     CHECK(cluster.servingReplicas("big") == 6);
--- a/daemons/entryadmission.cpp
+++ b/daemons/entryadmission.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <limits>
 #include <numeric>
+#include <utility>
 
 namespace knapweedslip
 {
@@ -178,7 +179,11 @@
         }
         context.m_modelDemand.record(slots, nowMs);
     }
-    context.m_reconciler.setDemand({context.m_modelDemand.shares(service->m_engines->m_models)});
+    ReplicaDemand demand{context.m_modelDemand.shares(service->m_engines->m_models), context.m_modelDemand.slots(), {}};
+    for (const ServedModel &model : service->m_engines->m_models) {
+        demand.m_slotsPerReplica[model.m_name] = targetOccupancyOf(context, *service, model.m_name);
+    }
+    context.m_reconciler.setDemand(std::move(demand));
 }
 
 awaitable<AdmissionOutcome> admitGeneration(EntryCall &call)
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -133,6 +133,20 @@
               {"cause", std::string(enumName(ClosingCauseNames, event.m_cause))},
               {"engine", event.m_engine}});
 }
+
+void logMove(const MoveEvent &event)
+{
+    std::string engines;
+    for (const std::string &engine : event.m_move.m_engines) {
+        engines += (engines.empty() ? "" : " ") + engine;
+    }
+    logEvent(LogEvent::EnginesMoved,
+             {{"state", std::string(enumName(MoveStateNames, event.m_state))},
+              {"domain", event.m_move.m_domain},
+              {"from", event.m_move.m_from},
+              {"to", event.m_move.m_to},
+              {"engines", engines}});
+}
 }
 
 awaitable<void> runReconciler(EntryContext &context)
@@ -145,6 +159,9 @@
             for (const ReplicaEvent &event : actions.m_events) {
                 logReplicaEvent(event);
             }
+            for (const MoveEvent &event : actions.m_moves) {
+                logMove(event);
+            }
             for (const EngineOrder &order : actions.m_orders) {
                 asio::co_spawn(context.m_io, sendOrder(context, order), asio::detached);
             }
--- a/daemons/entrysettings.h
+++ b/daemons/entrysettings.h
@@ -38,7 +38,7 @@
     bool m_enginesCheckFence = false;
     /** While the replicas of a model have too little room, the requests whose callers lose least by it are refused or delayed. */
     bool m_overloadAdmission = false;
-    /** The leader assigns engines to models by the measured demand instead of the configured shares. */
+    /** The leader assigns engines to models by the measured demand instead of the configured shares, and moves spares to a model that is short of replicas. */
     bool m_replicasFollowDemand = false;
     /** Limits on what all connections of clients hold together. */
     IngressBudgetLimits m_ingress;
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -73,6 +73,7 @@
     LeadershipLost,
     ReplicaChanged,
     EngineSilent,
+    EnginesMoved,
     PlanAccepted,
     PlanRefused,
     DrainLimitReached,
--- a/kernel/replicareconciler.cpp
+++ b/kernel/replicareconciler.cpp
@@ -56,6 +56,12 @@
     m_termStartMs = nowMs;
     m_replicas.clear();
     m_demand = {};
+    m_moveConditions.reset();
+    m_moveHistory = {};
+    for (std::pair<const std::string, ReplicaMove> &entry : m_moves) {
+        m_endedMoves.push_back({std::move(entry.second), MoveState::TermEnded});
+    }
+    m_moves.clear();
     for (std::pair<const std::string, Engine> &entry : m_engines) {
         entry.second.m_orderPending = false;
         entry.second.m_begunMs = -1;
@@ -70,6 +76,11 @@
         entry.second.m_settledReplica = {};
         entry.second.m_hasReported = false;
         knapweedslip::beginTerm(entry.second.m_history);
+        // Another leader may have moved the engine to another model.
+        const std::string assigned = assignedModel(entry.second.m_entry);
+        entry.second.m_model = assigned.empty() ? entry.second.m_model : assigned;
+        entry.second.m_loading = entry.second.m_loading && entry.second.m_moveModel.empty();
+        entry.second.m_moveModel.clear();
     }
 }
 
@@ -107,8 +118,11 @@
     }
     engine.m_entry = entry;
     engine.m_listed = true;
-    if (engine.m_model.empty() && !entry.m_stagedModels.empty() && findModel(m_service, entry.m_stagedModels.back()) != nullptr) {
-        engine.m_model = entry.m_stagedModels.back();
+    // In a new term, the first reports show what another leader assigned meanwhile.
+    const bool isAdopting = m_term.m_fence > 0 && nowMs - m_termStartMs < AdoptionDelayMs;
+    const std::string assigned = assignedModel(entry);
+    if (!assigned.empty() && (engine.m_model.empty() || isAdopting)) {
+        engine.m_model = assigned;
     }
     const bool joined = entry.m_phase == MemberPhase::Ready || entry.m_phase == MemberPhase::Open || entry.m_phase == MemberPhase::Closing;
     if (engine.m_warmModel.empty() && joined) {
@@ -213,11 +227,16 @@
         // The engine has seen a later epoch, or another member list for this one. The replica is closed, and its successor has a new epoch.
         replica->m_refused = true;
     }
+    if (order.m_kind == EngineOrderKind::Stage && order.m_model == engine->m_moveModel) {
+        moveOrderAnswered(*engine, order, reply, nowMs);
+        return;
+    }
     switch (order.m_kind) {
     case EngineOrderKind::Stage:
     case EngineOrderKind::Join:
         if (reply == OrderReply::Done) {
-            engine->m_loading = false;
+            // A load for a move goes on while the engine joins a replica.
+            engine->m_loading = engine->m_loading && !engine->m_moveModel.empty();
             engine->m_loadConfirmed = false;
             if (!contains(engine->m_entry.m_stagedModels, order.m_model)) {
                 engine->m_entry.m_stagedModels = {order.m_model};
@@ -359,11 +378,13 @@
         it = finished ? m_replicas.erase(it) : std::next(it);
     }
     assignModels(nowMs);
+    updateMoves(nowMs, actions);
     formReplicas(nowMs, actions);
     for (std::pair<const ReplicaRef, ManagedReplica> &entry : m_replicas) {
         advanceReplica(entry.second, nowMs, actions);
     }
     stageWeights(nowMs, actions);
+    stageMoves(nowMs, actions);
     sendProbes(nowMs, actions);
     removeUnusedEngines();
     return actions;
@@ -721,12 +742,12 @@
         if (model == nullptr) {
             continue;
         }
-        // Engines that can join at once come first, then engines that have the weights.
+        // Engines that can join at once come first, then engines that have the weights. Those that are to be moved come last.
         std::stable_sort(entry.second.begin(), entry.second.end(), [this, model](const std::string &left, const std::string &right) {
             const Engine &a = m_engines[left];
             const Engine &b = m_engines[right];
             const auto cost = [this, model](const Engine &engine) {
-                return (needsLoad(engine, model->m_name) ? 2 : 0) + (engine.m_warmModel == model->m_name ? 0 : 1);
+                return (engine.m_moveModel.empty() ? 0 : 4) + (needsLoad(engine, model->m_name) ? 2 : 0) + (engine.m_warmModel == model->m_name ? 0 : 1);
             };
             return cost(a) < cost(b);
         });
@@ -744,7 +765,9 @@
             createReplica(*model, std::move(members), false, nowMs, actions);
         }
         for (const std::string &engine : entry.second) {
-            if (replicaOf(engine) == nullptr && size > 1 && (!m_serving || !needsLoad(m_engines[engine], model->m_name))) {
+            // An engine that was moved to this model and is not needed yet is still a spare of the other one.
+            const ManagedReplica *replica = replicaOf(engine);
+            if ((replica == nullptr || replica->m_model != model->m_name) && size > 1 && (!m_serving || !needsLoad(m_engines[engine], model->m_name))) {
                 createReplica(*model, {engine}, true, nowMs, actions);
             }
         }
@@ -781,8 +804,9 @@
     }
     for (std::pair<const std::string, Engine> &entry : m_engines) {
         Engine &engine = entry.second;
+        const bool isMoved = !engine.m_moveModel.empty();
         const bool wanted = isUsable(engine) && !engine.m_model.empty() && needsLoad(engine, engine.m_model) && replicaOf(entry.first) == nullptr;
-        if (!wanted || (!engine.m_loading && !mayLoad(nowMs))) {
+        if (isMoved || !wanted || (!engine.m_loading && !mayLoad(nowMs))) {
             continue;
         }
         EngineOrder order;
--- a/kernel/replicareconciler.h
+++ b/kernel/replicareconciler.h
@@ -3,6 +3,7 @@
 #include "kernel/callconfig.h"
 #include "kernel/engineorders.h"
 #include "kernel/replicalayout.h"
+#include "kernel/replicamoves.h"
 #include "kernel/upstreams.h"
 
 #include <cstdint>
@@ -94,13 +95,8 @@
     /** Ids of the engines to ask for a report now, at the addresses that entry() gives, whether or not they are listed. */
     std::vector<std::string> m_probes;
     std::vector<ReplicaEvent> m_events;
-};
-
-/** Measured demand that the assignment of engines to models follows. Without demand, the configured shares count. */
-struct ReplicaDemand
-{
-    /** Share of each model in the offered work, see ModelDemand::shares(). */
-    std::map<std::string, double> m_shares;
+    /** Moves that began or ended. */
+    std::vector<MoveEvent> m_moves;
 };
 
 /** Intervals (in ms) and limits of ReplicaReconciler. */
@@ -128,6 +124,8 @@
     std::int64_t m_settleMs = 300;
     /** Length of the window over which the rate of weight loads is limited. */
     std::int64_t m_loadWindowMs = 5'000;
+    /** A load that takes this many times its configured time has failed. */
+    double m_loadTimeoutFactor = 3.0;
 };
 
 /**
@@ -137,6 +135,7 @@
  * - An engine is told to join only if it is in no replica, or the head of its replica confirmed that the replica is closed or was never
  *   opened and no earlier order can open it again (see OrderHistory), or the engine itself confirmed just before that it left.
  * - A replica of an earlier term is opened only if engines check fencing tokens, and after every member obeyed an order of this term.
+ * - Engines are moved to another model only while they are spares or in no replica: no replica is closed for a move.
  * - A name and epoch never stand for two different member lists, since epochs grow from term to term and within a term.
  * Uses no sockets and no clock; callers pass the time. Memory: one entry for each engine and each replica.
  */
@@ -217,6 +216,13 @@
         bool m_loading = false;
         /** The engine has confirmed that the load is in progress. */
         bool m_loadConfirmed = false;
+        /** The model whose weights the engine loads for a move while it keeps m_model; empty if none. It stays set until a load that was begun has ended. */
+        std::string m_moveModel;
+        /** Until when no order to load them is sent, and when the first one was; -1 if none was. Other orders do not wait for the load. */
+        std::int64_t m_nextMoveOrderMs = 0;
+        std::int64_t m_moveLoadMs = -1;
+        /** The engine refused to load the weights for a move. */
+        bool m_moveRefused = false;
         bool m_listed = true;
         /** Its answers say that it will stop, whatever the list says. */
         bool m_saysLeaving = false;
@@ -271,6 +277,32 @@
     void setPhase(ManagedReplica &replica, ReplicaPhase phase, std::int64_t nowMs, ReconcilerActions &actions);
     /** Assigns engines without a model to models. */
     void assignModels(std::int64_t nowMs);
+    /** Returns the model that @p entry shows the engine to be assigned to; empty if it does not show that. */
+    std::string assignedModel(const UpstreamEntry &entry) const;
+    /** Ends moves that have succeeded or failed, and begins another one if the demand calls for it. */
+    void updateMoves(std::int64_t nowMs, ReconcilerActions &actions);
+    /** Returns how far @p move has come: MoveState::Begun while it goes on. */
+    MoveState checkMove(const ReplicaMove &move, std::int64_t nowMs) const;
+    void endMove(const ReplicaMove &move, MoveState state, std::int64_t nowMs, ReconcilerActions &actions);
+    void updateMoveConditions(std::int64_t nowMs);
+    /** Returns the cheapest move to @p to that is allowed now; without engines if there is none. */
+    ReplicaMove findMove(const std::string &to, std::int64_t nowMs) const;
+    /** Returns the move from @p from to @p to in @p domain that completes another replica; without engines if there is none. */
+    ReplicaMove planMove(const std::string &domain, const ServedModel &from, const ServedModel &to) const;
+    /** Returns the number of engines that @p engines of @p to in @p domain lack for another replica while a spare is kept. */
+    int missingEngines(const std::string &domain, const ServedModel &to, int engines) const;
+    /** Returns the usable engines of @p model in @p domain that are spares or in no replica. */
+    std::vector<std::string> freeEngines(const std::string &domain, const std::string &model) const;
+    /** Returns the number of replicas of @p model in @p domain that are not replicas of one spare. */
+    int replicasIn(const std::string &domain, const std::string &model) const;
+    /** Returns whether engines of @p domain have no model yet or are about to leave a replica, so that its next replicas are not known. */
+    bool isUnsettled(const std::string &domain) const;
+    /** Returns whether @p engine can load other weights now. */
+    bool mayBeMoved(const Engine &engine) const;
+    /** Sends the orders to load weights for moves. */
+    void stageMoves(std::int64_t nowMs, ReconcilerActions &actions);
+    /** Records the outcome of an order to load weights for a move. */
+    void moveOrderAnswered(Engine &engine, const EngineOrder &order, OrderReply reply, std::int64_t nowMs);
     /** Creates replicas from engines that are free, and replicas of one spare from the rest. */
     void formReplicas(std::int64_t nowMs, ReconcilerActions &actions);
     /** Loads weights onto engines that are assigned to a model and are in no replica. */
@@ -315,6 +347,12 @@
     std::uint64_t m_nextEpoch = 0;
     bool m_serving = false;
     ReplicaDemand m_demand;
+    MoveConditions m_moveConditions;
+    MoveHistory m_moveHistory;
+    /** Moves that are under way, by domain. */
+    std::map<std::string, ReplicaMove> m_moves;
+    /** Moves that ended with the last term, for the log. */
+    std::vector<MoveEvent> m_endedMoves;
     std::int64_t m_termStartMs = 0;
     EngineMap m_engines;
     std::map<ReplicaRef, ManagedReplica> m_replicas;
--- a/simulation/enginecluster.h
+++ b/simulation/enginecluster.h
@@ -36,6 +36,11 @@
     std::int64_t m_joinedMs = 0;
     bool m_wasReady = false;
     bool m_saysLeaving = false;
+    /** The weights that it is loading and when it has them; empty if none. */
+    std::string m_loadingModel;
+    std::int64_t m_loadedAtMs = 0;
+    /** It refuses orders to load weights. */
+    bool m_refusesLoads = false;
     /** The engine that listens at its address since it ended; empty if none. */
     std::string m_successor;
 };
@@ -126,7 +131,7 @@
         }
         switch (order.m_kind) {
         case EngineOrderKind::Stage:
-            return false;
+            return m_lateLoadsAct && !hasWeights(engine, order.m_model);
         case EngineOrderKind::Join:
             return !same && order.m_replica.m_epoch >= engine.m_epoch;
         case EngineOrderKind::Open:
@@ -173,6 +178,7 @@
             for (const std::string &engine : actions.m_probes) {
                 probe(engine);
             }
+            m_moves.insert(m_moves.end(), actions.m_moves.begin(), actions.m_moves.end());
             m_time.run(nowMs + TickMs);
         }
     }
@@ -275,6 +281,13 @@
     bool m_mayOpenAfterLeaving = false;
     /** Closing a head that has begun to open does not keep it from opening. */
     bool m_closeKeepsOpening = false;
+    /** Time to load weights, in ms; 0 if they are there at once. Engines keep the weights of this many models. */
+    std::int64_t m_loadMs = 0;
+    std::size_t m_keptModels = 1;
+    /** wouldAct() also reports orders to load weights. */
+    bool m_lateLoadsAct = false;
+    /** Moves that the leader began or ended. */
+    std::vector<MoveEvent> m_moves;
     /** Selects orders that get no answer and are kept in m_held; empty for none. */
     std::function<bool(const EngineOrder &)> m_holds;
     std::vector<HeldOrder> m_held;
@@ -336,7 +349,12 @@
                 engine.m_wasReady = true;
                 m_everReady.emplace(entry.first, engine.m_entry.m_replica);
                 engine.m_lastModel = replicaModel(engine.m_entry.m_replica.m_name);
-                engine.m_entry.m_stagedModels = {engine.m_lastModel};
+                keepWeights(engine, engine.m_lastModel);
+                publish(entry.first);
+            }
+            if (!engine.m_loadingModel.empty() && nowMs >= engine.m_loadedAtMs) {
+                keepWeights(engine, engine.m_loadingModel);
+                engine.m_loadingModel.clear();
                 publish(entry.first);
             }
             if (engine.m_openAtMs >= 0 && nowMs >= engine.m_openAtMs) {
@@ -380,6 +398,42 @@
         }
     }
 
+    static bool hasWeights(const FakeEngine &engine, const std::string &model)
+    {
+        const std::vector<std::string> &staged = engine.m_entry.m_stagedModels;
+        return std::find(staged.begin(), staged.end(), model) != staged.end();
+    }
+
+    /** Stores the weights of @p model on @p engine as the latest ones. */
+    void keepWeights(FakeEngine &engine, const std::string &model) const
+    {
+        std::vector<std::string> &staged = engine.m_entry.m_stagedModels;
+        std::erase(staged, model);
+        staged.push_back(model);
+        while (staged.size() > m_keptModels) {
+            staged.erase(staged.begin());
+        }
+    }
+
+    OrderReply load(FakeEngine &engine, const std::string &model)
+    {
+        if (engine.m_refusesLoads) {
+            return OrderReply::Unfit;
+        }
+        if (hasWeights(engine, model)) {
+            return OrderReply::Done;
+        }
+        if (m_loadMs == 0) {
+            keepWeights(engine, model);
+            return OrderReply::Done;
+        }
+        if (engine.m_loadingModel != model) {
+            engine.m_loadingModel = model;
+            engine.m_loadedAtMs = m_time.nowMs() + m_loadMs;
+        }
+        return OrderReply::Begun;
+    }
+
     /** Applies @p order to its engine and returns the answer of the engine. */
     OrderReply execute(const EngineOrder &order)
     {
@@ -397,8 +451,7 @@
         const std::string id = entry.m_id;
         switch (order.m_kind) {
         case EngineOrderKind::Stage:
-            entry.m_stagedModels = {order.m_model};
-            return OrderReply::Done;
+            return load(engine, order.m_model);
         case EngineOrderKind::Join:
             if (order.m_replica.m_epoch < engine.m_epoch || (same && order.m_members != engine.m_members)) {
                 return OrderReply::Fenced;
