--- a/daemons/entrysettings.cpp
+++ b/daemons/entrysettings.cpp
@@ -80,6 +80,7 @@
                                   "address_reuse_s",
                                   "upstream_heartbeat_ms",
                                   "overload_admission",
+                                  "replicas_follow_demand",
                                   "ingress_memory_bytes",
                                   "max_client_connections",
                                   "client_backlog_bytes",
@@ -111,6 +112,7 @@
     };
     settings.m_enginesCheckFence = !isEmpty("engines_check_fence") && readBool(reader, root, "engines_check_fence", false);
     settings.m_overloadAdmission = readBool(reader, root, "overload_admission", false);
+    settings.m_replicasFollowDemand = readBool(reader, root, "replicas_follow_demand", false);
     settings.m_ingress = readIngressBudget(reader, root);
     settings.m_clientBacklog = readClientBacklog(reader, root);
     settings.m_stopGraceMs = static_cast<std::int64_t>(readReal(reader, root, "stop_grace_s", 0.1, MaxRatio) * MsPerSecond);
--- a/kernel/logevents.h
+++ b/kernel/logevents.h
@@ -74,6 +74,7 @@
     LeadershipLost,
     ReplicaChanged,
     EngineSilent,
+    EnginesMoved,
     PlanAccepted,
     PlanRefused,
     DrainLimitReached,
