--- a/autotests/overloadadmissiontest.cpp
+++ b/autotests/overloadadmissiontest.cpp
@@ -359,15 +359,24 @@
             work = *rc::gen::inRange(0, 3) == 0 ? 0.0 : *rc::gen::inRange(0, 50'000) / 100.0;
         }
         const double total = std::accumulate(demand.begin(), demand.end(), 0.0);
+        double timely = 0.0;
+        for (std::size_t rank = 0; rank < AdmissionRankCount; ++rank) {
+            timely += rankAt(rank).m_late ? 0.0 : demand[rank];
+        }
         const double capacity = *rc::gen::inRange(0, 1'200'000) / 100.0;
         const RankWork fractions = admittedFractions(capacity, demand);
         const double admitted = std::inner_product(demand.begin(), demand.end(), fractions.begin(), 0.0);
         RC_ASSERT(std::abs(admitted - std::min(total, capacity)) <= 1e-6 * (1.0 + total));
         for (std::size_t a = 0; a < AdmissionRankCount; ++a) {
             RC_ASSERT(fractions[a] <= 1.0 + 1e-9);
-            RC_ASSERT((total <= capacity ? fractions[a] == 1.0 : fractions[a] >= 0.5 * capacity / total - 1e-9));
+            // Late requests get what the others leave.
+            const double least = rankAt(a).m_late || timely <= 0.0 ? 0.0 : 0.6 * std::min(1.0, capacity / timely);
+            RC_ASSERT((total <= capacity ? fractions[a] == 1.0 : fractions[a] >= least - 1e-9));
             for (std::size_t b = 0; b < AdmissionRankCount; ++b) {
-                RC_ASSERT((refusalCost(rankAt(a)) <= refusalCost(rankAt(b)) || demand[a] <= 0.0 || demand[b] <= 0.0 || fractions[a] >= fractions[b] - 1e-9));
+                // What is certain to requests that may be in time goes before the order.
+                const bool isCertain = rankAt(a).m_late && !rankAt(b).m_late;
+                RC_ASSERT((isCertain || refusalCost(rankAt(a)) <= refusalCost(rankAt(b)) || demand[a] <= 0.0 || demand[b] <= 0.0
+                           || fractions[a] >= fractions[b] - 1e-9));
             }
         }
     });
--- a/daemons/entryadmission.cpp
+++ b/daemons/entryadmission.cpp
@@ -18,6 +18,8 @@
 {
 namespace
 {
+/** The leader measures the demand of the models only while it hears at least this part of the daemons. */
+constexpr double LeastHeardFraction = 0.5;
 /** Interval between two looks at a delayed request, in ms: as long as the window of the demand meters, so that it counts as one request. */
 constexpr std::int64_t DelayPollMs = static_cast<std::int64_t>(DemandMeter::WindowMs);
 /** Part of its latency target by which a delayed request must be expected to have its first event. */
--- a/kernel/firsteventbias.cpp
+++ b/kernel/firsteventbias.cpp
@@ -15,9 +15,6 @@
 constexpr double FirstStepMs = 32.0;
 constexpr double MinStepMs = 1.0;
 constexpr double StepFactor = 0.5;
-/** After this many streams in a row in one direction the step doubles, up to this size: the part has changed. */
-constexpr int RunToGrow = 6;
-constexpr double MaxGrownStepMs = 16.0;
 }
 
 void FirstEventBias::record(const std::string &model, double predictedMs, double observedMs)
@@ -28,11 +25,8 @@
         median.m_stepMs = FirstStepMs;
     }
     const bool up = observedMs - predictedMs > median.m_ms;
-    median.m_run = up == median.m_lastUp ? median.m_run + 1 : 0;
-    if (median.m_run == 0) {
+    if (up != median.m_lastUp) {
         median.m_stepMs = std::max(MinStepMs, median.m_stepMs * StepFactor);
-    } else if (median.m_run % RunToGrow == 0) {
-        median.m_stepMs = std::max(median.m_stepMs, std::min(MaxGrownStepMs, median.m_stepMs / StepFactor));
     }
     median.m_lastUp = up;
     median.m_ms = std::max(0.0, median.m_ms + (up ? median.m_stepMs : -median.m_stepMs));
--- a/kernel/firsteventbias.h
+++ b/kernel/firsteventbias.h
@@ -28,8 +28,6 @@
         double m_ms = 0.0;
         double m_stepMs = 0.0;
         bool m_lastUp = true;
-        /** Streams in a row that moved it in the same direction. */
-        int m_run = 0;
     };
 
     std::map<std::string, Median> m_medians;
--- a/kernel/ingressbudget.cpp
+++ b/kernel/ingressbudget.cpp
@@ -74,11 +74,11 @@
 {
     auto best = m_connections.end();
     const auto hasStopped = [nowMs](const Connection &connection) {
-        return nowMs - connection.m_receivedMs >= StoppedMs;
+        return connection.m_phase == ConnectionPhase::Idle || nowMs - connection.m_receivedMs >= StoppedMs;
     };
     for (auto it = m_connections.begin(); it != m_connections.end(); ++it) {
         const Connection &connection = it->second;
-        if (connection.m_ended || connection.m_phase != ConnectionPhase::Reading || connection.m_bytes == 0) {
+        if (connection.m_ended || connection.m_phase == ConnectionPhase::Serving || connection.m_bytes == 0) {
             continue;
         }
         const bool isBetter = best == m_connections.end() || hasStopped(connection) != hasStopped(best->second)
--- a/kernel/ingressbudget.h
+++ b/kernel/ingressbudget.h
@@ -53,8 +53,8 @@
 
     /**
      * Returns the connections to end because of @p cause, which has just been opened or has received bytes, so that the limits hold again; @p cause may be
-     * among them. First come those that have stopped in the middle of a request, the longest ago first, then those that hold most; with too many connections,
-     * those that have been without a complete request for longest. Each connection is returned once; its bytes no longer count.
+     * among them. First come those that are idle or have stopped in the middle of a request, the longest ago first, then those that hold most; with too many
+     * connections, those that have been without a complete request for longest. Each connection is returned once; its bytes no longer count.
      */
     std::vector<ConnectionId> chooseEnded(ConnectionId cause, std::int64_t nowMs);
 
--- a/kernel/overloadadmission.cpp
+++ b/kernel/overloadadmission.cpp
@@ -24,7 +24,7 @@
 /** An answer that can only be late is worth so much less that even the smallest late request follows the largest one of its priority that may be in time. */
 constexpr double LateFactor = 0.15;
 /** Least fraction of the overall fraction that each rank gets whose requests may be in time. */
-constexpr double LeastFraction = 0.5;
+constexpr double LeastFraction = 0.6;
 /** Demand may exceed the capacity by this factor before requests are refused: over a short time it varies by about as much. */
 constexpr double DemandTolerance = 1.1;
 /** Weight of a request in the mean time in a slot. */
@@ -98,7 +98,7 @@
 
 RankWork admittedFractions(double capacitySlots, const RankWork &demand)
 {
-    if (sum(demand) <= DemandTolerance * capacitySlots) {
+    if (sum(demand) <= capacitySlots) {
         return constant(1.0);
     }
     double timely = 0.0;
@@ -176,7 +176,7 @@
     state.m_correction = std::clamp(state.m_correction, LeastCorrection, MostCorrection);
     const double excess = load.m_inFlight / (ExcessFactor * capacity);
     const double allowed = capacity * state.m_correction / std::max(1.0, excess * excess);
-    state.m_fractions = admittedFractions(allowed, load.m_demand);
+    state.m_fractions = sum(load.m_demand) <= DemandTolerance * allowed ? constant(1.0) : admittedFractions(allowed, load.m_demand);
     const double use = (load.m_inFlight / capacity - FirstRefusalFraction) / (FullRefusalFraction - FirstRefusalFraction);
     for (double &fraction : state.m_fractions) {
         fraction = 1.0 - (1.0 - fraction) * std::clamp(use, 0.0, 1.0);
--- a/kernel/overloadadmission.h
+++ b/kernel/overloadadmission.h
@@ -59,7 +59,7 @@
 
 /**
  * Returns the fraction of the requests of each rank to admit, where the work of those that are admitted may be @p capacitySlots. Ranks are admitted in the
- * order of refusalCost() until the capacity is used up; every rank whose requests may be in time gets at least half of the overall fraction of these. All are 1
+ * order of refusalCost() until the capacity is used up; every rank whose requests may be in time gets at least 0.6 of the overall fraction of these. All are 1
  * if the demand fits.
  */
 RankWork admittedFractions(double capacitySlots, const RankWork &demand);
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -591,7 +591,10 @@
         co_await asio::async_write(stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
     }
     stream.expires_after(std::chrono::milliseconds(limits->m_idleTimeoutMs));
-    const boost::system::error_code bodyError = account(connection, &parser) ? co_await readBody(connection, parser) : asio::error::operation_aborted;
+    boost::system::error_code bodyError = asio::error::operation_aborted;
+    if (account(connection, &parser)) {
+        bodyError = co_await readBody(connection, parser);
+    }
     if (bodyError || !setPhase(connection, ConnectionPhase::Serving)) {
         // What has arrived is freed before the response is written, which the client may not read.
         parser.release();
