--- a/kernel/replicareconcilermoves.cpp
+++ b/kernel/replicareconcilermoves.cpp
@@ -29,7 +29,7 @@
 {
     // A member of rank 0 that is not open may be a spare, which may have been given the weights of another model.
     const bool serves = entry.m_rank > 0 || entry.m_phase == MemberPhase::Open || entry.m_phase == MemberPhase::Closing;
-    const std::string model = replicaModel(entry.m_replica.m_name);
+    std::string model = replicaModel(entry.m_replica.m_name);
     if (serves && findModel(m_service, model) != nullptr) {
         return model;
     }
--- a/kernel/slottime.cpp
+++ b/kernel/slottime.cpp
@@ -32,7 +32,7 @@
 
 double loadedPassMs(const EngineTiming &engines, double occupancy)
 {
-    const double context = occupancy * static_cast<double>(engines.m_meanPromptTokens + engines.m_meanAnswerTokens / 2) / 1'000.0;
+    const double context = occupancy * (static_cast<double>(engines.m_meanPromptTokens) + static_cast<double>(engines.m_meanAnswerTokens) / 2.0) / 1'000.0;
     const double stepMs = engines.m_stepMs + occupancy * engines.m_stepMsPerRequest + context * engines.m_stepMsPerThousandTokens;
     const double answerMs = std::max(1.0, static_cast<double>(engines.m_meanAnswerTokens) * stepMs);
     const double prefillShare = occupancy * prefillMs(engines, engines.m_meanPromptTokens) / answerMs;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -13,46 +13,48 @@
 
 namespace knapweedslip
 {
-/**
- * Body of a request that is read into a string. The string grows with what has arrived: a client that announces a long body and sends nothing costs
- * nothing.
- */
-struct GrowingBody
+/** Appends what arrives of a body to a string; see GrowingBody. The names of the functions are those that Beast's parser calls. */
+class GrowingBodyReader
 {
-    using value_type = std::string;
+public:
+    template<bool IsRequest, typename Fields>
+    GrowingBodyReader(http::header<IsRequest, Fields> &, std::string &body)
+        : m_body(body)
+    {
+    }
 
-    class reader
+    void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
     {
-    public:
-        template<bool IsRequest, typename Fields>
-        reader(http::header<IsRequest, Fields> &, value_type &body)
-            : m_body(body)
-        {
-        }
+        error = {};
+    }
 
-        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
-        {
-            error = {};
+    template<typename Buffers>
+    std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+    {
+        error = {};
+        for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
+            m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
         }
+        return beast::buffer_bytes(buffers);
+    }
 
-        template<typename Buffers>
-        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
-        {
-            error = {};
-            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
-                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
-            }
-            return beast::buffer_bytes(buffers);
-        }
+    void finish(boost::system::error_code &error)
+    {
+        error = {};
+    }
 
-        void finish(boost::system::error_code &error)
-        {
-            error = {};
-        }
+private:
+    std::string &m_body;
+};
 
-    private:
-        value_type &m_body;
-    };
+/**
+ * Body of a request that is read into a string. The string grows with what has arrived: a client that announces a long body and sends nothing costs
+ * nothing.
+ */
+struct GrowingBody
+{
+    using value_type = std::string;
+    using reader = GrowingBodyReader;
 };
 
 /** A request that is being served, and the functions to respond to it. May be used only on the connection's thread. */
