--- a/daemons/entryadmission.cpp
+++ b/daemons/entryadmission.cpp
@@ -218,6 +218,16 @@
     return LeastRetryMs + spreadMs(context.m_random);
 }
 
+void recordFirstEvent(EntryCall &call)
+{
+    if (call.m_sends != 1 || call.m_expectedMs < 0.0) {
+        return;
+    }
+    FirstEventTimes &times = call.m_context.m_firstEventTimes[call.m_caller.m_model];
+    times.m_expected.add(call.m_expectedMs);
+    times.m_seen.add(static_cast<double>(call.m_firstEventMs));
+}
+
 void recordAnswerLength(EntryCall &call, std::int64_t events)
 {
     if (call.m_service->m_engines) {
@@ -234,6 +244,13 @@
     for (const std::pair<const std::string, double> &bias : context.m_replicaSelector.firstEventBias().all()) {
         add("knapweedslip_first_event_bias_ms", "model=\"" + bias.first + "\"", bias.second);
     }
+    for (const std::pair<const std::string, FirstEventTimes> &times : context.m_firstEventTimes) {
+        for (const char *quantile : {"0.5", "0.9"}) {
+            const std::string labels = "model=\"" + times.first + "\",quantile=\"" + quantile + "\"";
+            add("knapweedslip_first_event_expected_ms", labels, times.second.m_expected.quantile(std::stod(quantile)));
+            add("knapweedslip_first_event_seen_ms", labels, times.second.m_seen.quantile(std::stod(quantile)));
+        }
+    }
     for (const std::pair<const std::string, SeenLatencyTarget> &target : context.m_latencyTargets) {
         const std::string model = "model=\"" + target.first + "\"";
         const ModelLoad &load = context.m_admission.load(target.first);
--- a/daemons/entryadmission.h
+++ b/daemons/entryadmission.h
@@ -26,6 +26,9 @@
 /** Returns when a client that is refused because of too little room should come back, in ms, at random, so that clients do not come back together. */
 std::int64_t overloadRetryMs(EntryContext &context);
 
+/** Records when the first event of a generation was expected and when it came. Does nothing for requests that were sent more than once. */
+void recordFirstEvent(EntryCall &call);
+
 /** Records that the answer to a generation request ended completely after @p events events. */
 void recordAnswerLength(EntryCall &call, std::int64_t events);
 
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -151,6 +151,13 @@
     std::int64_t m_seenMs = 0;
 };
 
+/** Times to the first event of the streams of one model that were sent once, from the arrival of the request. */
+struct FirstEventTimes
+{
+    LatencyHistogram m_expected;
+    LatencyHistogram m_seen;
+};
+
 /** This daemon's term as the leader, which manages the replicas. */
 struct Leadership
 {
@@ -206,6 +213,8 @@
     /** Average work that clients offer for each model; measured only while this daemon leads. */
     ModelDemand m_modelDemand;
     AnswerLength m_answerLength;
+    /** Expected and observed times to the first event, by model. */
+    std::map<std::string, FirstEventTimes> m_firstEventTimes;
     ClientDeadlines m_clientDeadlines;
     /** Shortest latency target of the routes on which requests for each model arrive. */
     std::map<std::string, SeenLatencyTarget> m_latencyTargets;
--- a/daemons/entrygeneration.cpp
+++ b/daemons/entrygeneration.cpp
@@ -143,6 +143,7 @@
     if (call.m_firstEventMs < 0) {
         call.m_firstEventMs = steadyMs() - call.m_arrivedMs;
         metrics.m_firstEvent.add(static_cast<double>(call.m_firstEventMs));
+        recordFirstEvent(call);
     }
     if (!state.m_headerSent) {
         const Result<Done> begun = co_await sendHeader(call, attempt, state);
