--- /dev/null
+++ b/review/run-2.sh
@@ -0,0 +1,12 @@
+# Sourced by the run.sh of a case. Runs its program from the root of the repository for 110 s at most; the program ends the processes that it started.
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.."
+program="target/review-2/case-$(basename "$folder")"
+[ -x "$program" ] && [ -x target/daemons/knapweedslip-entry ] || exit 2
+timeout -k 5 110 "$program" "$folder/record.txt"
+status=$?
+case $status in
+0 | 1) exit $status ;;
+*) exit 2 ;;
+esac
