--- a/review/stand2.hh
+++ b/review/stand2.hh
@@ -1296,8 +1296,8 @@
         , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
     {
     }
-    /** The server is cold for @p coldMs from now on. */
-    bool start(std::int64_t coldMs = 0)
+    /** The server is cold for @p coldMs from now on, and registers in the store @p registersAfterMs after it has begun to listen. */
+    bool start(std::int64_t coldMs = 0, std::int64_t registersAfterMs = 0)
     {
         m_coldUntilMs = nowMs() + coldMs;
         if (!m_listener.start(m_ip, m_port, [this](const ChannelPtr &channel) {
@@ -1305,12 +1305,12 @@
             })) {
             return false;
         }
-        std::thread([this]() {
-            std::int64_t wroteMs = -m_heartbeatMs;
+        std::thread([this, registersAfterMs]() {
+            std::int64_t wroteMs = nowMs() + registersAfterMs - m_heartbeatMs;
             std::int64_t write = 0;
             while (m_alive) {
                 // A write that the store refuses is tried again soon.
-                if (nowMs() - wroteMs >= m_heartbeatMs && !m_store.isAway()) {
+                if (!m_dark && nowMs() - wroteMs >= m_heartbeatMs && !m_store.isAway()) {
                     wroteMs = nowMs();
                     m_store.put("servers/" + m_id, entry(++write));
                 }
@@ -1334,22 +1334,38 @@
         m_alive = false;
         m_listener.end();
     }
+    /** Goes silent as a machine does that has crashed: nothing is answered or written any more, and channels hang until crash(). */
+    void goDark()
+    {
+        m_dark = true;
+    }
     const std::string &id() const
     {
         return m_id;
     }
 
+    static constexpr int Slots = 6;
+
     Run m_run;
     std::int64_t m_workMs = 30;
 
 private:
+    /** Returns whether the server had gone dark; then it has ended. */
+    bool waitWhileDark()
+    {
+        const bool isDark = m_dark;
+        while (m_dark && m_alive) {
+            sleepMs(5);
+        }
+        return isDark;
+    }
     std::string entry(std::int64_t write) const
     {
         return json::serialize(json::object{{"service", "app"},
                                             {"address", m_ip + ":" + std::to_string(m_port)},
                                             {"zone", m_zone},
                                             {"version", "v1"},
-                                            {"slots", 6},
+                                            {"slots", Slots},
                                             {"state", "ready"},
                                             {"coldLeftMs", coldLeftMs()},
                                             {"born", m_born},
@@ -1362,6 +1378,9 @@
             if (!channel.readRequest(request) || !m_alive) {
                 return;
             }
+            if (waitWhileDark()) {
+                return;
+            }
             const Fields id{{"Attempt-Id", field(request.m_fields, "Attempt-Id")}};
             const std::string expected = field(request.m_fields, "Expect-Instance");
             if (!expected.empty() && expected != m_id) {
@@ -1379,10 +1398,15 @@
             if (m_run) {
                 m_run(*this, request);
             }
+            ++m_running;
             sleepMs(m_workMs);
+            if (waitWhileDark()) {
+                return;
+            }
+            const std::string load = std::to_string(--m_running) + ",0," + std::to_string(Slots);
             // A server has nothing to send after the head of an answer to HEAD.
             const std::string body = request.m_method == "HEAD" ? "" : "{\"done\":true}";
-            if (!channel.write(answerText(200, {id.front(), {"Server-Stamp", m_id}}, body))) {
+            if (!channel.write(answerText(200, {id.front(), {"Server-Stamp", m_id}, {"Server-Load", load}}, body))) {
                 return;
             }
         }
@@ -1396,7 +1420,9 @@
     std::int64_t m_born;
     std::int64_t m_heartbeatMs = 1'200;
     std::int64_t m_coldUntilMs = 0;
+    std::atomic<int> m_running{0};
     std::atomic<bool> m_alive{true};
+    std::atomic<bool> m_dark{false};
     Listener m_listener;
 };
 
