--- a/review/stand2.hh
+++ b/review/stand2.hh
@@ -26,6 +26,7 @@
 #include <set>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -1459,6 +1460,8 @@
         const std::string output = m_folder + "/" + m_name + ".log";
         m_pid = ::fork();
         if (m_pid == 0) {
+            // The daemon ends with the program of the case, whatever ends that.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             ::signal(SIGPIPE, SIG_DFL);
             if (std::freopen(output.c_str(), "a", stdout) == nullptr || std::freopen(output.c_str(), "a", stderr) == nullptr) {
                 ::_exit(127);
