--- a/review/6/standin.cc
+++ b/review/6/standin.cc
@@ -43,6 +43,7 @@
             const std::lock_guard<std::mutex> lock(found.m_mutex);
             found.m_sent[attempt] = {nowMs(), key};
         }
+        record().line(attempt + " is sent to " + daemon.name());
         const bool isOrder = round % 2 == 0;
         Message answer;
         const bool answered = channel != nullptr
--- a/review/7/standin.cc
+++ b/review/7/standin.cc
@@ -37,6 +37,7 @@
         const std::lock_guard<std::mutex> lock(found.m_mutex);
         found.m_sent[attempt] = nowMs();
     }
+    record().line(attempt + " is sent to " + daemon.name() + (isPoison ? ", the request that comes again" : ""));
     const std::string target = isPoison ? "POST /order/17" : "GET /status/" + attempt;
     Message answer;
     const bool answered = channel != nullptr
@@ -113,7 +114,7 @@
             ChannelPtr channel;
             for (int round = 0; !stop; ++round) {
                 sendRequest(channel, daemon, "other" + std::to_string(i) + "-" + std::to_string(round), false, found);
-                sleepMs(2'000);
+                sleepMs(4'000);
             }
         });
     }
--- a/review/8/standin.cc
+++ b/review/8/standin.cc
@@ -116,6 +116,7 @@
             channel = connectTo(daemon.ip(), Daemon::Port);
         }
         const std::string attempt = name + "-" + std::to_string(round);
+        record().line(attempt + " is sent to " + daemon.name());
         Message answer;
         const bool isComplete = channel != nullptr
                                 && channel->write("POST /notices/" + attempt + " HTTP/1.1\r\nHost: api.example\r\nAuthorization: Bearer shop-key\r\nDeadline-Ms: 5000\r\n"
