--- a/autotests/processes/silentend.sh
+++ b/autotests/processes/silentend.sh
@@ -7,7 +7,8 @@
 CONTACT_MS=3000
 MAX_SENDS=3
 export DEADLINE_HEADER=1500 READ_TARGET_MS=150
-# name, path, word in the body, engines, upstreams of the plain service, how long an upstream stays away and how long its connections stay silent, in ms
+# name, path, word in the body, engines, upstreams of the plain service, how long an upstream stays away and how long its connections stay silent, in ms,
+# further options of the stand-in
 cases=(
     "reset-read|/read/a|CRASH|0|3|1200|0"
     "silent-read|/read/a|CRASH-SILENT|0|3|1200|1000"
@@ -17,6 +18,9 @@
     "dark-read|/read/a|CRASH-DARK|0|3|1200|1200"
     "dark-read-many|/read/a|CRASH-DARK|0|24|3000|3000"
     "successor-read|/read/a|CRASH|0|3|0|0"
+    "reborn-read|/read/a|CRASH-DARK|0|4|2000|2000|--keep-ids --register-ms 350"
+    "reborn-once|/once/a|CRASH-DARK|0|4|2000|2000|--keep-ids --register-ms 350"
+    "reborn-stream|/stream/a|CRASH-DARK|9|1|2000|2000|--keep-ids --register-ms 350"
 )
 
 send_crashing() { # path body
@@ -29,9 +33,10 @@
     wait "${sends[@]}"
 }
 
-run_case() { # name path word engines services restart-ms silent-ms
-    local name=$1 path=$2 word=$3 course innocent
-    start_hosting "${ENTRY_VMS:-8}" --engines "$4" --services "$5" --restart-ms "$6" --silent-ms "$7" --prefill-ms 30 || { status=1; return; }
+run_case() { # name path word engines services restart-ms silent-ms options
+    local name=$1 path=$2 word=$3 course innocent options
+    read -r -a options <<<"${8:-}"
+    start_hosting "${ENTRY_VMS:-8}" --engines "$4" --services "$5" --restart-ms "$6" --silent-ms "$7" --prefill-ms 30 "${options[@]}" || { status=1; return; }
     if ! wait_until 20 "$path is served by all daemons" serves "$path"; then
         status=1
         return
--- a/daemons/entrycrashes.cpp
+++ b/daemons/entrycrashes.cpp
@@ -8,10 +8,12 @@
 #include "daemons/entrycrashes.h"
 
 #include "daemons/entryavailability.h"
+#include "kernel/upstreamprobe.h"
 #include "net/crashcodec.h"
 #include "net/logging.h"
 #include "platform/callheaders.h"
 #include "platform/enginecalls.h"
+#include "platform/entrydecoder.h"
 
 namespace knapweedslip
 {
@@ -36,17 +38,8 @@
 /** Upstreams that are listed again are checked only while fewer checks than this run: after a long outage of the store all of them are. */
 constexpr std::size_t MaxListedAgainChecks = 32;
 
-/** Result of asking for an upstream at its address. */
-enum class ProbeResult {
-    Answered,
-    /** Nothing listens there, or another upstream answers. */
-    Gone,
-    NoAnswer,
-};
-
 awaitable<ProbeResult> probeUpstream(EntryContext &context, const UpstreamInstance &upstream)
 {
-    constexpr unsigned Misdirected = 421;
     // A pooled connection may be one that the upstream left silent.
     Result<HttpConnectionPtr> connected = co_await httpConnect(upstream.m_address, ProbeConnectTimeoutMs);
     if (failed(connected)) {
@@ -58,17 +51,21 @@
     if (failed(reply)) {
         co_return ProbeResult::NoAnswer;
     }
-    if (valueOf(reply).m_status == Misdirected) {
-        co_return ProbeResult::Gone;
+    const HttpReply &answer = valueOf(reply);
+    UpstreamEntry report;
+    platform::applyReport(report, answer.m_body);
+    const ProbeResult result = judgeProbeReply({upstream.m_id, upstream.m_startedMs}, {answer.m_status, report.m_startedMs});
+    if (result == ProbeResult::Gone) {
+        co_return result;
     }
-    if (platform::decodeResponseHeaders(valueOf(reply).m_status, valueOf(reply).m_headers).m_leaving) {
+    if (platform::decodeResponseHeaders(answer.m_status, answer.m_headers).m_leaving) {
         learnLeaving(context, {upstream.m_id, upstream.m_startedMs}, {});
     }
     if (!connection->m_closing) {
         connection->m_bootId = upstream.m_id;
         context.m_connections.give(std::move(connection));
     }
-    co_return ProbeResult::Answered;
+    co_return result;
 }
 
 bool isListed(const EntryContext &context, const UpstreamInstance &upstream)
--- a/standins/hosting.cpp
+++ b/standins/hosting.cpp
@@ -252,6 +252,8 @@
     app.add_option("--engines", options.m_engines, "model engines, of the service llm");
     app.add_option("--services", options.m_serviceUpstreams, "upstreams of the plain service app");
     app.add_option("--restart-ms", options.m_times.m_restartMs, "how long an upstream that has crashed stays away");
+    app.add_flag("--keep-ids", options.m_times.m_keepsId, "an upstream that has crashed comes back under its id");
+    app.add_option("--register-ms", options.m_times.m_registerMs, "time between the start of an upstream and its first entry in the store");
     app.add_option("--silent-ms", options.m_times.m_silentMs, "how long the connections of an upstream that has crashed silently stay open");
     app.add_option("--prefill-ms", options.m_times.m_prefillMs, "how long after its arrival a request begins to run");
     app.add_option("--part", options.m_partWords, "id=words: a request whose prompt has this part is treated as if its body contained the words");
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -354,6 +354,26 @@
     }
 }
 
+awaitable<void> HostingEngine::publishFirst(std::uint64_t lifetime)
+{
+    if (m_times.m_registerMs > 0) {
+        co_await sleepFor(m_times.m_registerMs);
+    }
+    if (m_alive && m_lifetime == lifetime) {
+        publish();
+    }
+}
+
+awaitable<void> HostingEngine::removeAfterMissedHeartbeats(std::string id, std::uint64_t lifetime)
+{
+    constexpr int HeartbeatsUntilRemoval = 3;
+    co_await sleepFor(HeartbeatsUntilRemoval * m_times.m_heartbeatMs);
+    const bool isWrittenAgain = m_entry.m_id == id && m_lifetime != lifetime && m_writes > 0;
+    if (!isWrittenAgain) {
+        hostingRemove(m_store, std::string(platform::key::Upstream) + id);
+    }
+}
+
 void HostingEngine::beginLifetime()
 {
     ++m_lifetime;
@@ -362,8 +382,10 @@
     m_writes = 0;
     m_fence = 0;
     m_words = {};
-    m_entry.m_id = "i-" + toHex(randomId());
-    m_entry.m_startedMs = unixSeconds() * 1'000;
+    if (m_entry.m_id.empty() || !m_times.m_keepsId) {
+        m_entry.m_id = "i-" + toHex(randomId());
+    }
+    m_entry.m_startedMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     m_entry.m_replica = {};
     m_entry.m_rank = -1;
     m_entry.m_phase = MemberPhase::None;
@@ -372,7 +394,7 @@
     m_acceptor.reset();
     m_acceptor = std::make_shared<Tcp::acceptor>(m_io, endpoint, true);
     record(m_history, "started", "\"engine\":\"" + m_entry.m_id + "\"");
-    publish();
+    asio::co_spawn(m_io, publishFirst(m_lifetime), asio::detached);
     asio::co_spawn(m_io, acceptConnections(m_acceptor, m_lifetime), asio::detached);
 }
 
@@ -417,7 +439,6 @@
 
 awaitable<void> HostingEngine::run()
 {
-    constexpr int HeartbeatsUntilRemoval = 3;
     constexpr std::int64_t PollMs = 20;
     while (true) {
         beginLifetime();
@@ -433,15 +454,7 @@
                 }
             }
         }
-        // The entry of an engine that has crashed stays in the list until its heartbeats are missed.
-        const std::string key = std::string(platform::key::Upstream) + m_entry.m_id;
-        asio::co_spawn(
-            m_io,
-            [](HostingStore &store, std::string gone, std::int64_t afterMs) -> awaitable<void> {
-                co_await sleepFor(afterMs);
-                hostingRemove(store, gone);
-            }(m_store, key, HeartbeatsUntilRemoval * m_times.m_heartbeatMs),
-            asio::detached);
+        asio::co_spawn(m_io, removeAfterMissedHeartbeats(m_entry.m_id, m_lifetime), asio::detached);
         co_await sleepFor(m_times.m_restartMs);
     }
 }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -27,6 +27,10 @@
     int m_eventsPerPass = 1;
     /** How long the engine stays away after it has crashed. */
     std::int64_t m_restartMs = 2'000;
+    /** An engine that has crashed comes back under its id. */
+    bool m_keepsId = false;
+    /** Time between the start of an engine and its first entry in the store. */
+    std::int64_t m_registerMs = 0;
     /** How long the connections of an engine that has crashed silently stay open. */
     std::int64_t m_silentMs = 1'000;
     std::int64_t m_heartbeatMs = 1'200;
@@ -126,7 +130,7 @@
  * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
  * successor starts. ENDLESS- and the name of an EndlessPart in capitals, as in ENDLESS-HEAD: answered with bytes without end. UNSIZED: the stream has neither a
  * length nor chunks and ends with its connection. WORKS-n: it runs for n ms before its answer begins. PAUSES-n: the events of the stream come n ms apart.
- * PADDED-n: each event of the stream is n bytes longer. An upstream that has ended comes back under another id.
+ * PADDED-n: each event of the stream is n bytes longer. An upstream that has ended comes back under another id, unless its times say otherwise.
  */
 class HostingEngine
 {
@@ -183,6 +187,10 @@
     /** Returns what the engine says of itself; @p count is its count of orders in a report and of writes in its entry. */
     std::string entryText(std::int64_t count) const;
     void publish();
+    /** Writes the first entry of a lifetime when it is due. */
+    awaitable<void> publishFirst(std::uint64_t lifetime);
+    /** Removes the entry of a lifetime that has ended, as the store does after missed heartbeats, unless a later one has written it. */
+    awaitable<void> removeAfterMissedHeartbeats(std::string id, std::uint64_t lifetime);
     /** Writes @p text as the entry with the key @p key after @p afterMs. */
     awaitable<void> publishLate(std::string key, std::string text, std::int64_t afterMs);
 
