--- a/autotests/eventreassemblertest.cpp
+++ b/autotests/eventreassemblertest.cpp
@@ -266,3 +266,25 @@
         CHECK(completeEventLength(row.m_second, scan) == row.m_length);
     }
 }
+
+// Guards against a series of events without a length that breaks off inside an event and is passed on as complete (ORDER, MIXED).
+TEST_CASE("a series of events that ends inside an event is told from a whole one", "[events]")
+{
+    struct Row
+    {
+        const char *m_text;
+        bool m_endsInside;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"", false},
+        {"id: 1\ndata: a\n\n", false},
+        {"id: 1\r\ndata: a\r\n\r\n", false},
+        {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false},
+        {"id: 1\ndata: a\n", true},
+        {"id: 1\ndata: a\n\nid: 2\ndata: {\"t", true},
+        {"id: 1\ndata: a\n\nid", true},
+        {"id: 1\r\ndata: a\r\n\r", true},
+    }));
+    INFO(row.m_text);
+    CHECK(endsInsideEvent(row.m_text) == row.m_endsInside);
+}
--- a/daemons/entrycall.cpp
+++ b/daemons/entrycall.cpp
@@ -457,6 +457,8 @@
     }
     if (call.m_service->m_engines) {
         co_await relayGeneration(call);
+    } else if (call.m_admission.m_route->m_kind == CallKind::Streaming) {
+        co_await relayServiceStream(call);
     } else {
         co_await relayServiceCall(call);
     }
--- a/daemons/entrycall.h
+++ b/daemons/entrycall.h
@@ -180,6 +180,8 @@
 
 /** Serves a call to a plain service. */
 awaitable<void> relayServiceCall(EntryCall &call);
+/** Serves a call to a plain service whose answer is a series of events. */
+awaitable<void> relayServiceStream(EntryCall &call);
 /** Serves a generation on a replica. */
 awaitable<void> relayGeneration(EntryCall &call);
 /** Serves one request of a client. */
--- a/examples/hosting.sh
+++ b/examples/hosting.sh
@@ -38,6 +38,8 @@
 {"version":1,"limits":{},
 "routes":[
 {"name":"stream","host":"api","pathPrefix":"/stream/","routeType":"streaming","service":"llm","timeoutMs":${STREAM_TIMEOUT_MS:-8000},"latencyTargetMs":1000,"maxAttempts":3,"resumable":true},
+{"name":"digest","host":"api","pathPrefix":"/digest/","routeType":"streaming","service":"app","timeoutMs":${STREAM_TIMEOUT_MS:-8000},"latencyTargetMs":1000,"maxAttempts":3,"resumable":true},
+{"name":"notice","host":"api","pathPrefix":"/notice/","routeType":"streaming","service":"app","timeoutMs":${STREAM_TIMEOUT_MS:-8000},"latencyTargetMs":1000,"maxAttempts":3},
 {"name":"once","host":"api","pathPrefix":"/once/","routeType":"non_idempotent","service":"app","timeoutMs":${CALL_TIMEOUT_MS:-1500},"latencyTargetMs":500,"maxAttempts":2},
 {"name":"read","host":"api","pathPrefix":"/read/","routeType":"idempotent","service":"app","timeoutMs":${CALL_TIMEOUT_MS:-1500},"latencyTargetMs":${READ_TARGET_MS:-500},"maxAttempts":3}],
 "services":[{"name":"app"},
--- a/kernel/eventreassembler.cpp
+++ b/kernel/eventreassembler.cpp
@@ -28,6 +28,16 @@
     return 0;
 }
 
+bool endsInsideEvent(std::string_view text)
+{
+    EventScan scan;
+    for (std::size_t length = completeEventLength(text, scan); length > 0; length = completeEventLength(text, scan)) {
+        text.remove_prefix(length);
+        scan = {};
+    }
+    return !text.empty();
+}
+
 std::optional<std::int64_t> parseEventId(std::string_view event)
 {
     constexpr std::string_view Field = "id:";
--- a/kernel/eventreassembler.h
+++ b/kernel/eventreassembler.h
@@ -40,6 +40,9 @@
  */
 std::size_t completeEventLength(std::string_view text, EventScan &scan);
 
+/** Returns whether @p text, a series of events, ends inside an event. */
+bool endsInsideEvent(std::string_view text);
+
 /**
  * Combines the server-sent events of several attempts into one stream: complete events only, each id once, in order. An event that an
  * attempt left incomplete is discarded. Memory: at most MaxEventBytes of one incomplete event. Each byte is examined once.
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -36,6 +36,10 @@
 constexpr const char *PausesWord = "PAUSES-";
 constexpr const char *PaddedWord = "PADDED-";
 
+/** Path prefixes of the plain service whose answers are streams. */
+constexpr std::string_view DigestPrefix = "/digest/";
+constexpr std::string_view NoticePrefix = "/notice/";
+
 /** Time between an answer and its copy on the idle connection, in ms. */
 constexpr std::int64_t IdleCopyMs = 2;
 
@@ -714,7 +718,8 @@
     if (m_words.m_leaving) {
         record(m_history, "said-leaving", describeRequest(request, m_entry.m_id));
     }
-    if (!m_entry.m_domain.empty()) {
+    const bool isStream = !m_entry.m_domain.empty() || path.starts_with(DigestPrefix) || path.starts_with(NoticePrefix);
+    if (isStream) {
         co_await streamEvents(connection, request, lifetime);
         co_return;
     }
