--- a/autotests/admitcalltest.cpp
+++ b/autotests/admitcalltest.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/admitcall.h"
 #include "autotests/entryfixtures.h"
+#include "platform/configdecoder.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -190,3 +191,45 @@
         CHECK(refusalStatus(reasonAfterDispatch(reason, true)) != 429);
     }
 }
+
+// Guards against keys that are admitted although the configuration has taken the last one away (CONFIG, ROUTE).
+TEST_CASE("a configuration with an empty list of workspaces admits no key", "[entry][admit]")
+{
+    struct Row
+    {
+        const char *m_description;
+        const char *m_tenants;
+        const char *m_path;
+        std::int64_t m_ageMs;
+        RefusalReason m_reason;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"no list: no key is needed", "", "/keyed/1", 100, RefusalReason::None},
+        {"a list with the key", R"(,"tenants":[{"name":"t","apiKeys":["k"]}])", "/keyed/1", 100, RefusalReason::None},
+        {"an empty list", R"(,"tenants":[])", "/keyed/1", 100, RefusalReason::UnknownKey},
+        {"an empty list that may be old", R"(,"tenants":[])", "/keyed/1", 1'500, RefusalReason::StaleKeys},
+        {"a workspace without keys", R"(,"tenants":[{"name":"t","apiKeys":[]}])", "/keyed/1", 100, RefusalReason::UnknownKey},
+        {"a list without a workspace that can be read", R"(,"tenants":["t"])", "/keyed/1", 100, RefusalReason::UnknownKey},
+        {"a public route", R"(,"tenants":[])", "/open/1", 100, RefusalReason::None},
+    }));
+    INFO(row.m_description);
+    const std::string text = R"({"version":2,"services":[{"name":"s"}],"routes":[
+{"name":"keyed","host":"h","pathPrefix":"/keyed/","routeType":"non_idempotent","timeoutMs":1000,"service":"s"},
+{"name":"open","host":"h","pathPrefix":"/open/","routeType":"non_idempotent","timeoutMs":1000,"service":"s","public":true}])"
+                             + std::string(row.m_tenants) + "}";
+    const Result<CallConfigPtr> config = platform::decodeConfig(text, {1, 1});
+    REQUIRE(!failed(config));
+    CallRequest query;
+    query.m_host = "h";
+    query.m_path = row.m_path;
+    query.m_key = "k";
+    CHECK(admitCall(valueOf(config).get(), ConfigAge{row.m_ageMs}, Limits, query).m_reason == row.m_reason);
+}
+
+TEST_CASE("a configuration whose workspaces are not a list is an error", "[entry][admit]")
+{
+    for (const char *tenants : {"null", "{}", "\"t\"", "0"}) {
+        INFO(tenants);
+        CHECK(failed(platform::decodeConfig(R"({"version":2,"services":[],"routes":[],"tenants":)" + std::string(tenants) + "}", {1, 1})));
+    }
+}
--- a/kernel/admitcall.cpp
+++ b/kernel/admitcall.cpp
@@ -78,7 +78,7 @@
         return admission;
     }
     admission.m_priority = admission.m_route->m_priority;
-    if (!admission.m_route->m_public && !config->m_workspaces.empty()) {
+    if (!admission.m_route->m_public && config->m_requiresKeys) {
         if (age.m_ageMs < 0 || age.m_ageMs > limits.m_maxKeyAgeMs) {
             admission.m_reason = RefusalReason::StaleKeys;
             return admission;
--- a/kernel/admitcall.h
+++ b/kernel/admitcall.h
@@ -93,7 +93,7 @@
     RefusalReason m_reason = RefusalReason::None;
     /** Null when no route matches. */
     const CallRoute *m_route = nullptr;
-    /** Null when no key was checked: on a public route, or when the configuration has no workspaces. */
+    /** Null when no key was checked: on a public route, or when the configuration requires no keys. */
     const CallWorkspace *m_workspace = nullptr;
     /** Time in which the request must be answered completely, in ms. */
     std::int64_t m_timeLimitMs = 0;
--- a/kernel/callconfig.h
+++ b/kernel/callconfig.h
@@ -145,6 +145,8 @@
     std::vector<CallRoute> m_routes;
     std::map<std::string, CallService> m_services;
     std::vector<CallWorkspace> m_workspaces;
+    /** Requests need the key of a workspace, except on public routes; without workspaces none has one. */
+    bool m_requiresKeys = true;
     IngressLimits m_limits;
 
     /** Indices into m_routes by host and path prefix, and into m_workspaces by key; filled by indexConfig(). */
