--- a/net/http.cpp
+++ b/net/http.cpp
@@ -93,6 +93,26 @@
     return fields > 0 && (fields > 1 || !isChunked || version < FirstVersion);
 }
 
+bool hasInvalidFieldName(std::string_view head)
+{
+    constexpr std::string_view EndOfLine = "\r\n";
+    constexpr std::string_view TokenSymbols = "!#$%&'*+-.^_`|~";
+    const auto isTokenCharacter = [TokenSymbols](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || TokenSymbols.find(c) != std::string_view::npos;
+    };
+    std::size_t end = head.find(EndOfLine);
+    while (end != std::string_view::npos) {
+        head.remove_prefix(end + EndOfLine.size());
+        end = head.find(EndOfLine);
+        const std::string_view line = head.substr(0, end);
+        const std::string_view name = line.substr(0, line.find(':'));
+        if (!line.empty() && (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,6 +17,9 @@
 /** Bodies up to this size, in bytes, fit the smallest socket buffers, so writing them does not wait for the peer to read. */
 constexpr std::size_t ShortBodyBytes = 8 * 1024;
 
+/** Longest head of a response, in bytes. */
+constexpr std::uint32_t MaxHeadBytes = 8 * 1024;
+
 /** Returns whether an idle connection is still open and has no unexpected bytes to read. */
 bool isOpenAndIdle(HttpConnection &connection)
 {
@@ -153,6 +156,49 @@
 
 namespace
 {
+/** Reads until the buffer holds the head of a response, or too much for one. Fails with ProtocolViolation if the name of a field in it is invalid. */
+awaitable<Result<Done>> bufferHead(HttpConnection &connection)
+{
+    constexpr std::string_view EndOfHead = "\r\n\r\n";
+    constexpr std::size_t MaxReadBytes = 64 * 1024;
+    std::size_t searched = 0;
+    while (connection.m_buffer.size() <= MaxHeadBytes) {
+        const std::string_view bytes(static_cast<const char *>(connection.m_buffer.data().data()), connection.m_buffer.size());
+        const std::size_t end = bytes.find(EndOfHead, searched);
+        if (end != std::string_view::npos) {
+            if (hasInvalidFieldName(bytes.substr(0, end))) {
+                co_return Error{ErrorCode::ProtocolViolation, "a field of the answer has an invalid name"};
+            }
+            co_return Done{};
+        }
+        searched = bytes.size() - std::min(bytes.size(), EndOfHead.size() - 1);
+        const std::size_t wanted = beast::read_size(connection.m_buffer, MaxReadBytes);
+        const auto [error, size] = co_await connection.m_stream.async_read_some(connection.m_buffer.prepare(wanted), UseTuple);
+        if (error) {
+            co_return toError(error);
+        }
+        connection.m_buffer.commit(size);
+    }
+    // The parser tells that the head is too long.
+    co_return Done{};
+}
+
+/** Reads the head of a response. The parser alone would take a line that begins with a blank for a part of the line before it. */
+template<typename Parser>
+awaitable<Result<Done>> readHead(HttpConnection &connection, Parser &parser)
+{
+    parser.header_limit(MaxHeadBytes);
+    const Result<Done> buffered = co_await bufferHead(connection);
+    if (failed(buffered)) {
+        co_return buffered;
+    }
+    const auto [error, size] = co_await http::async_read_header(connection.m_stream, connection.m_buffer, parser, UseTuple);
+    if (error) {
+        co_return toError(error);
+    }
+    co_return Done{};
+}
+
 /** Reads one complete response, within the time that is set for the connection. */
 awaitable<Result<HttpReply>> readReply(HttpConnection &connection, const std::string &method, std::size_t maxBodyBytes)
 {
@@ -161,6 +207,10 @@
     if (method == "HEAD") {
         parser.skip(true);
     }
+    const Result<Done> head = co_await readHead(connection, parser);
+    if (failed(head)) {
+        co_return errorOf(head);
+    }
     const auto [error, size] = co_await http::async_read(connection.m_stream, connection.m_buffer, parser, UseTuple);
     if (error) {
         co_return toError(error);
@@ -278,11 +328,7 @@
 
 awaitable<Result<Done>> HttpStream::readHeader()
 {
-    const auto [error, size] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, *m_parser, UseTuple);
-    if (error) {
-        co_return toError(error);
-    }
-    co_return Done{};
+    co_return co_await readHead(m_connection, *m_parser);
 }
 
 awaitable<Result<Done>> HttpStream::skipResponse(std::size_t maxBodyBytes, std::int64_t timeoutMs)
@@ -355,7 +401,8 @@
 
 bool HttpStream::reusable() const
 {
-    return !m_skippedResponse && m_parser->is_done() && *m_requestSent && m_parser->get().keep_alive() && m_connection.m_buffer.size() == 0;
+    return !m_skippedResponse && m_parser->is_done() && *m_requestSent && m_parser->get().keep_alive()
+           && m_connection.m_buffer.size() == 0;
 }
 
 std::vector<std::string> EventSplitter::feed(std::string_view text)
