--- a/autotests/spoiltrepliestest.cpp
+++ b/autotests/spoiltrepliestest.cpp
@@ -127,6 +127,37 @@
 const std::pair<const char *, ReadFunction> Readers[] = {{"as a stream", readAsStream}, {"as a whole reply", readAsReply}};
 }
 
+// Guards against an answer whose status is none, such as 000, that is passed on as an answer (MIXED).
+TEST_CASE("an answer whose status is not that of a final answer is a failure", "[http][spoilt]")
+{
+    struct Row
+    {
+        const char *m_status;
+        bool m_isAnswer;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"000", false},
+        {"001", false},
+        {"099", false},
+        {"100", false},
+        {"199", false},
+        {"200", true},
+        {"299", true},
+        {"404", true},
+        {"503", true},
+        {"599", true},
+        {"600", false},
+        {"999", false},
+    }));
+    for (const std::pair<const char *, ReadFunction> &reader : Readers) {
+        INFO(row.m_status << " read " << reader.first);
+        const ServerCourse course{"HTTP/1.1 " + std::string(row.m_status) + " Odd\r\nContent-Length: 2\r\n\r\nok"};
+        const Received received = exchange(reader.second, HttpRequest(), course);
+        CHECK(received.m_isComplete == row.m_isAnswer);
+        CHECK((received.m_error == ErrorCode::ProtocolViolation) == (!row.m_isAnswer));
+    }
+}
+
 // Guards against an answer that is passed on although the name of a field in its head holds a blank or a control byte (MIXED).
 TEST_CASE("an answer in which the name of a field is no token is a failure", "[http][spoilt]")
 {
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -113,6 +113,13 @@
     return false;
 }
 
+bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned First = 200;
+    constexpr unsigned Last = 599;
+    return status >= First && status <= Last;
+}
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/net/http.h
+++ b/net/http.h
@@ -55,6 +55,9 @@
  */
 bool hasInvalidFieldName(std::string_view head);
 
+/** Returns whether @p status is one of a final response (RFC 9110, 15): not an interim one, and in one of the classes that exist. */
+bool isFinalStatus(unsigned status);
+
 /** Returns @p target without its query string. */
 std::string_view pathOf(std::string_view target);
 /** Returns the value of query parameter @p name, or an empty string. Does not decode percent-encoding. */
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -196,6 +196,9 @@
     if (error) {
         co_return toError(error);
     }
+    if (!isFinalStatus(parser.get().result_int())) {
+        co_return Error{ErrorCode::ProtocolViolation, "the answer has the status " + std::to_string(parser.get().result_int())};
+    }
     co_return Done{};
 }
 
