--- a/autotests/spoiltrepliestest.cpp
+++ b/autotests/spoiltrepliestest.cpp
@@ -196,3 +196,38 @@
         CHECK(received.m_isComplete == row.m_isAnswer);
     }
 }
+
+// Guards against a part of an answer that is taken for all of it, because the write of the request met the reset that ended the answer (MIXED).
+TEST_CASE("an answer without a length that ends while the request is being written is not complete", "[http][spoilt]")
+{
+    struct Row
+    {
+        const char *m_description;
+        std::size_t m_bodyBytes;
+        bool m_answersEarly;
+        const char *m_fields;
+        ServerEnd m_end;
+        bool m_isComplete;
+    };
+    constexpr std::size_t Long = 16 * 1024 * 1024;
+    const Row row = GENERATE(values<Row>({
+        {"a reset", Long, true, "", ServerEnd::Resets, false},
+        {"an orderly end", Long, true, "", ServerEnd::Closes, false},
+        {"a length, then a reset", Long, true, "Content-Length: 5\r\n", ServerEnd::Resets, true},
+        {"chunks, then a reset", Long, true, "Transfer-Encoding: chunked\r\n", ServerEnd::Resets, false},
+        {"the request was read, an orderly end", Long, false, "", ServerEnd::Closes, true},
+        {"the request was read, a reset", Long, false, "", ServerEnd::Resets, false},
+        {"a short request, an orderly end", 10, false, "", ServerEnd::Closes, true},
+        {"a short request, a reset", 10, false, "", ServerEnd::Resets, false},
+        {"the connection stays", Long, true, "Content-Length: 5\r\n", ServerEnd::Stays, true},
+    }));
+    INFO(row.m_description);
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_body = std::string(row.m_bodyBytes, 'x');
+    const std::string chunk = std::string(row.m_fields).starts_with("Transfer") ? "5\r\nhello\r\n" : "hello";
+    const ServerCourse course{"HTTP/1.1 200 OK\r\n" + std::string(row.m_fields) + "\r\n" + chunk, row.m_end, row.m_answersEarly};
+    const Received received = exchange(readAsStream, request, course);
+    CHECK(received.m_isComplete == row.m_isComplete);
+    CHECK(received.m_hasHead);
+}
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -313,11 +313,11 @@
         if (writeError) {
             co_return toError(writeError);
         }
-        *m_requestSent = true;
+        *m_requestWrite = RequestWrite::Done;
     } else {
         // The server may respond before it has read a long body; reading that response must not wait for the write.
-        http::async_write(m_connection.m_stream, *message, [message, body, sent = m_requestSent](const boost::system::error_code &error, std::size_t) {
-            *sent = !error;
+        http::async_write(m_connection.m_stream, *message, [message, body, state = m_requestWrite](const boost::system::error_code &error, std::size_t) {
+            *state = error ? RequestWrite::Failed : RequestWrite::Done;
         });
     }
     co_return co_await readHeader();
@@ -389,6 +389,9 @@
             co_return std::string_view(m_readBuffer.data(), received);
         }
     }
+    if (m_parser->need_eof() && *m_requestWrite != RequestWrite::Done) {
+        co_return Error{ErrorCode::ConnectionLost, "the connection ended before the request was written"};
+    }
     co_return std::string_view();
 }
 
@@ -404,7 +407,7 @@
 
 bool HttpStream::reusable() const
 {
-    return !m_skippedResponse && m_parser->is_done() && *m_requestSent && m_parser->get().keep_alive()
+    return !m_skippedResponse && m_parser->is_done() && *m_requestWrite == RequestWrite::Done && m_parser->get().keep_alive()
            && m_connection.m_buffer.size() == 0;
 }
 
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -137,7 +137,8 @@
     HeaderFields headers() const;
     /**
      * Returns the next bytes of the body, valid until the next call, or an empty view at the end of a complete body. Fails with Timeout if no
-     * bytes arrive for @p timeoutMs (at most 1.25 times as long), or with ConnectionLost.
+     * bytes arrive for @p timeoutMs (at most 1.25 times as long), or with ConnectionLost. An answer without a length that ends before the request is written
+     * is not complete: a reset may show to the write alone, and the end of the connection then looks orderly to the read.
      */
     awaitable<Result<std::string_view>> read(std::int64_t timeoutMs);
     /** Returns whether the response has neither a length nor chunks, so that its body ends with the connection. */
@@ -151,6 +152,13 @@
     bool reusable() const;
 
 private:
+    /** How far the request was written. */
+    enum class RequestWrite {
+        Running,
+        Done,
+        Failed,
+    };
+
     static constexpr std::size_t ReadBufferBytes = 8 * 1024;
 
     using Parser = http::response_parser<http::buffer_body>;
@@ -164,8 +172,8 @@
     /** An answer to another request came on the connection. */
     bool m_skippedResponse = false;
     std::vector<char> m_readBuffer;
-    /** The request was written completely. Shared with the write of a long body, which may outlive this object. */
-    std::shared_ptr<bool> m_requestSent = std::make_shared<bool>(false);
+    /** Shared with the write of a long body, which may outlive this object. */
+    std::shared_ptr<RequestWrite> m_requestWrite = std::make_shared<RequestWrite>(RequestWrite::Running);
 };
 
 /**
