--- a/daemons/entrystream.cpp
+++ b/daemons/entrystream.cpp
@@ -82,7 +82,8 @@
             co_return StreamAttemptResult::Failed;
         }
     }
-    if (!state.m_reassembler.endsStream(attempt.stream().endsWithConnection())) {
+    const bool hasBody = call.m_exchange.request().m_method != "HEAD";
+    if (hasBody && !state.m_reassembler.endsStream(attempt.stream().endsWithConnection())) {
         const std::string what = state.m_reassembler.hasPartialEvent() ? "the answer ended inside an event" : "the answer ended without an event";
         logAttemptFailed(call, upstream, AttemptOutcome::MayHaveRun, what);
         attempt.handleMissingAnswer();
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -306,6 +306,8 @@
     if (body == nullptr) {
         body = std::make_shared<const std::string>(request.m_body);
     }
+    m_isHead = request.m_method == "HEAD";
+    resetParser();
     const std::shared_ptr<RequestMessage> message = std::make_shared<RequestMessage>(toMessage(m_connection, request, *body));
     extendDeadline(timeoutMs);
     if (body->size() <= ShortBodyBytes) {
@@ -327,6 +329,7 @@
 {
     m_parser.emplace();
     m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHead);
 }
 
 awaitable<Result<Done>> HttpStream::readHeader()
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -169,6 +169,8 @@
 
     HttpConnection &m_connection;
     std::optional<Parser> m_parser;
+    /** The request is a HEAD request, so that answers have no body whatever their headers say. */
+    bool m_isHead = false;
     /** An answer to another request came on the connection. */
     bool m_skippedResponse = false;
     std::vector<char> m_readBuffer;
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -134,6 +134,11 @@
     return !m_reusable;
 }
 
+bool HttpExchange::sendsBody() const
+{
+    return m_request->m_method != "HEAD";
+}
+
 void HttpExchange::onCallerDisconnect(std::function<void()> action)
 {
     m_watch = std::make_shared<CallerWatch>();
@@ -244,9 +249,13 @@
     setFields(message, reply.m_headers);
     message.body() = std::move(reply.m_body);
     message.prepare_payload();
+    if (!sendsBody() && message.body().empty()) {
+        // An upstream's answer to HEAD was read without its body, whose length is not known.
+        message.erase(http::field::content_length);
+    }
     message.keep_alive(!closesAfterResponse());
     if (m_writer != nullptr) {
-        const Result<Done> written = writeBufferedHeader(message.base(), message.body(), true);
+        const Result<Done> written = writeBufferedHeader(message.base(), sendsBody() ? std::string_view(message.body()) : std::string_view(), true);
         if (failed(written)) {
             co_return written;
         }
@@ -255,7 +264,14 @@
         co_return co_await drainBuffered();
     }
     m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
-    const auto [error, size] = co_await http::async_write(m_stream, message, UseTuple);
+    http::response_serializer<http::string_body> serializer(message);
+    serializer.split(!sendsBody());
+    boost::system::error_code error;
+    if (sendsBody()) {
+        std::tie(error, std::ignore) = co_await http::async_write(m_stream, serializer, UseTuple);
+    } else {
+        std::tie(error, std::ignore) = co_await http::async_write_header(m_stream, serializer, UseTuple);
+    }
     if (error) {
         m_reusable = false;
         co_return Error{ErrorCode::ConnectionLost, error.message()};
@@ -295,6 +311,9 @@
 
 awaitable<Result<Done>> HttpExchange::writeChunk(std::string_view text)
 {
+    if (!sendsBody()) {
+        co_return Done{};
+    }
     if (m_writer != nullptr) {
         co_return writeBufferedChunk(text);
     }
@@ -310,12 +329,15 @@
 awaitable<Result<Done>> HttpExchange::endStream()
 {
     if (m_writer != nullptr) {
-        const Result<Done> ended = writeBufferedEnd();
+        const Result<Done> ended = sendsBody() ? writeBufferedEnd() : Result<Done>(Done{});
         if (failed(ended)) {
             co_return ended;
         }
         co_return co_await drainBuffered();
     }
+    if (!sendsBody()) {
+        co_return Done{};
+    }
     m_stream.expires_after(std::chrono::milliseconds(WriteTimeoutMs));
     const auto [error, size] = co_await asio::async_write(m_stream, http::make_chunk_last(), UseTuple);
     if (error) {
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -111,6 +111,8 @@
 
     /** Returns whether the connection closes after this response. */
     bool closesAfterResponse();
+    /** Returns whether the response has a body: that to a HEAD request ends with its header, whatever that announces. */
+    bool sendsBody() const;
 
     beast::tcp_stream &m_stream;
     std::shared_ptr<const HttpRequest> m_request;
