--- a/net/http.cpp
+++ b/net/http.cpp
@@ -105,7 +105,8 @@
         head.remove_prefix(end + EndOfLine.size());
         end = head.find(EndOfLine);
         const std::string_view line = head.substr(0, end);
-        const std::string_view name = line.substr(0, line.find(':'));
+        const std::size_t colon = line.find(':');
+        const std::string_view name = colon == std::string_view::npos ? std::string_view() : line.substr(0, colon);
         if (!line.empty() && (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))) {
             return true;
         }
--- a/net/http.h
+++ b/net/http.h
@@ -50,8 +50,8 @@
 bool hasUnsupportedTransferCoding(unsigned version, const HeaderFields &headers);
 
 /**
- * Returns whether the name of a field in @p head, the lines of a response before the empty one, is no token (RFC 9110, 5.1): it is empty or holds a blank or a
- * control character, also as its first. Such a line may hide a field or forge one, so that nothing of the response can be relied on.
+ * Returns whether the name of a field in @p head, the lines of a response before the empty one, is no token (RFC 9110, 5.1): it is missing, or holds a blank or
+ * a control character, also as its first. Such a line may hide a field or forge one, so that nothing of the response can be relied on.
  */
 bool hasInvalidFieldName(std::string_view head);
 
