--- a/autotests/upstreamanswertest.cpp
+++ b/autotests/upstreamanswertest.cpp
@@ -80,3 +80,34 @@
         CHECK(proveAnswer(decoded, "r2", true) == AnswerProof::OtherRequest);
     }
 }
+
+// Guards against a status that promises "not run" and is passed on although the upstream has run the request (REFUSED).
+TEST_CASE("a status that promises that a request has not run is believed only if the upstream declares it", "[answer][platform]")
+{
+    struct Row
+    {
+        unsigned m_status;
+        bool m_declares;
+        AnswerProof m_proof;
+    };
+    const Row row = GENERATE(values<Row>({
+        {200, false, AnswerProof::Answered},
+        {400, false, AnswerProof::Answered},
+        {400, true, AnswerProof::NotRun},
+        {408, false, AnswerProof::Spoiled},
+        {408, true, AnswerProof::NotRun},
+        {421, false, AnswerProof::NotRun},
+        {429, false, AnswerProof::Spoiled},
+        {429, true, AnswerProof::NotRun},
+        {500, false, AnswerProof::Answered},
+        {503, false, AnswerProof::Spoiled},
+        {503, true, AnswerProof::NotRun},
+        {504, false, AnswerProof::Answered},
+    }));
+    CAPTURE(row.m_status, row.m_declares);
+    HeaderFields headers{{"Attempt-Id", "r1"}, {"Server-Stamp", "s"}};
+    if (row.m_declares) {
+        headers.emplace_back("Not-Executed", "1");
+    }
+    CHECK(proveAnswer(platform::decodeResponseHeaders(row.m_status, headers).m_claims, "r1", false) == row.m_proof);
+}
--- a/kernel/upstreamanswer.cpp
+++ b/kernel/upstreamanswer.cpp
@@ -19,6 +19,9 @@
     if (claims.m_notRun) {
         return claims.m_success ? AnswerProof::Spoiled : AnswerProof::NotRun;
     }
+    if (claims.m_promisesNotRun) {
+        return AnswerProof::Spoiled;
+    }
     return claims.m_signed ? AnswerProof::Answered : AnswerProof::Spoiled;
 }
 }
--- a/kernel/upstreamanswer.h
+++ b/kernel/upstreamanswer.h
@@ -16,6 +16,8 @@
     bool m_signed = false;
     /** It declares that the upstream did not run the request and never will. */
     bool m_notRun = false;
+    /** Its status promises clients that the request has not run. Only an upstream that declares the same can be quoted with it. */
+    bool m_promisesNotRun = false;
     /** Its body has a content encoding, so it is not as the upstream made it. */
     bool m_contentEncoded = false;
 };
