--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -7,10 +7,12 @@
 #include "platform/callheaders.h"
 #include "platform/names.h"
 
+#include <algorithm>
 #include <array>
 #include <cctype>
 #include <cstdlib>
 #include <cstring>
+#include <functional>
 #include <sstream>
 #include <utility>
 
@@ -100,6 +102,25 @@
            + "\r\n";
 }
 
+/** Calls a function at the end of a scope. */
+class ScopeExit
+{
+public:
+    explicit ScopeExit(std::function<void()> action)
+        : m_action(std::move(action))
+    {
+    }
+    ~ScopeExit()
+    {
+        m_action();
+    }
+    ScopeExit(const ScopeExit &) = delete;
+    ScopeExit &operator=(const ScopeExit &) = delete;
+
+private:
+    std::function<void()> m_action;
+};
+
 std::string describeRequest(const HttpRequest &request, const std::string &engine)
 {
     return "\"engine\":\"" + engine + "\",\"attempt\":\"" + std::string(headerValue(request.m_headers, platform::header::RequestId)) + "\",\"path\":\""
@@ -393,6 +414,13 @@
     m_entry.m_replica = {};
     m_entry.m_rank = -1;
     m_entry.m_phase = MemberPhase::None;
+    m_members.clear();
+    m_highestEpoch = 0;
+    m_stalledMs = -1;
+    m_runningRequests = 0;
+    if (m_cluster != nullptr) {
+        m_cluster->m_engines[m_entry.m_id] = this;
+    }
     const Tcp::endpoint endpoint = valueOf(parseEndpoint(m_address));
     // The acceptor of a predecessor that stood still has the address.
     m_acceptor.reset();
@@ -406,6 +434,9 @@
 {
     record(m_history, "ended", describeRequest(cause, m_entry.m_id) + ",\"connections\":" + std::to_string(m_connections.size()));
     m_alive = false;
+    if (m_cluster != nullptr) {
+        m_cluster->m_engines.erase(m_entry.m_id);
+    }
     boost::system::error_code ignored;
     const bool isDark = contains(cause.m_body, CrashDarkWord);
     if (isDark || contains(cause.m_body, CrashSilentWord)) {
@@ -449,6 +480,9 @@
         std::int64_t heartbeatMs = steadyMs();
         while (m_alive) {
             co_await sleepFor(PollMs);
+            if (m_alive) {
+                updateGroup();
+            }
             if (m_alive && steadyMs() - heartbeatMs >= m_times.m_heartbeatMs) {
                 heartbeatMs = steadyMs();
                 if (m_times.m_hidesHeartbeats) {
@@ -505,6 +539,91 @@
     m_connections.erase(connection);
 }
 
+void HostingEngine::setCluster(HostingCluster &cluster)
+{
+    m_cluster = &cluster;
+}
+
+void HostingEngine::enterPhaseLater(MemberPhase phase, std::int64_t afterMs)
+{
+    asio::co_spawn(
+        m_io,
+        [](HostingEngine &engine, MemberPhase next, std::int64_t waitMs, std::uint64_t lifetime, ReplicaRef replica) -> awaitable<void> {
+            co_await sleepFor(waitMs);
+            if (engine.m_alive && engine.m_lifetime == lifetime && engine.m_entry.m_replica == replica) {
+                engine.m_entry.m_phase = next;
+                if (next == MemberPhase::Ready && engine.m_cluster != nullptr) {
+                    engine.m_cluster->m_ready.insert({engine.m_entry.m_id, replica});
+                }
+                engine.publish();
+            }
+        }(*this, phase, afterMs, m_lifetime, m_entry.m_replica),
+        asio::detached);
+}
+
+bool HostingEngine::delayOrder(const std::string &body)
+{
+    if (!happens(m_faults.m_lateOrderShare)) {
+        return false;
+    }
+    const bool isLate = happens(0.5);
+    const std::int64_t afterMs = isLate ? std::uniform_int_distribution<std::int64_t>(0, m_faults.m_lateOrderMs)(m_random) : 0;
+    asio::co_spawn(
+        m_io,
+        [](HostingEngine &engine, std::string order, std::int64_t waitMs, std::uint64_t lifetime) -> awaitable<void> {
+            if (waitMs > 0) {
+                co_await sleepFor(waitMs);
+            }
+            if (engine.m_alive && engine.m_lifetime == lifetime) {
+                record(engine.m_history, "late-order", "\"engine\":\"" + engine.m_entry.m_id + "\",\"late_ms\":" + std::to_string(waitMs));
+                engine.executeOrder(order);
+            }
+        }(*this, body, afterMs, m_lifetime),
+        asio::detached);
+    return true;
+}
+
+void HostingEngine::recordJoin(const ReplicaRef &replica)
+{
+    const auto describe = [](const ReplicaRef &ref) {
+        return ref.m_name + "/" + std::to_string(ref.m_epoch);
+    };
+    const std::string fields = "\"engine\":\"" + m_entry.m_id + "\",\"group\":\"" + describe(replica) + "\",\"from\":\"" + describe(m_entry.m_replica) + "\"";
+    record(m_history, "joined", fields);
+    if (m_cluster == nullptr || m_members.empty() || m_entry.m_replica.empty()) {
+        return;
+    }
+    const auto head = m_cluster->m_engines.find(m_members.front());
+    const bool isInGroup = head != m_cluster->m_engines.end() && head->second->m_entry.m_replica == m_entry.m_replica;
+    const MemberPhase phase = isInGroup ? head->second->m_entry.m_phase : MemberPhase::None;
+    if (phase == MemberPhase::Open || phase == MemberPhase::Closing) {
+        record(m_history, "two", fields + ",\"head\":\"" + m_members.front() + "\",\"phase\":\"" + std::string(enumName(MemberPhaseNames, phase)) + "\"");
+    }
+}
+
+HttpReply HostingEngine::join(const ReplicaRef &replica, const std::vector<std::string> &members)
+{
+    if (m_entry.m_replica == replica) {
+        if (m_cluster != nullptr && members != m_members) {
+            return jsonReply(412, "{}");
+        }
+        return jsonReply(m_entry.m_phase == MemberPhase::Joining ? 202 : 200, "{}");
+    }
+    if (replica.m_epoch < m_highestEpoch) {
+        return jsonReply(412, "{}");
+    }
+    recordJoin(replica);
+    ++m_orders;
+    m_highestEpoch = replica.m_epoch;
+    m_members = members;
+    m_stalledMs = -1;
+    m_entry.m_replica = replica;
+    m_entry.m_rank = m_cluster == nullptr ? 0 : static_cast<int>(std::find(members.begin(), members.end(), m_entry.m_id) - members.begin());
+    m_entry.m_phase = MemberPhase::Joining;
+    enterPhaseLater(MemberPhase::Ready, m_times.m_joinMs);
+    return jsonReply(202, "{}");
+}
+
 HttpReply HostingEngine::executeOrder(const std::string &body)
 {
     const json::object order = parseJsonObject(body);
@@ -513,31 +632,17 @@
     if (integerField(order, "fencingToken") < m_fence) {
         return jsonReply(412, "{}");
     }
+    if (integerField(order, "precondition", m_orders) != m_orders) {
+        return jsonReply(409, "{}");
+    }
     m_fence = integerField(order, "fencingToken");
-    ++m_orders;
-    const auto later = [this](MemberPhase phase, std::int64_t afterMs) {
-        const std::uint64_t lifetime = m_lifetime;
-        const ReplicaRef ref = m_entry.m_replica;
-        asio::co_spawn(
-            m_io,
-            [](HostingEngine &engine, MemberPhase next, std::int64_t waitMs, std::uint64_t inLifetime, ReplicaRef of) -> awaitable<void> {
-                co_await sleepFor(waitMs);
-                if (engine.m_alive && engine.m_lifetime == inLifetime && engine.m_entry.m_replica == of) {
-                    engine.m_entry.m_phase = next;
-                    engine.publish();
-                }
-            }(*this, phase, afterMs, lifetime, ref),
-            asio::detached);
-    };
     if (kind == "join") {
-        if (m_entry.m_replica == replica) {
-            return jsonReply(m_entry.m_phase == MemberPhase::Joining ? 202 : 200, "{}");
+        std::vector<std::string> members;
+        const json::value *listed = order.if_contains("members");
+        for (const json::value &member : listed != nullptr && listed->is_array() ? listed->as_array() : json::array()) {
+            members.push_back(json::value_to<std::string>(member));
         }
-        m_entry.m_replica = replica;
-        m_entry.m_rank = 0;
-        m_entry.m_phase = MemberPhase::Joining;
-        later(MemberPhase::Ready, m_times.m_joinMs);
-        return jsonReply(202, "{}");
+        return join(replica, members);
     }
     if (kind == "phase") {
         m_entry.m_stagedModels = {stringField(order, "modelName")};
@@ -551,22 +656,80 @@
         if (m_entry.m_phase == MemberPhase::Open) {
             return jsonReply(200, "{}");
         }
-        if (m_entry.m_phase != MemberPhase::Ready) {
+        if (m_entry.m_phase != MemberPhase::Ready || m_entry.m_rank != 0) {
             return jsonReply(409, "{}");
         }
-        later(MemberPhase::Open, m_times.m_openMs);
+        ++m_orders;
+        record(m_history, "opens", "\"engine\":\"" + m_entry.m_id + "\",\"group\":\"" + replica.m_name + "/" + std::to_string(replica.m_epoch) + "\"");
+        enterPhaseLater(MemberPhase::Open, m_times.m_openMs);
         return jsonReply(202, "{}");
     }
+    ++m_orders;
     if (kind == "close") {
-        m_entry.m_phase = MemberPhase::Ready;
-    } else {
-        m_entry.m_replica = {};
-        m_entry.m_phase = MemberPhase::None;
+        // The requests of a group that closes without waiting are cut off by waitForGroup().
+        const bool waits = m_cluster != nullptr && m_runningRequests > 0 && stringField(order, "closeMode") == "queue";
+        const bool isServing = m_entry.m_phase == MemberPhase::Open || m_entry.m_phase == MemberPhase::Closing;
+        m_entry.m_phase = waits && isServing ? MemberPhase::Closing : MemberPhase::Ready;
+        publish();
+        return jsonReply(m_entry.m_phase == MemberPhase::Closing ? 202 : 200, "{}");
     }
+    m_entry.m_replica = {};
+    m_entry.m_phase = MemberPhase::None;
+    m_members.clear();
     publish();
     return jsonReply(200, "{}");
 }
 
+bool HostingEngine::isGroupComplete() const
+{
+    if (m_cluster == nullptr) {
+        return true;
+    }
+    return std::all_of(m_members.begin(), m_members.end(), [this](const std::string &member) {
+        const auto found = m_cluster->m_engines.find(member);
+        return found != m_cluster->m_engines.end() && found->second->m_entry.m_replica == m_entry.m_replica;
+    });
+}
+
+void HostingEngine::updateGroup()
+{
+    const bool serves = m_entry.m_phase == MemberPhase::Open || m_entry.m_phase == MemberPhase::Closing;
+    if (!serves || isGroupComplete()) {
+        m_stalledMs = -1;
+    } else if (m_stalledMs < 0) {
+        m_stalledMs = steadyMs();
+    } else if (steadyMs() - m_stalledMs > m_times.m_stallMs) {
+        m_entry.m_phase = MemberPhase::Broken;
+        publish();
+    }
+    if (m_entry.m_phase == MemberPhase::Closing && m_runningRequests == 0) {
+        m_entry.m_phase = MemberPhase::Ready;
+        publish();
+    }
+}
+
+awaitable<bool> HostingEngine::waitForGroup(std::uint64_t lifetime)
+{
+    constexpr std::int64_t PollMs = 20;
+    while (lifetime == m_lifetime && m_alive && m_stalledMs >= 0) {
+        co_await sleepFor(PollMs);
+    }
+    const bool serves = m_entry.m_domain.empty() || m_entry.m_phase == MemberPhase::Open || m_entry.m_phase == MemberPhase::Closing;
+    co_return lifetime == m_lifetime &&m_alive &&serves;
+}
+
+void HostingEngine::recordMembers(const HttpRequest &request)
+{
+    if (m_cluster == nullptr) {
+        return;
+    }
+    for (const std::string &member : m_members) {
+        if (m_cluster->m_ready.count({member, m_entry.m_replica}) == 0) {
+            record(m_history, "partial", describeRequest(request, m_entry.m_id) + ",\"member\":\"" + member + "\"");
+        }
+    }
+}
+
 awaitable<void> HostingEngine::answerResumed(Connection &connection, const HttpRequest &request)
 {
     const ResumedReply kind = m_faults.m_resumedReply;
@@ -631,9 +794,15 @@
             co_return;
         }
         co_await sleepFor(eventMs * events);
+        const bool goesOn = co_await waitForGroup(lifetime);
         if (lifetime != m_lifetime || !m_alive) {
             co_return;
         }
+        if (!goesOn) {
+            boost::system::error_code ignored;
+            connection.m_stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+            co_return;
+        }
     }
     if (open) {
         record(m_history, "streamed", describeRequest(request, m_entry.m_id));
@@ -663,11 +832,24 @@
         co_return;
     }
     if (path == platform::path::Order) {
+        if (delayOrder(request.m_body)) {
+            co_return;
+        }
         reply = executeOrder(request.m_body);
         co_await answerLeader(connection, std::move(reply), request);
         co_return;
     }
-    if (!m_entry.m_domain.empty() && m_entry.m_phase != MemberPhase::Open) {
+    const bool isEngine = !m_entry.m_domain.empty();
+    if (isEngine && m_entry.m_rank > 0) {
+        reply.m_status = MisdirectedStatus;
+        co_await respond(connection, std::move(reply), request);
+        co_return;
+    }
+    const bool goesOn = co_await waitForGroup(lifetime);
+    if (lifetime != m_lifetime || !m_alive) {
+        co_return;
+    }
+    if (!goesOn || (isEngine && m_entry.m_phase != MemberPhase::Open)) {
         reply.m_status = NotExecutedStatus;
         reply.m_headers.emplace_back(platform::header::NotRun, "1");
         co_await respond(connection, std::move(reply), request);
@@ -692,6 +874,11 @@
         co_return;
     }
     record(m_history, "ran", describeRequest(request, m_entry.m_id));
+    recordMembers(request);
+    ++m_runningRequests;
+    const ScopeExit ended([this, lifetime]() {
+        m_runningRequests -= lifetime == m_lifetime ? 1 : 0;
+    });
     const std::int64_t prefillMs = numberAfter(request.m_body, WorksWord, m_times.m_prefillMs);
     co_await sleepFor(prefillMs);
     if (lifetime != m_lifetime || !m_alive) {
@@ -718,7 +905,7 @@
     if (m_words.m_leaving) {
         record(m_history, "said-leaving", describeRequest(request, m_entry.m_id));
     }
-    const bool isStream = !m_entry.m_domain.empty() || path.starts_with(DigestPrefix) || path.starts_with(NoticePrefix);
+    const bool isStream = isEngine || path.starts_with(DigestPrefix) || path.starts_with(NoticePrefix);
     if (isStream) {
         co_await streamEvents(connection, request, lifetime);
         co_return;
@@ -729,7 +916,7 @@
         connection.m_stream.socket().close(ignored);
         co_return;
     }
-    reply = jsonReply(200, R"({"done":true})");
+    reply = jsonReply(happens(m_faults.m_failedShare) ? m_faults.m_failedStatus : 200, R"({"done":true})");
     reply.m_headers.emplace_back(platform::header::Signature, "stand-in");
     co_await answerClient(connection, std::move(reply), request, m_faults.m_copiedAnswerShare);
 }
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -36,9 +36,11 @@
     std::int64_t m_heartbeatMs = 1'200;
     /** Heartbeats only renew the entry, and the store shows no change. */
     bool m_hidesHeartbeats = false;
-    /** Forming a group of one member: joining, then opening. */
+    /** Forming a group: joining, then opening. */
     std::int64_t m_joinMs = 100;
     std::int64_t m_openMs = 100;
+    /** How long a group stands still without one of its members until it is broken. */
+    std::int64_t m_stallMs = 2'000;
 };
 
 /** What an engine says of itself in its answers, beside its entry in the store. */
@@ -108,6 +110,9 @@
     /** Share of the answers of a plain service that are cut short, and of its connections that are reset while the request runs. */
     double m_cutShare = 0.0;
     double m_resetShare = 0.0;
+    /** Share of the calls of a plain service that run and are answered with this status, signed. */
+    double m_failedShare = 0.0;
+    unsigned m_failedStatus = 500;
     /** Share of the streams in which the bytes of one event cannot be read, and of those that break off. Streams that are resumed have neither. */
     double m_spoiltStreamShare = 0.0;
     double m_brokenStreamShare = 0.0;
@@ -118,13 +123,27 @@
     /** Answers to orders, and to requests for reports, have this part without end. */
     std::optional<EndlessPart> m_endlessOrderReply;
     std::optional<EndlessPart> m_endlessReport;
+    /** Share of the orders that are not answered: half of them are carried out at once, half up to m_lateOrderMs later. */
+    double m_lateOrderShare = 0.0;
+    std::int64_t m_lateOrderMs = 4'000;
+};
+
+class HostingEngine;
+
+/** The engines that form groups with each other. Without one, each engine forms groups alone, whatever members an order names. */
+struct HostingCluster
+{
+    /** The engines that live, by id. */
+    std::map<std::string, HostingEngine *> m_engines;
+    /** Members that have been ready in a group, by id and group. */
+    std::set<std::pair<std::string, ReplicaRef>> m_ready;
 };
 
 /** Words by the id of a part of a prompt: a request whose prompt has the part, other than as its last, is treated as if its body contained the words. */
 using PartWords = std::map<std::string, std::string>;
 
 /**
- * One upstream of the hosting platform, an engine that serves groups of one member or an upstream of a plain service. Words in the body of a
+ * One upstream of the hosting platform, an engine that serves in groups or an upstream of a plain service. Words in the body of a
  * request choose what it does: CRASH ends the upstream when the request begins to run, CRASH-IN-ANSWER after the head of an answer without a length, as
  * an exit does; CRASH-IN-EVENT in the middle of the second event of such an answer; CRASH-SILENT as a process does whose end takes long: it no longer listens,
  * but its connections stay open for a while; CRASH-DARK as one that stands still: its address still takes connections, and nothing is answered until its
@@ -148,6 +167,8 @@
     /** Changes what the engine says of itself, until its lifetime ends. */
     void setWords(const HostingEngineWords &words);
     void setFaults(const AnswerFaults &faults);
+    /** Makes it form groups with the other engines of @p cluster, which must outlive it. Must be called before run(). */
+    void setCluster(HostingCluster &cluster);
     /** Writes its entry to the store again, if it is alive. */
     void publishAgain();
     const UpstreamEntry &entry() const;
@@ -165,6 +186,21 @@
     awaitable<void> answerResumed(Connection &connection, const HttpRequest &request);
     awaitable<void> streamEvents(Connection &connection, const HttpRequest &request, std::uint64_t lifetime);
     HttpReply executeOrder(const std::string &body);
+    HttpReply join(const ReplicaRef &replica, const std::vector<std::string> &members);
+    /** Changes the phase after @p afterMs if the engine is still in the same group. */
+    void enterPhaseLater(MemberPhase phase, std::int64_t afterMs);
+    /** Leaves an order without an answer, as the faults choose. Returns false if it is to be answered. */
+    bool delayOrder(const std::string &body);
+    /** Records a join of another group while the head of the present one serves (rule TWO). */
+    void recordJoin(const ReplicaRef &replica);
+    /** Returns whether all members of the group live and are in it. */
+    bool isGroupComplete() const;
+    /** Waits while the group stands still because a member is gone. Returns whether it serves. */
+    awaitable<bool> waitForGroup(std::uint64_t lifetime);
+    /** Records a request that runs in a group with a member that was never ready in it (rule PARTIAL). */
+    void recordMembers(const HttpRequest &request);
+    /** Breaks the group that has stood still for too long, and ends the closing of one whose requests have ended. */
+    void updateGroup();
     /** Returns whether a fault with this share happens now. */
     bool happens(double share);
     /** Sends the beginning of @p text, up to a random byte before @p end, and closes or resets the connection. */
@@ -206,6 +242,13 @@
     std::int64_t m_orders = 0;
     /** Number of its writes of its entry in this lifetime. */
     std::int64_t m_writes = 0;
+    HostingCluster *m_cluster = nullptr;
+    /** Members of its group, head first. */
+    std::vector<std::string> m_members;
+    std::uint64_t m_highestEpoch = 0;
+    /** Time since which its group stands still; -1 if it does not. */
+    std::int64_t m_stalledMs = -1;
+    int m_runningRequests = 0;
     /** Highest fencing token of an order in this lifetime. */
     std::int64_t m_fence = 0;
     HostingEngineWords m_words;
