--- a/autotests/soak/soakcluster.cpp
+++ b/autotests/soak/soakcluster.cpp
@@ -12,6 +12,7 @@
 {
 constexpr int EnginesPerDomain = 9;
 constexpr int Zones = 3;
+constexpr std::uint64_t VariantsOfFaults = 9;
 
 json::object route(const std::string &name, const char *kind, const std::string &service, std::int64_t timeoutMs, bool resumable)
 {
@@ -50,11 +51,10 @@
 /** Returns what the variant of a disruption makes upstreams do. */
 standin::AnswerFaults faultsOf(std::uint64_t variant)
 {
-    constexpr std::uint64_t Variants = 9;
     constexpr double Often = 0.3;
     constexpr double Seldom = 0.05;
     standin::AnswerFaults faults;
-    switch (variant % Variants) {
+    switch (variant % VariantsOfFaults) {
     case 0:
         faults.m_refusedShare = Often;
         faults.m_copiedRefusalShare = Often;
@@ -92,11 +92,20 @@
     return faults;
 }
 
+/** Returns the upstreams of a disruption; in two of three, they are all of plain services, of which there are fewer. */
 std::vector<standin::HostingEngine *> chosenUpstreams(SoakCluster &cluster, const SoakEvent &event)
 {
+    std::vector<standin::HostingEngine *> candidates;
+    const bool isPlainOnly = event.m_variant / VariantsOfFaults % 3 != 0;
+    for (const std::unique_ptr<standin::HostingEngine> &upstream : cluster.m_upstreams) {
+        if (!isPlainOnly || upstream->entry().m_domain.empty()) {
+            candidates.push_back(upstream.get());
+        }
+    }
     std::vector<standin::HostingEngine *> chosen;
-    for (int i = 0; i < event.m_count; ++i) {
-        chosen.push_back(cluster.m_upstreams[static_cast<std::size_t>(event.m_first + i) % cluster.m_upstreams.size()].get());
+    const std::size_t count = std::min(static_cast<std::size_t>(event.m_count), candidates.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        chosen.push_back(candidates[(static_cast<std::size_t>(event.m_first) + i) % candidates.size()]);
     }
     return chosen;
 }
--- a/autotests/soak/soakplan.cpp
+++ b/autotests/soak/soakplan.cpp
@@ -7,7 +7,7 @@
 {
 std::vector<SoakEvent> planSoak(std::uint64_t seed, const SoakShape &shape)
 {
-    constexpr std::int64_t MaxPauseMs = 2'500;
+    constexpr std::int64_t MaxPauseMs = 1'400;
     constexpr std::int64_t MaxForMs = 5'000;
     constexpr std::int64_t MaxSeriesPauseMs = 900;
     constexpr int MaxSeries = 6;
@@ -18,7 +18,9 @@
     std::vector<SoakEvent> events;
     for (std::int64_t atMs = 0; atMs < shape.m_durationMs; atMs += 100 + below(MaxPauseMs)) {
         SoakEvent event;
-        event.m_kind = static_cast<Disruption>(below(static_cast<std::int64_t>(DisruptionNames.size())));
+        // Spoilt answers come as often as all else together, since each upstream can spoil only its own.
+        const bool isSpoilt = below(2) == 0;
+        event.m_kind = isSpoilt ? Disruption::SpoilAnswers : static_cast<Disruption>(below(static_cast<std::int64_t>(DisruptionNames.size())));
         // Restarts and configurations come in series, together or one after the other.
         const bool isSeries = event.m_kind <= Disruption::Reload || event.m_kind == Disruption::Configure;
         const int series = isSeries ? 1 + static_cast<int>(below(MaxSeries)) : 1;
