--- a/autotests/soak/soak.cpp
+++ b/autotests/soak/soak.cpp
@@ -92,6 +92,7 @@
     SoakCluster m_cluster;
     std::vector<AttemptRecord> m_attempts;
     bool m_stopClients = false;
+    bool m_isFinished = false;
 };
 
 awaitable<void> superviseDaemons(SoakDaemons &daemons)
@@ -152,6 +153,7 @@
     }
     run.m_stopClients = true;
     co_await sleepFor(CalmMs);
+    run.m_isFinished = true;
     threads.stop();
 }
 
@@ -217,7 +219,12 @@
     asio::co_spawn(threads.control(), expireLeases(run.m_cluster.m_store), asio::detached);
     asio::co_spawn(threads.control(), superviseDaemons(daemons), asio::detached);
     asio::co_spawn(threads.control(), playSoak(threads, options, run, daemons), asio::detached);
-    threads.run();
+    // The daemons end with this object also when the run is ended early.
+    standin::runUntilSignal(threads);
+    if (!run.m_isFinished) {
+        std::cout << "seed " << options.m_seed << ": ended by a signal" << std::endl;
+        return 2;
+    }
     return report(options, run, daemons);
 }
 }
@@ -238,7 +245,7 @@
     app.add_option("--engines", options.m_shape.m_engines, "model engines");
     app.add_option("--services", options.m_shape.m_serviceUpstreams, "upstreams of each of the two plain services");
     app.add_option("--seconds", options.m_seconds, "time over which disruptions begin");
-    app.add_option("--address-number", options.m_addressNumber, "second number of all loopback addresses, 20 to 220; runs side by side need different ones");
+    app.add_option("--address-number", options.m_addressNumber, "second number of all loopback addresses, 20 to 250; runs side by side need different ones");
     CLI11_PARSE(app, argc, argv);
     return knapweedslip::soak::runSoak(options);
 }
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -417,7 +417,7 @@
     m_members.clear();
     m_highestEpoch = 0;
     m_stalledMs = -1;
-    m_runningRequests = 0;
+    m_runningRequests = std::make_shared<int>(0);
     if (m_cluster != nullptr) {
         m_cluster->m_engines[m_entry.m_id] = this;
     }
@@ -667,7 +667,7 @@
     ++m_orders;
     if (kind == "close") {
         // The requests of a group that closes without waiting are cut off by waitForGroup().
-        const bool waits = m_cluster != nullptr && m_runningRequests > 0 && stringField(order, "closeMode") == "queue";
+        const bool waits = m_cluster != nullptr && *m_runningRequests > 0 && stringField(order, "closeMode") == "queue";
         const bool isServing = m_entry.m_phase == MemberPhase::Open || m_entry.m_phase == MemberPhase::Closing;
         m_entry.m_phase = waits && isServing ? MemberPhase::Closing : MemberPhase::Ready;
         publish();
@@ -702,7 +702,7 @@
         m_entry.m_phase = MemberPhase::Broken;
         publish();
     }
-    if (m_entry.m_phase == MemberPhase::Closing && m_runningRequests == 0) {
+    if (m_entry.m_phase == MemberPhase::Closing && *m_runningRequests == 0) {
         m_entry.m_phase = MemberPhase::Ready;
         publish();
     }
@@ -875,9 +875,9 @@
     }
     record(m_history, "ran", describeRequest(request, m_entry.m_id));
     recordMembers(request);
-    ++m_runningRequests;
-    const ScopeExit ended([this, lifetime]() {
-        m_runningRequests -= lifetime == m_lifetime ? 1 : 0;
+    ++*m_runningRequests;
+    const ScopeExit ended([running = m_runningRequests]() {
+        --*running;
     });
     const std::int64_t prefillMs = numberAfter(request.m_body, WorksWord, m_times.m_prefillMs);
     co_await sleepFor(prefillMs);
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -248,7 +248,8 @@
     std::uint64_t m_highestEpoch = 0;
     /** Time since which its group stands still; -1 if it does not. */
     std::int64_t m_stalledMs = -1;
-    int m_runningRequests = 0;
+    /** Requests that run in this lifetime. Shared with those of an earlier one, which may end later. */
+    std::shared_ptr<int> m_runningRequests = std::make_shared<int>(0);
     /** Highest fencing token of an order in this lifetime. */
     std::int64_t m_fence = 0;
     HostingEngineWords m_words;
