--- a/autotests/soak/soak.cpp
+++ b/autotests/soak/soak.cpp
@@ -214,7 +214,8 @@
     if (!standin::listenOn(threads, store + "8500", serveStore, servers) || !standin::listenOn(threads, store + "8501", serveApart, servers)) {
         return 2;
     }
-    startUpstreams(run.m_cluster, threads.control(), options.m_shape);
+    run.m_cluster.m_shape = options.m_shape;
+    startUpstreams(run.m_cluster, threads.control());
     SoakDaemons daemons(options.m_entry, makeDaemons(options));
     asio::co_spawn(threads.control(), expireLeases(run.m_cluster.m_store), asio::detached);
     asio::co_spawn(threads.control(), superviseDaemons(daemons), asio::detached);
@@ -243,6 +244,9 @@
     app.add_option("--daemons", options.m_daemons, "number of daemons");
     app.add_option("--clients", options.m_clients, "number of clients, each with one connection");
     app.add_option("--engines", options.m_shape.m_engines, "model engines");
+    app.add_option("--domain-engines", options.m_shape.m_domainEngines, "engines of one fabric domain");
+    app.add_option("--model-size", options.m_shape.m_modelSize, "engines of one group of the first model");
+    app.add_option("--large-model-size", options.m_shape.m_largeModelSize, "engines of one group of the second model");
     app.add_option("--services", options.m_shape.m_serviceUpstreams, "upstreams of each of the two plain services");
     app.add_option("--seconds", options.m_seconds, "time over which disruptions begin");
     app.add_option("--address-number", options.m_addressNumber, "second number of all loopback addresses, 20 to 250; runs side by side need different ones");
--- a/autotests/soak/soakcluster.cpp
+++ b/autotests/soak/soakcluster.cpp
@@ -10,7 +10,6 @@
 
 namespace
 {
-constexpr int EnginesPerDomain = 9;
 constexpr int Zones = 3;
 constexpr std::uint64_t VariantsOfFaults = 9;
 
@@ -27,7 +26,7 @@
             {"resumable", resumable}};
 }
 
-json::object engineService()
+json::object engineService(const SoakClusterShape &shape)
 {
     const auto model = [](const char *name, int size, double share) {
         return json::object{{"name", name}, {"size", size}, {"share", share}, {"loadS", 1}, {"warmupS", 0.1}};
@@ -44,7 +43,7 @@
                          {"loads_at_once", 4},
                          {"formMs", 100}};
     backend["usual"] = json::object{{"prompt", 100}, {"answer", 100}};
-    backend["modelList"] = json::array{model("model", 3, 0.6), model("large", 4, 0.4)};
+    backend["modelList"] = json::array{model("model", shape.m_modelSize, 0.6), model("large", shape.m_largeModelSize, 0.4)};
     return {{"name", "llm"}, {"backend", std::move(backend)}};
 }
 
@@ -133,13 +132,14 @@
     const json::object config{{"version", ++cluster.m_configVersion},
                               {"limits", json::object()},
                               {"routes", std::move(routes)},
-                              {"services", json::array{json::object{{"name", "app"}}, json::object{{"name", "app2"}}, engineService()}},
+                              {"services", json::array{json::object{{"name", "app"}}, json::object{{"name", "app2"}}, engineService(cluster.m_shape)}},
                               {"tenants", json::array{json::object{{"name", "caller"}, {"apiKeys", std::move(keys)}}}}};
     standin::hostingPut(cluster.m_store, std::string(platform::key::Config), json::serialize(config));
 }
 
-void startUpstreams(SoakCluster &cluster, asio::io_context &io, const SoakClusterShape &shape)
+void startUpstreams(SoakCluster &cluster, asio::io_context &io)
 {
+    const SoakClusterShape &shape = cluster.m_shape;
     constexpr int FirstPort = 8001;
     constexpr int EngineSlots = 26;
     constexpr int ServiceSlots = 6;
@@ -151,7 +151,7 @@
         entry.m_availabilityZone = "zone-" + std::to_string(i % Zones + 1);
         entry.m_slots = isEngine ? EngineSlots : ServiceSlots;
         if (isEngine) {
-            entry.m_domain = "domain-" + std::to_string(i / EnginesPerDomain);
+            entry.m_domain = "domain-" + std::to_string(i / shape.m_domainEngines);
             entry.m_stagedModels = {"model", "large"};
         }
         standin::HostingEngineTimes times = shape.m_times;
--- a/autotests/soak/soakplan.cpp
+++ b/autotests/soak/soakplan.cpp
@@ -24,13 +24,14 @@
         // Restarts and configurations come in series, together or one after the other.
         const bool isSeries = event.m_kind <= Disruption::Reload || event.m_kind == Disruption::Configure;
         const int series = isSeries ? 1 + static_cast<int>(below(MaxSeries)) : 1;
+        const bool isOneDaemon = below(4) == 0;
         const std::int64_t pauseMs = below(3) == 0 ? 0 : below(MaxSeriesPauseMs);
         const bool isDaemon = event.m_kind <= Disruption::Reload;
         const int places = isDaemon ? shape.m_daemons : event.m_kind == Disruption::EmptyZone ? shape.m_zones : shape.m_upstreams;
         const int first = static_cast<int>(below(places));
         for (int i = 0; i < series; ++i) {
             event.m_atMs = atMs + i * pauseMs;
-            event.m_first = (first + i) % places;
+            event.m_first = isOneDaemon ? first : (first + i) % places;
             event.m_count = 1 + static_cast<int>(below(std::max(1, shape.m_upstreams / 3)));
             event.m_forMs = 200 + below(MaxForMs);
             event.m_variant = random();
--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -240,9 +240,14 @@
         co_return isSent ? AttemptResult::Unknown : AttemptResult::NotRun;
     }
     if (attempt.proof() == AnswerProof::NotRun) {
+        std::string body;
+        const Result<Done> read = co_await attempt.readBody(body);
         attempt.handleRefusal();
         recordEnd(CallOutcome::Refused, attempt.answer().m_load);
         logAttemptFailed(call, upstream, AttemptOutcome::NotRun, "refused with status " + std::to_string(attempt.status()));
+        if (!failed(read)) {
+            attempt.finish();
+        }
         co_return AttemptResult::NotRun;
     }
     state.m_mayHaveRun = true;
