--- a/autotests/soak/soakcluster.cpp
+++ b/autotests/soak/soakcluster.cpp
@@ -47,12 +47,20 @@
     return {{"name", "llm"}, {"backend", std::move(backend)}};
 }
 
+/** Returns what upstreams do all the time: engines leave a few orders without an answer, and carry some of them out late. */
+standin::AnswerFaults usualFaults()
+{
+    standin::AnswerFaults faults;
+    faults.m_lateOrderShare = 0.03;
+    return faults;
+}
+
 /** Returns what the variant of a disruption makes upstreams do. */
 standin::AnswerFaults faultsOf(std::uint64_t variant)
 {
     constexpr double Often = 0.3;
     constexpr double Seldom = 0.05;
-    standin::AnswerFaults faults;
+    standin::AnswerFaults faults = usualFaults();
     switch (variant % VariantsOfFaults) {
     case 0:
         faults.m_refusedShare = Often;
@@ -91,13 +99,21 @@
     return faults;
 }
 
-/** Returns the upstreams of a disruption; in two of three, they are all of plain services, of which there are fewer. */
+/** Returns whether the disruption spoils answers to orders, which only engines get. */
+bool spoilsOrders(const SoakEvent &event)
+{
+    return event.m_kind == Disruption::SpoilAnswers && faultsOf(event.m_variant).m_lateOrderShare > usualFaults().m_lateOrderShare;
+}
+
+/** Returns the upstreams of a disruption; in two of three that may hit any, they are all of plain services, of which there are fewer. */
 std::vector<standin::HostingEngine *> chosenUpstreams(SoakCluster &cluster, const SoakEvent &event)
 {
     std::vector<standin::HostingEngine *> candidates;
-    const bool isPlainOnly = event.m_variant / VariantsOfFaults % 3 != 0;
+    const bool isEnginesOnly = spoilsOrders(event);
+    const bool isPlainOnly = !isEnginesOnly && event.m_variant / VariantsOfFaults % 3 != 0;
     for (const std::unique_ptr<standin::HostingEngine> &upstream : cluster.m_upstreams) {
-        if (!isPlainOnly || upstream->entry().m_domain.empty()) {
+        const bool isPlain = upstream->entry().m_domain.empty();
+        if (isPlain ? !isEnginesOnly : !isPlainOnly) {
             candidates.push_back(upstream.get());
         }
     }
@@ -164,6 +180,7 @@
         if (isEngine) {
             cluster.m_upstreams.back()->setCluster(cluster.m_groups);
         }
+        cluster.m_upstreams.back()->setFaults(usualFaults());
         asio::co_spawn(io, cluster.m_upstreams.back()->run(), asio::detached);
     }
     writeConfig(cluster, 0);
@@ -204,7 +221,7 @@
         }
         co_await sleepFor(event.m_forMs);
         for (standin::HostingEngine *upstream : chosen) {
-            upstream->setFaults({});
+            upstream->setFaults(usualFaults());
         }
         break;
     case Disruption::UpstreamsLeave: {
