--- a/daemons/entryservicecall.cpp
+++ b/daemons/entryservicecall.cpp
@@ -139,7 +139,8 @@
         logAttemptFailed(call,
                          upstream,
                          AttemptOutcome::MayHaveRun,
-                         failed(read) ? describe(errorOf(read)) : "the answer is not signed, was altered, or belongs to another request");
+                         failed(read) ? describe(errorOf(read))
+                                      : "the answer is not signed, was altered, belongs to another request, or has a status of \"not run\" alone");
         co_return AttemptResult::Unknown;
     }
     attempt.learnFromAnswer();
