--- a/autotests/soak/soakplan.cpp
+++ b/autotests/soak/soakplan.cpp
@@ -5,6 +5,11 @@
 
 namespace knapweedslip::soak
 {
+bool concernsDaemon(Disruption kind)
+{
+    return kind == Disruption::Stop || kind == Disruption::Kill || kind == Disruption::Suspend || kind == Disruption::Reload;
+}
+
 std::vector<SoakEvent> planSoak(std::uint64_t seed, const SoakShape &shape)
 {
     constexpr std::int64_t MaxPauseMs = 1'400;
@@ -22,11 +27,11 @@
         const bool isSpoilt = below(2) == 0;
         event.m_kind = isSpoilt ? Disruption::SpoilAnswers : static_cast<Disruption>(below(static_cast<std::int64_t>(DisruptionNames.size())));
         // Restarts and configurations come in series, together or one after the other.
-        const bool isSeries = event.m_kind <= Disruption::Reload || event.m_kind == Disruption::Configure;
+        const bool isDaemon = concernsDaemon(event.m_kind);
+        const bool isSeries = isDaemon || event.m_kind == Disruption::Configure;
         const int series = isSeries ? 1 + static_cast<int>(below(MaxSeries)) : 1;
         const bool isOneDaemon = below(4) == 0;
         const std::int64_t pauseMs = below(3) == 0 ? 0 : below(MaxSeriesPauseMs);
-        const bool isDaemon = event.m_kind <= Disruption::Reload;
         const int places = isDaemon ? shape.m_daemons : event.m_kind == Disruption::EmptyZone ? shape.m_zones : shape.m_upstreams;
         const int first = static_cast<int>(below(places));
         for (int i = 0; i < series; ++i) {
--- a/autotests/soak/soakplan.h
+++ b/autotests/soak/soakplan.h
@@ -48,6 +48,9 @@
                                                "upstreams-leave",
                                                "empty-zone"};
 
+/** Returns whether a disruption is one of a daemon, and not of the store, the configuration or upstreams. */
+bool concernsDaemon(Disruption kind);
+
 struct SoakEvent
 {
     std::int64_t m_atMs = 0;
