--- a/autotests/spoiltrepliestest.cpp
+++ b/autotests/spoiltrepliestest.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 
 using namespace knapweedslip;
+using namespace std::string_literals;
 
 namespace
 {
@@ -181,7 +182,7 @@
         {"a line of blanks", "X-Note: a\r\n  \r\nContent-Length: 2\r\n", false},
         {"a tab within", "X\tNote: a\r\nContent-Length: 2\r\n", false},
         {"a control byte", "X\x01Note: a\r\nContent-Length: 2\r\n", false},
-        {"a zero byte", std::string("X\0Note: a\r\n", 11) + "Content-Length: 2\r\n", false},
+        {"a zero byte", "X\0Note: a\r\nContent-Length: 2\r\n"s, false},
         {"a delete", "X\x7fNote: a\r\nContent-Length: 2\r\n", false},
         {"a byte of another alphabet", "X\xc3\xa4Note: a\r\nContent-Length: 2\r\n", false},
         {"a line feed", "X\nNote: a\r\nContent-Length: 2\r\n", false},
