--- a/autotests/platformtest.cpp
+++ b/autotests/platformtest.cpp
@@ -107,7 +107,7 @@
     order.m_replica = {"m.3", 3};
     order.m_model = "m";
     order.m_members = {"i-1", "i-2"};
-    const HttpRequest join = platform::makeOrderRequest(order);
+    const HttpRequest join = platform::makeOrderRequest(order, "order-1");
     const boost::json::value body = boost::json::parse(join.m_body);
     CHECK(body.at("op") == "join");
     CHECK(body.at("epoch") == 3);
@@ -116,10 +116,10 @@
     CHECK(headerValue(join.m_headers, "Expect-Instance") == "i-1");
     CHECK(!body.as_object().contains("precondition"));
     order.m_expectedOrders = 4;
-    CHECK(boost::json::parse(platform::makeOrderRequest(order).m_body).at("precondition") == 4);
+    CHECK(boost::json::parse(platform::makeOrderRequest(order, "order-1").m_body).at("precondition") == 4);
     order.m_kind = EngineOrderKind::Close;
     order.m_preempt = true;
-    CHECK(boost::json::parse(platform::makeOrderRequest(order).m_body).at("closeMode") == "preempt");
+    CHECK(boost::json::parse(platform::makeOrderRequest(order, "order-1").m_body).at("closeMode") == "preempt");
     CHECK(platform::decodeOrderReply(200) == OrderReply::Done);
     CHECK(platform::decodeOrderReply(202) == OrderReply::Begun);
     CHECK(platform::decodeOrderReply(409) == OrderReply::Unfit);
--- a/autotests/replicareconcilertest.cpp
+++ b/autotests/replicareconcilertest.cpp
@@ -333,3 +333,28 @@
     CHECK(most <= 22);
     CHECK(most > 0);
 }
+
+// Guards against a second copy of an earlier report that is taken for the state of the engine.
+TEST_CASE("a report that is older than the last one of its lifetime is ignored", "[entry][keeper]")
+{
+    ReplicaReconciler reconciler;
+    UpstreamEntry earlier;
+    earlier.m_id = "e100";
+    earlier.m_startedMs = 1;
+    reconciler.observe(earlier, 0);
+    earlier.m_ordersBegun = 4;
+    earlier.m_replica = {"big.7", 7};
+    earlier.m_rank = 0;
+    earlier.m_phase = MemberPhase::Open;
+    UpstreamEntry later = earlier;
+    later.m_ordersBegun = 5;
+    later.m_phase = MemberPhase::Ready;
+    reconciler.probeAnswered(earlier, 10);
+    reconciler.probeAnswered(later, 20);
+    reconciler.probeAnswered(earlier, 30);
+    CHECK(reconciler.entry("e100")->m_phase == MemberPhase::Ready);
+    // A report without the number says nothing of its age.
+    earlier.m_ordersBegun = -1;
+    reconciler.probeAnswered(earlier, 40);
+    CHECK(reconciler.entry("e100")->m_phase == MemberPhase::Open);
+}
--- a/autotests/soak/soakcluster.cpp
+++ b/autotests/soak/soakcluster.cpp
@@ -47,11 +47,12 @@
     return {{"name", "llm"}, {"backend", std::move(backend)}};
 }
 
-/** Returns what upstreams do all the time: engines leave a few orders without an answer, and carry some of them out late. */
+/** Returns what upstreams do all the time: engines leave a few orders without an answer, carry some of them out late, and repeat a few answers to them. */
 standin::AnswerFaults usualFaults()
 {
     standin::AnswerFaults faults;
     faults.m_lateOrderShare = 0.03;
+    faults.m_copiedControlShare = 0.1;
     return faults;
 }
 
@@ -81,6 +82,7 @@
         break;
     case 5:
         faults.m_lateOrderShare = Often;
+        faults.m_copiedControlShare = Often;
         break;
     case 6:
         faults.m_refusedShare = Often;
--- a/autotests/upstreamanswertest.cpp
+++ b/autotests/upstreamanswertest.cpp
@@ -59,6 +59,27 @@
     }
 }
 
+// Guards against the copy of an engine's earlier answer that counts as the answer to an order (rules TWO and PARTIAL).
+TEST_CASE("an answer to an order is believed if it names the order or is the first on its connection", "[answer]")
+{
+    struct Row
+    {
+        const char *m_named;
+        bool m_reused;
+        AnswerProof m_proof;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"o2", true, AnswerProof::Answered},
+        {"o2", false, AnswerProof::Answered},
+        {"o1", true, AnswerProof::OtherRequest},
+        {"o1", false, AnswerProof::Spoiled},
+        {"", true, AnswerProof::Spoiled},
+        {"", false, AnswerProof::Answered},
+    }));
+    INFO("names \"" << row.m_named << "\", connection " << (row.m_reused ? "reused" : "new"));
+    CHECK(proveOrderAnswer(claims(row.m_named, true, false, false), "o2", row.m_reused) == row.m_proof);
+}
+
 // Guards against any combination of claims of which a part is believed for the wrong request.
 TEST_CASE("no answer to another request proves that one has run or has not", "[answer]")
 {
--- a/daemons/entrycontext.h
+++ b/daemons/entrycontext.h
@@ -178,8 +178,11 @@
     asio::io_context &m_io;
     EntrySettings m_settings;
     platform::StoreAccess m_store;
-    /** Connections to upstreams. */
+    /** Connections to upstreams for clients' requests. */
     ConnectionPool m_connections;
+    /** Those for orders, and those for reports: a late copy of an answer on one is never read as an answer of another kind. */
+    ConnectionPool m_orderConnections;
+    ConnectionPool m_reportConnections;
     std::mt19937_64 m_random;
 
     /** Local copy of the store's content; complete once m_mirrorSynced is set. */
--- a/daemons/entryreconciler.cpp
+++ b/daemons/entryreconciler.cpp
@@ -5,6 +5,7 @@
 #include "daemons/entryreconciler.h"
 
 #include "daemons/entryavailability.h"
+#include "daemons/ordercall.h"
 
 #include "net/logging.h"
 #include "platform/enginecalls.h"
@@ -21,13 +22,6 @@
 /** Longest wait for the answer to a probe, in ms. */
 constexpr std::int64_t ProbeTimeoutMs = 110;
 
-/** Returns whether an engine's answer on a connection that is shared with clients' requests was made for one of those: orders and probes have no id. */
-bool answersClient(const HttpReply &answer)
-{
-    const platform::ResponseHeaders headers = platform::decodeResponseHeaders(answer.m_status, answer.m_headers);
-    return proveAnswer(headers.m_claims, {}, true) == AnswerProof::OtherRequest;
-}
-
 /** Reads an engine's answer to an order or a probe for what the engine says of itself. */
 void learnFromReply(EntryContext &context, const UpstreamLifetime &engine, const Result<HttpReply> &answer)
 {
@@ -47,9 +41,7 @@
     const UpstreamLifetime engine{order.m_engine, startOf(context, order.m_engine)};
     const std::uint64_t fence = context.m_leadership.m_fence;
     ++context.m_metrics.m_orders;
-    HttpRequest request = platform::makeOrderRequest(order);
-    const Result<HttpReply> answer =
-        co_await httpCall(context.m_connections, order.m_address, std::move(request), OrderTimeoutMs, MaxControlReplyBytes, answersClient);
+    const Result<HttpReply> answer = co_await orderCall(context.m_orderConnections, order, OrderTimeoutMs);
     learnFromReply(context, engine, answer);
     OrderReply reply = OrderReply::Unanswered;
     if (!failed(answer)) {
@@ -84,7 +76,7 @@
     const UpstreamLifetime lifetime{engine, known->m_startedMs};
     ++context.m_metrics.m_probes;
     HttpRequest request = platform::makeReportRequest(engine);
-    const Result<HttpReply> answer = co_await httpCall(context.m_connections, address, std::move(request), ProbeTimeoutMs, MaxControlReplyBytes, answersClient);
+    const Result<HttpReply> answer = co_await httpCall(context.m_reportConnections, address, std::move(request), ProbeTimeoutMs, MaxControlReplyBytes);
     const std::int64_t nowMs = steadyMs();
     constexpr unsigned Ok = 200;
     if (failed(answer) || valueOf(answer).m_status != Ok) {
--- a/kernel/replicareconciler.cpp
+++ b/kernel/replicareconciler.cpp
@@ -165,6 +165,11 @@
         markDead(*found, nowMs);
         return;
     }
+    const bool isCopy = reported.m_ordersBegun >= 0 && reported.m_ordersBegun < found->m_ordersBegun;
+    if (isCopy) {
+        // A second copy of an earlier report, sent where the next one is due.
+        return;
+    }
     // A report shows the state of the engine, not whether it is listed.
     const bool listed = found->m_listed;
     observe(reported, nowMs);
--- a/kernel/replicareconciler.h
+++ b/kernel/replicareconciler.h
@@ -166,7 +166,8 @@
     void checkLeaving(const std::string &engine, std::int64_t nowMs);
     /**
      * Records the report with which a probe was answered: entry() of the engine, changed by what the report says. Another start time shows that another
-     * lifetime, or another engine, listens at the address: the engine counts as dead until the list shows it again.
+     * lifetime, or another engine, listens at the address: the engine counts as dead until the list shows it again. A report that is older than the last
+     * one, by its number of orders begun, is ignored.
      */
     void probeAnswered(const UpstreamEntry &reported, std::int64_t nowMs);
     /**
--- a/kernel/upstreamanswer.cpp
+++ b/kernel/upstreamanswer.cpp
@@ -24,4 +24,12 @@
     }
     return claims.m_signed ? AnswerProof::Answered : AnswerProof::Spoiled;
 }
+
+AnswerProof proveOrderAnswer(const AnswerClaims &claims, std::string_view requestId, bool reused)
+{
+    if (claims.m_requestId == requestId || (claims.m_requestId.empty() && !reused)) {
+        return AnswerProof::Answered;
+    }
+    return reused && !claims.m_requestId.empty() ? AnswerProof::OtherRequest : AnswerProof::Spoiled;
+}
 }
--- a/kernel/upstreamanswer.h
+++ b/kernel/upstreamanswer.h
@@ -37,7 +37,13 @@
 /**
  * Returns what an answer proves about the request @p requestId. Nothing that an answer says may be used, neither its status nor its fields, before this was
  * called. @p reused tells whether the connection carried other requests before: an upstream may send a second copy of an earlier answer, late, where the
- * next answer is expected. Answers to requests without an id, such as orders and probes, name none either.
+ * next answer is expected.
  */
 AnswerProof proveAnswer(const AnswerClaims &claims, std::string_view requestId, bool reused);
+
+/**
+ * As proveAnswer(), for the answer to the order @p requestId: engines do not sign those, and some do not name the order in them. Such an answer is believed
+ * only if its connection carried no other request before; no further request may be sent on that connection.
+ */
+AnswerProof proveOrderAnswer(const AnswerClaims &claims, std::string_view requestId, bool reused);
 }
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -231,7 +231,7 @@
 }
 
 awaitable<Result<HttpReply>>
-httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes, IsOtherResponse isOther)
+httpExchange(HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes, MatchResponse match)
 {
     const RequestMessage message = toMessage(connection, request, request.m_body);
     connection.m_stream.expires_after(std::chrono::milliseconds(timeoutMs));
@@ -244,10 +244,14 @@
         if (failed(reply)) {
             co_return reply;
         }
-        if (isOther == nullptr || !isOther(valueOf(reply))) {
-            connection.m_closing = connection.m_closing || skipped > 0;
+        const ResponseMatch matched = match ? match(valueOf(reply), connection.m_reused) : ResponseMatch::Own;
+        if (matched == ResponseMatch::Own || matched == ResponseMatch::OwnUnnamed) {
+            connection.m_closing = connection.m_closing || skipped > 0 || matched == ResponseMatch::OwnUnnamed;
             co_return reply;
         }
+        if (matched == ResponseMatch::Unknown) {
+            co_return Error{ErrorCode::ProtocolViolation, "it cannot be told to which request the response belongs"};
+        }
         if (connection.m_closing) {
             co_return Error{ErrorCode::ConnectionLost, "the connection ends with a response to another request"};
         }
@@ -258,12 +262,12 @@
 }
 
 awaitable<Result<HttpReply>>
-httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes, IsOtherResponse isOther)
+httpCall(ConnectionPool &pool, std::string address, HttpRequest request, std::int64_t timeoutMs, std::size_t maxBodyBytes, MatchResponse match)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     HttpConnectionPtr connection = pool.take(executor, address, {});
     if (connection != nullptr) {
-        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes, isOther);
+        const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes, match);
         if (!failed(reply)) {
             if (!connection->m_closing) {
                 pool.give(std::move(connection));
@@ -280,7 +284,7 @@
         co_return errorOf(fresh);
     }
     connection = std::move(valueOf(fresh));
-    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes, isOther);
+    const Result<HttpReply> reply = co_await httpExchange(*connection, request, timeoutMs, maxBodyBytes, match);
     if (!failed(reply) && !connection->m_closing) {
         pool.give(std::move(connection));
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -3,6 +3,7 @@
 #include "kernel/eventreassembler.h"
 #include "net/http.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -85,22 +86,31 @@
 /** Longest answer of an upstream to a client's request that is read as a whole. */
 inline constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
 
-/** Returns whether a response belongs to another request than the one that was sent, such as a late second copy of an earlier one. */
-using IsOtherResponse = bool (*)(const HttpReply &);
+/** To which request a response on a connection belongs. */
+enum class ResponseMatch {
+    /** To the one that was sent. */
+    Own,
+    /** To the one that was sent, but nothing would tell a second copy of it from the next response: the connection must not be used again. */
+    OwnUnnamed,
+    /** To an earlier one, such as a late second copy; the right one may follow. */
+    Other,
+    /** That cannot be told. */
+    Unknown,
+};
+
+/** Returns to which request a response belongs; the second argument tells whether its connection carried other requests before. */
+using MatchResponse = std::function<ResponseMatch(const HttpReply &, bool)>;
 
 /** Responses to other requests that are dropped before the response to one request: more of them are no late copies. */
 inline constexpr int MaxSkippedResponses = 4;
 
 /**
  * Sends @p request and reads the complete response, both within @p timeoutMs. Fails with ProtocolViolation if its header or body is too long, at the
- * moment at which that is known. After an error the connection must not be used again. Responses that @p isOther recognises are dropped, and the
- * connection then counts as closing.
+ * moment at which that is known. After an error the connection must not be used again. With @p match, responses to other requests are dropped, and the
+ * connection then counts as closing; fails with ProtocolViolation if it cannot be told to which request the response belongs.
  */
-awaitable<Result<HttpReply>> httpExchange(HttpConnection &connection,
-                                          const HttpRequest &request,
-                                          std::int64_t timeoutMs,
-                                          std::size_t maxBodyBytes = MaxResponseBytes,
-                                          IsOtherResponse isOther = nullptr);
+awaitable<Result<HttpReply>> httpExchange(
+    HttpConnection &connection, const HttpRequest &request, std::int64_t timeoutMs, std::size_t maxBodyBytes = MaxResponseBytes, MatchResponse match = nullptr);
 
 /**
  * Sends @p request over a pooled or a new connection and reads the complete response. If a pooled connection is lost, a GET or HEAD request
@@ -111,7 +121,7 @@
                                       HttpRequest request,
                                       std::int64_t timeoutMs,
                                       std::size_t maxBodyBytes = MaxResponseBytes,
-                                      IsOtherResponse isOther = nullptr);
+                                      MatchResponse match = nullptr);
 
 /** A response whose body is read incrementally. */
 class HttpStream
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -307,6 +307,9 @@
         co_await breakOff(connection, std::move(text), end);
         co_return;
     }
+    if (happens(m_faults.m_copiedControlShare)) {
+        connection.m_lateCopy = Connection::toText(reply, request);
+    }
     co_await respond(connection, std::move(reply), request);
 }
 
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -126,6 +126,8 @@
     /** Share of the orders that are not answered: half of them are carried out at once, half up to m_lateOrderMs later. */
     double m_lateOrderShare = 0.0;
     std::int64_t m_lateOrderMs = 4'000;
+    /** Share of the answers to orders and requests for reports that come once more on their connection, where the next answer is due. */
+    double m_copiedControlShare = 0.0;
 };
 
 class HostingEngine;
