--- a/autotests/soak/soak.cpp
+++ b/autotests/soak/soak.cpp
@@ -248,6 +248,7 @@
     app.add_option("--model-size", options.m_shape.m_modelSize, "engines of one group of the first model");
     app.add_option("--large-model-size", options.m_shape.m_largeModelSize, "engines of one group of the second model");
     app.add_option("--services", options.m_shape.m_serviceUpstreams, "upstreams of each of the two plain services");
+    app.add_option("--copied-share", options.m_shape.m_copiedControlShare, "share of the answers to orders and reports that engines send twice");
     app.add_option("--seconds", options.m_seconds, "time over which disruptions begin");
     app.add_option("--address-number", options.m_addressNumber, "second number of all loopback addresses, 20 to 250; runs side by side need different ones");
     CLI11_PARSE(app, argc, argv);
--- a/autotests/soak/soakcluster.cpp
+++ b/autotests/soak/soakcluster.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace knapweedslip::soak
 {
 namespace json = boost::json;
@@ -48,20 +50,20 @@
 }
 
 /** Returns what upstreams do all the time: engines leave a few orders without an answer, carry some of them out late, and repeat a few answers to them. */
-standin::AnswerFaults usualFaults()
+standin::AnswerFaults usualFaults(const SoakClusterShape &shape)
 {
     standin::AnswerFaults faults;
     faults.m_lateOrderShare = 0.03;
-    faults.m_copiedControlShare = 0.1;
+    faults.m_copiedControlShare = shape.m_copiedControlShare;
     return faults;
 }
 
 /** Returns what the variant of a disruption makes upstreams do. */
-standin::AnswerFaults faultsOf(std::uint64_t variant)
+standin::AnswerFaults faultsOf(const SoakClusterShape &shape, std::uint64_t variant)
 {
     constexpr double Often = 0.3;
     constexpr double Seldom = 0.05;
-    standin::AnswerFaults faults = usualFaults();
+    standin::AnswerFaults faults = usualFaults(shape);
     switch (variant % VariantsOfFaults) {
     case 0:
         faults.m_refusedShare = Often;
@@ -82,7 +84,7 @@
         break;
     case 5:
         faults.m_lateOrderShare = Often;
-        faults.m_copiedControlShare = Often;
+        faults.m_copiedControlShare = std::max(faults.m_copiedControlShare, Often);
         break;
     case 6:
         faults.m_refusedShare = Often;
@@ -102,16 +104,16 @@
 }
 
 /** Returns whether the disruption spoils answers to orders, which only engines get. */
-bool spoilsOrders(const SoakEvent &event)
+bool spoilsOrders(const SoakClusterShape &shape, const SoakEvent &event)
 {
-    return event.m_kind == Disruption::SpoilAnswers && faultsOf(event.m_variant).m_lateOrderShare > usualFaults().m_lateOrderShare;
+    return event.m_kind == Disruption::SpoilAnswers && faultsOf(shape, event.m_variant).m_lateOrderShare > usualFaults(shape).m_lateOrderShare;
 }
 
 /** Returns the upstreams of a disruption; in two of three that may hit any, they are all of plain services, of which there are fewer. */
 std::vector<standin::HostingEngine *> chosenUpstreams(SoakCluster &cluster, const SoakEvent &event)
 {
     std::vector<standin::HostingEngine *> candidates;
-    const bool isEnginesOnly = spoilsOrders(event);
+    const bool isEnginesOnly = spoilsOrders(cluster.m_shape, event);
     const bool isPlainOnly = !isEnginesOnly && event.m_variant / VariantsOfFaults % 3 != 0;
     for (const std::unique_ptr<standin::HostingEngine> &upstream : cluster.m_upstreams) {
         const bool isPlain = upstream->entry().m_domain.empty();
@@ -175,6 +177,7 @@
         standin::HostingEngineTimes times = shape.m_times;
         // Some upstreams come back under their id, some soon and some late.
         times.m_keepsId = i % 3 == 0;
+        times.m_namesOrders = i % 2 == 0;
         times.m_restartMs += 700 * (i % 4);
         const std::string address = shape.m_addressPrefix + ".8.1:" + std::to_string(FirstPort + i);
         cluster.m_upstreams.push_back(
@@ -182,7 +185,7 @@
         if (isEngine) {
             cluster.m_upstreams.back()->setCluster(cluster.m_groups);
         }
-        cluster.m_upstreams.back()->setFaults(usualFaults());
+        cluster.m_upstreams.back()->setFaults(usualFaults(shape));
         asio::co_spawn(io, cluster.m_upstreams.back()->run(), asio::detached);
     }
     writeConfig(cluster, 0);
@@ -219,11 +222,11 @@
         break;
     case Disruption::SpoilAnswers:
         for (standin::HostingEngine *upstream : chosen) {
-            upstream->setFaults(faultsOf(event.m_variant));
+            upstream->setFaults(faultsOf(cluster.m_shape, event.m_variant));
         }
         co_await sleepFor(event.m_forMs);
         for (standin::HostingEngine *upstream : chosen) {
-            upstream->setFaults(usualFaults());
+            upstream->setFaults(usualFaults(cluster.m_shape));
         }
         break;
     case Disruption::UpstreamsLeave: {
--- a/autotests/soak/soakcluster.h
+++ b/autotests/soak/soakcluster.h
@@ -22,6 +22,8 @@
     int m_largeModelSize = 4;
     /** Upstreams of each of the two plain services. */
     int m_serviceUpstreams = 4;
+    /** Share of the answers to orders and requests for reports that engines send twice. */
+    double m_copiedControlShare = 0.5;
     standin::HostingEngineTimes m_times;
 };
 
--- a/standins/hostingengine.cpp
+++ b/standins/hostingengine.cpp
@@ -293,8 +293,12 @@
     record(m_history, "endless", describeRequest(request, m_entry.m_id) + ",\"bytes\":" + std::to_string(bytes));
 }
 
-awaitable<void> HostingEngine::answerLeader(Connection &connection, HttpReply reply, const HttpRequest &request)
+awaitable<void> HostingEngine::answerLeader(Connection &connection, HttpReply reply, HttpRequest request)
 {
+    if (!m_times.m_namesOrders) {
+        // Answers name the request by what its header says.
+        request.m_headers.clear();
+    }
     const bool isOrder = pathOf(request.m_target) == platform::path::Order;
     const std::optional<EndlessPart> endless = isOrder ? m_faults.m_endlessOrderReply : m_faults.m_endlessReport;
     if (endless) {
--- a/standins/hostingengine.h
+++ b/standins/hostingengine.h
@@ -29,6 +29,8 @@
     std::int64_t m_restartMs = 2'000;
     /** An engine that has crashed comes back under its id. */
     bool m_keepsId = false;
+    /** Its answers to orders and requests for reports name the request, if that has an id. */
+    bool m_namesOrders = false;
     /** Time between the start of an engine and its first entry in the store. */
     std::int64_t m_registerMs = 0;
     /** How long the connections of an engine that has crashed silently stay open. */
@@ -212,7 +214,7 @@
     /** Answers with bytes without end, until the caller closes the connection or the lifetime ends. */
     awaitable<void> answerWithoutEnd(Connection &connection, const HttpRequest &request, EndlessPart part);
     /** Sends the answer to an order or a request for a report. */
-    awaitable<void> answerLeader(Connection &connection, HttpReply reply, const HttpRequest &request);
+    awaitable<void> answerLeader(Connection &connection, HttpReply reply, HttpRequest request);
     /** Adds the fields of all answers to @p reply and sends it. */
     awaitable<void> respond(Connection &connection, HttpReply reply, const HttpRequest &request);
     /** Returns the fields of all answers, as lines of a header. */
