--- a/review/shared-3/deployment.hh
+++ b/review/shared-3/deployment.hh
@@ -88,6 +88,8 @@
     int m_running = 0;
     int m_requests = 0;
 
+    std::shared_ptr<HttpListener> m_listener;
+
     /** Called with each request; if it returns true, it has answered or closed the channel, and the second value tells whether to go on with the channel. */
     std::function<std::pair<bool, bool>(Channel &, const HttpMessage &)> m_fault;
 };
@@ -197,12 +199,51 @@
         server.m_zone = zone;
         server.m_domain = domain;
         server.m_bornMs = unixMs();
-        serveAt(server.m_address, [this, &server](Channel &channel, const HttpMessage &request) {
-            return serve(server, channel, request);
-        });
+        listen(server);
         publish(server);
         return server;
     }
+    void listen(Server &server)
+    {
+        server.m_listener = std::make_shared<HttpListener>(server.m_address, [this, &server](Channel &channel, const HttpMessage &request) {
+            return serve(server, channel, request);
+        });
+        HttpListener::start(server.m_listener);
+    }
+    /** The process of a server ends. It is back after @p awayMs, as a new lifetime with another id; its entry lapses after three missed reports. */
+    void crash(Server &server, std::int64_t awayMs)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        if (!server.m_isAlive) {
+            return;
+        }
+        const std::string id = server.m_id;
+        m_record.add(id + " crashes");
+        server.m_isAlive = false;
+        server.m_listener->stop(m_crashResets);
+        lock.unlock();
+        std::thread([this, id]() {
+            sleepMs(3 * 1'200);
+            m_store.remove("servers/" + id);
+        }).detach();
+        std::thread([this, &server, awayMs]() {
+            sleepMs(awayMs);
+            const std::lock_guard<std::mutex> again(m_mutex);
+            clearGroup(server);
+            server.m_id = "i-" + std::to_string(m_random() % 100000000);
+            server.m_bornMs = unixMs();
+            server.m_writes = 0;
+            server.m_highestEpoch = 0;
+            server.m_fence = 0;
+            server.m_orders = 0;
+            server.m_lastModel.clear();
+            server.m_running = 0;
+            listen(server);
+            server.m_isAlive = true;
+            publish(server);
+            m_record.add(server.m_id + " starts at the address of a server that crashed");
+        }).detach();
+    }
     static std::int64_t unixMs()
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -412,10 +453,6 @@
     }
     bool serve(Server &server, Channel &channel, const HttpMessage &request)
     {
-        if (!server.m_isAlive) {
-            channel.reset();
-            return false;
-        }
         const std::string expected = request.field("Expect-Instance");
         Fields fields;
         if (!request.field("Attempt-Id").empty()) {
@@ -490,7 +527,11 @@
         lock.unlock();
         noteRun(server, request);
         sleepMs(m_firstEventMs);
-        std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nServer-Stamp: " + stamp() + "\r\n";
+        if (m_onFirstEvent && !m_onFirstEvent(server, request)) {
+            return false;
+        }
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Stamp: " + stamp() + "\r\n"
+                           + (m_isUnframed ? "" : "Transfer-Encoding: chunked\r\n");
         for (const std::pair<std::string, std::string> &field : fields) {
             head += field.first + ": " + field.second + "\r\n";
         }
@@ -504,7 +545,6 @@
                 const bool serves = isSame && (server.m_state == "open" || server.m_state == "closing");
                 lock.unlock();
                 if (!serves) {
-                    channel.close();
                     open = false;
                     break;
                 }
@@ -519,12 +559,14 @@
             const std::string text = "id: " + std::to_string(event) + "\ndata: event " + std::to_string(event) + "\n\n";
             char size[24];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-            open = !channel.isClosedByPeer() && channel.write(size + text + "\r\n");
+            open = !channel.isClosedByPeer() && channel.write(m_isUnframed ? text : size + text + "\r\n");
             sleepMs(m_eventMs);
         }
-        open = open && channel.write("0\r\n\r\n");
+        open = open && !m_isUnframed && channel.write("0\r\n\r\n");
         lock.lock();
-        --server.m_running;
+        if (server.m_group == group && server.m_epoch == epoch) {
+            --server.m_running;
+        }
         return open;
     }
 
@@ -662,6 +704,9 @@
     static constexpr std::int64_t StallMs = 6'000;
     static constexpr std::int64_t FormMs = 300;
 
+    /** Called when a generation is about to write; false if the server has ended. */
+    std::function<bool(Server &, const HttpMessage &)> m_onFirstEvent;
+
     Record m_record;
     Store m_store;
     std::mutex m_mutex;
@@ -680,6 +725,10 @@
     std::int64_t m_firstEventMs = 60;
     std::int64_t m_eventMs = 40;
     int m_events = 25;
+    /** Streams have neither a length nor chunks, and end with their connection. */
+    bool m_isUnframed = false;
+    /** The end of a server resets its connections; otherwise they are closed, as the system does for a process that has read all that it was sent. */
+    bool m_crashResets = true;
 };
 
 /** The operator's config of a small deployment. @p keys are those of the second tenant, as JSON strings. */
--- a/review/shared-3/http.hh
+++ b/review/shared-3/http.hh
@@ -18,6 +18,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <strings.h>
@@ -317,33 +318,91 @@
     return std::make_unique<Channel>(fd);
 }
 
-/** Serves an address until the process ends. The handler answers one request; false closes the connection. */
+/** Answers one request; false closes the connection. */
 using Handler = std::function<bool(Channel &, const HttpMessage &)>;
 
-inline void serveAt(const std::string &address, Handler handler)
+/** A listening address and its connections. stop() ends it as the end of a process does. */
+class HttpListener
 {
-    const int listener = listenAt(address);
-    if (listener < 0) {
-        throw std::runtime_error("cannot listen at " + address);
+public:
+    HttpListener(const std::string &address, Handler handler)
+        : m_listener(listenAt(address))
+        , m_handler(std::move(handler))
+    {
+        if (m_listener < 0) {
+            throw std::runtime_error("cannot listen at " + address);
+        }
     }
-    std::thread([listener, handler]() {
-        while (true) {
-            const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0) {
-                sleepMs(5);
-                continue;
-            }
-            std::thread([fd, handler]() {
-                Channel channel(fd);
-                while (true) {
-                    HttpMessage request;
-                    if (!channel.readRequest(request, nowMs() + 600'000) || !handler(channel, request)) {
-                        return;
-                    }
+    /** Accepts connections until stop(). Must be called once. */
+    static void start(const std::shared_ptr<HttpListener> &self)
+    {
+        std::thread([self]() {
+            while (!self->m_isStopped) {
+                pollfd waiting{self->m_listener, POLLIN, 0};
+                if (::poll(&waiting, 1, 20) <= 0) {
+                    continue;
+                }
+                const int fd = ::accept4(self->m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+                if (fd >= 0) {
+                    std::thread(serve, self, fd).detach();
                 }
-            }).detach();
+            }
+        }).detach();
+    }
+    /** Nothing listens any longer, and all connections are closed; with @p resets they are reset. */
+    void stop(bool resets)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isStopped = true;
+        m_resets = resets;
+        ::shutdown(m_listener, SHUT_RDWR);
+        ::close(m_listener);
+        const linger now{1, 0};
+        for (const int fd : m_open) {
+            if (resets) {
+                setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+            }
+            ::shutdown(fd, SHUT_RD);
+        }
+    }
+    bool isStopped() const
+    {
+        return m_isStopped;
+    }
+
+private:
+    static void serve(std::shared_ptr<HttpListener> self, int fd)
+    {
+        Channel channel(fd);
+        {
+            const std::lock_guard<std::mutex> lock(self->m_mutex);
+            self->m_open.insert(fd);
+        }
+        while (!self->m_isStopped) {
+            HttpMessage request;
+            if (!channel.readRequest(request, nowMs() + 600'000) || self->m_isStopped || !self->m_handler(channel, request)) {
+                break;
+            }
         }
-    }).detach();
+        const std::lock_guard<std::mutex> lock(self->m_mutex);
+        self->m_open.erase(fd);
+        if (self->m_isStopped && self->m_resets) {
+            channel.reset();
+        }
+    }
+
+    int m_listener;
+    Handler m_handler;
+    std::atomic<bool> m_isStopped = false;
+    bool m_resets = false;
+    std::mutex m_mutex;
+    std::set<int> m_open;
+};
+
+/** Serves an address until the process ends. */
+inline void serveAt(const std::string &address, Handler handler)
+{
+    HttpListener::start(std::make_shared<HttpListener>(address, std::move(handler)));
 }
 
 /** Sends one request on a new connection and reads the response. The status is 0 if there was none. */
