Review case 15: CONFIG when a machine is added while the store is back from a copy

A machine that starts between the store's return from a copy and the operator's next write accepts a key that was taken away more than revokeMs before.

--- a/review/shared-3/store.hh
+++ b/review/shared-3/store.hh
@@ -144,6 +144,11 @@
         const auto found = m_items.find(key);
         return found == m_items.end() ? std::string() : found->second.m_value;
     }
+    void startAtEra(std::uint64_t era)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_era = era;
+    }
     void takeCopy()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
