--- a/review/shared-3/deployment.hh
+++ b/review/shared-3/deployment.hh
@@ -89,6 +89,8 @@
     int m_requests = 0;
 
     std::shared_ptr<HttpListener> m_listener;
+    /** It stands still: its address takes connections, and nothing is answered. */
+    std::atomic<bool> m_isDark = false;
 
     /** Called with each request; if it returns true, it has answered or closed the channel, and the second value tells whether to go on with the channel. */
     std::function<std::pair<bool, bool>(Channel &, const HttpMessage &)> m_fault;
@@ -210,6 +212,42 @@
         });
         HttpListener::start(server.m_listener);
     }
+    /** Answers nothing until the successor of @p server starts, and then resets the connection. */
+    static bool stayDark(Server &server, Channel &channel)
+    {
+        while (server.m_isDark) {
+            sleepMs(10);
+        }
+        channel.reset();
+        return false;
+    }
+    /** A server stands still for @p darkMs. Then its successor starts at the address, with another id. Its entry lapses after three missed reports. */
+    void goDark(Server &server, std::int64_t darkMs)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (server.m_isDark) {
+            return;
+        }
+        const std::string id = server.m_id;
+        m_record.add(id + " goes dark");
+        server.m_isDark = true;
+        server.m_isAlive = false;
+        std::thread([this, id]() {
+            sleepMs(3 * 1'200);
+            m_store.remove("servers/" + id);
+        }).detach();
+        std::thread([this, &server, darkMs, id]() {
+            sleepMs(darkMs);
+            const std::lock_guard<std::mutex> again(m_mutex);
+            server.m_id = "i-" + std::to_string(m_random() % 100000000);
+            server.m_bornMs = unixMs();
+            server.m_writes = 0;
+            server.m_isAlive = true;
+            server.m_isDark = false;
+            publish(server);
+            m_record.add(server.m_id + " starts at the address of " + id);
+        }).detach();
+    }
     /** The process of a server ends. It is back after @p awayMs, as a new lifetime with another id; its entry lapses after three missed reports. */
     void crash(Server &server, std::int64_t awayMs)
     {
@@ -453,6 +491,9 @@
     }
     bool serve(Server &server, Channel &channel, const HttpMessage &request)
     {
+        if (server.m_isDark) {
+            return stayDark(server, channel);
+        }
         const std::string expected = request.field("Expect-Instance");
         Fields fields;
         if (!request.field("Attempt-Id").empty()) {
@@ -732,12 +773,12 @@
 };
 
 /** The operator's config of a small deployment. @p keys are those of the second tenant, as JSON strings. */
-inline std::string configText(int version, const std::string &keys, const std::string &moreRoutes = {})
+inline std::string configText(int version, const std::string &keys, const std::string &moreRoutes = {}, int payTimeoutMs = 1'000)
 {
     return R"({"version":)" + std::to_string(version)
            + R"(,"routes":[)" + moreRoutes + R"({"name":"r-quiz","host":"ficu95.example","pathPrefix":"/pufi791/","routeType":"streaming","timeoutMs":5000,"latencyTargetMs":200,)"
              R"("priority":1,"service":"huvo11a","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"itlTargetMs":200},)"
-             R"({"name":"r-pay","host":"ficu95.example","pathPrefix":"/puxa403/","routeType":"non_idempotent","timeoutMs":1000,"latencyTargetMs":150,)"
+             R"({"name":"r-pay","host":"ficu95.example","pathPrefix":"/puxa403/","routeType":"non_idempotent","timeoutMs":)" + std::to_string(payTimeoutMs) + R"(,"latencyTargetMs":150,)"
              R"("priority":2,"service":"wuno96b","maxAttempts":1,"public":false},)"
              R"({"name":"r-read","host":"ficu95.example","pathPrefix":"/cufi504/","routeType":"idempotent","timeoutMs":1000,"latencyTargetMs":150,)"
              R"("priority":2,"service":"wuno96b","maxAttempts":2,"public":false}],)"
